--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+GO ?= go
+
+.PHONY: build test lint demo bench soak
+
+build:
+	$(GO) build -o bin/azurerouter ./cmd/azurerouter
+
+test:
+	$(GO) test ./...
+
+lint:
+	@unformatted="$$(gofmt -l $$(git ls-files '*.go'))"; \
+	if [ -n "$$unformatted" ]; then echo "gofmt would change: $$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+demo: build
+	bin/azurerouter demo
+
+bench: build
+	bin/azurerouter bench
+
+SEED ?= 1
+DURATION ?= 60s
+soak: build
+	bin/azurerouter soak -seed $(SEED) -duration $(DURATION)
--- /dev/null
+++ b/connection/peer/conn.go
@@ -0,0 +1,205 @@
+// Package peer connects the processes of the system over QUIC with mutual TLS.
+// A connection carries one ordered stream of messages in each direction; it is
+// closed as a whole when the peer has been silent for IdleTimeout.
+package peer
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
+
+	"github.com/azurerouter/azurerouter/connection/wire"
+)
+
+// Times of a connection.
+const (
+	// IdleTimeout is shorter than the dispatch lease, so that what is still
+	// buffered for a silent peer is discarded before the lease ends.
+	IdleTimeout      = 2 * time.Second
+	keepAlive        = 500 * time.Millisecond
+	handshakeTimeout = 2 * time.Second
+)
+
+const (
+	readBufferBytes     = 32 << 10
+	maxQueuedBytes      = 64 << 20
+	applicationProtocol = "azurerouter/1"
+)
+
+// ErrClosed is returned by Send after the connection has ended.
+var ErrClosed = errors.New("connection closed")
+
+// Handler receives what happens on connections. Received and Disconnected are
+// called from the connection's own goroutine, in order.
+type Handler interface {
+	// Connected is called after both sides have said hello, before the first
+	// Received. An error closes the connection.
+	Connected(c *Conn) error
+	Received(c *Conn, m wire.Message)
+	// Disconnected is called once after the last Received of a connection for
+	// which Connected returned nil.
+	Disconnected(c *Conn, err error)
+}
+
+// Conn is one connection to another process.
+type Conn struct {
+	// Peer is what the other side said in its hello.
+	Peer wire.Hello
+
+	connection *quic.Conn
+	stream     *quic.Stream
+	reader     *bufio.Reader
+
+	mu     sync.Mutex
+	queue  []byte
+	wake   chan struct{}
+	closed bool
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		MaxIdleTimeout:       IdleTimeout,
+		KeepAlivePeriod:      keepAlive,
+		HandshakeIdleTimeout: handshakeTimeout,
+		MaxIncomingStreams:   1,
+	}
+}
+
+// Dial connects to addr, exchanges hellos and serves the connection in the
+// background. The error names the peer's address.
+func Dial(ctx context.Context, addr string, tlsConfig *tls.Config, hello wire.Hello, h Handler) (*Conn, error) {
+	connection, err := quic.DialAddr(ctx, addr, withProtocol(tlsConfig), quicConfig())
+	if err != nil {
+		return nil, errors.Wrapf(err, "dial %s", addr)
+	}
+	stream, err := connection.OpenStreamSync(ctx)
+	if err != nil {
+		connection.CloseWithError(0, "")
+		return nil, errors.Wrapf(err, "open stream to %s", addr)
+	}
+	c := newConn(connection, stream)
+	if err := c.sayHello(hello); err != nil {
+		c.Close()
+		return nil, errors.Wrapf(err, "hello to %s", addr)
+	}
+	if err := c.hearHello(); err != nil {
+		c.Close()
+		return nil, errors.Wrapf(err, "hello from %s", addr)
+	}
+	if err := h.Connected(c); err != nil {
+		c.Close()
+		return nil, err
+	}
+	c.start(h)
+	return c, nil
+}
+
+func newConn(connection *quic.Conn, stream *quic.Stream) *Conn {
+	return &Conn{connection: connection, stream: stream,
+		reader: bufio.NewReaderSize(stream, readBufferBytes), wake: make(chan struct{}, 1)}
+}
+
+func (c *Conn) sayHello(hello wire.Hello) error {
+	frame, err := wire.Append(nil, &hello)
+	if err != nil {
+		return err
+	}
+	_, err = c.stream.Write(frame)
+	return err
+}
+
+func (c *Conn) hearHello() error {
+	c.stream.SetReadDeadline(time.Now().Add(handshakeTimeout))
+	m, err := wire.Read(c.reader)
+	if err != nil {
+		return err
+	}
+	c.stream.SetReadDeadline(time.Time{})
+	hello, ok := m.(*wire.Hello)
+	if !ok {
+		return errors.Newf("first message is %s, not hello", wire.KindName(m))
+	}
+	c.Peer = *hello
+	return nil
+}
+
+// RemoteAddr returns the address of the other side.
+func (c *Conn) RemoteAddr() net.Addr { return c.connection.RemoteAddr() }
+
+// Send queues a message. Messages arrive in the order of the calls, or the
+// connection ends. Send does not wait for the network.
+func (c *Conn) Send(m wire.Message) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return errors.Wrapf(ErrClosed, "send %s to %s", wire.KindName(m), c.Peer.Name)
+	}
+	queue, err := wire.Append(c.queue, m)
+	if err != nil {
+		return err
+	}
+	c.queue = queue
+	if len(queue) > maxQueuedBytes {
+		c.closed = true
+		c.connection.CloseWithError(1, "send queue full")
+		return errors.Wrapf(ErrClosed, "send queue to %s exceeds %d bytes", c.Peer.Name, maxQueuedBytes)
+	}
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// Close ends the connection. Queued messages may be lost.
+func (c *Conn) Close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.connection.CloseWithError(0, "")
+}
+
+func (c *Conn) start(h Handler) {
+	go c.writeLoop()
+	go c.readLoop(h)
+}
+
+// writeLoop sends everything queued since its last write at once, so that a
+// burst of small messages shares packets.
+func (c *Conn) writeLoop() {
+	var spare []byte
+	for {
+		select {
+		case <-c.wake:
+		case <-c.connection.Context().Done():
+			return
+		}
+		c.mu.Lock()
+		batch := c.queue
+		c.queue = spare[:0]
+		c.mu.Unlock()
+		if _, err := c.stream.Write(batch); err != nil {
+			c.Close()
+			return
+		}
+		spare = batch
+	}
+}
+
+func (c *Conn) readLoop(h Handler) {
+	for {
+		m, err := wire.Read(c.reader)
+		if err != nil {
+			c.Close()
+			h.Disconnected(c, err)
+			return
+		}
+		h.Received(c, m)
+	}
+}
--- /dev/null
+++ b/connection/peer/listener.go
@@ -0,0 +1,66 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
+
+	"github.com/azurerouter/azurerouter/connection/wire"
+)
+
+// Listener accepts connections of other processes.
+type Listener struct {
+	quic  *quic.Listener
+	hello func() wire.Hello
+	h     Handler
+}
+
+// Listen accepts connections on addr. hello is called for each connection.
+func Listen(addr string, tlsConfig *tls.Config, hello func() wire.Hello, h Handler) (*Listener, error) {
+	listener, err := quic.ListenAddr(addr, withProtocol(tlsConfig), quicConfig())
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", addr)
+	}
+	return &Listener{quic: listener, hello: hello, h: h}, nil
+}
+
+// Addr returns the address that the listener is bound to.
+func (l *Listener) Addr() string { return l.quic.Addr().String() }
+
+// Serve accepts connections until the context ends or Close is called.
+func (l *Listener) Serve(ctx context.Context) error {
+	for {
+		connection, err := l.quic.Accept(ctx)
+		if err != nil {
+			return errors.Wrapf(err, "accept on %s", l.Addr())
+		}
+		go l.accept(ctx, connection)
+	}
+}
+
+// Close stops accepting and ends all accepted connections.
+func (l *Listener) Close() error { return l.quic.Close() }
+
+func (l *Listener) accept(ctx context.Context, connection *quic.Conn) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	stream, err := connection.AcceptStream(ctx)
+	if err != nil {
+		connection.CloseWithError(1, "no stream")
+		return
+	}
+	c := newConn(connection, stream)
+	if c.hearHello() != nil || c.sayHello(l.hello()) != nil || l.h.Connected(c) != nil {
+		c.Close()
+		return
+	}
+	c.start(l.h)
+}
+
+func withProtocol(config *tls.Config) *tls.Config {
+	config = config.Clone()
+	config.NextProtos = []string{applicationProtocol}
+	return config
+}
--- /dev/null
+++ b/connection/wire/codec.go
@@ -0,0 +1,135 @@
+package wire
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// MaxFrameBytes bounds one encoded message.
+const MaxFrameBytes = 16 << 20
+
+const frameHeaderBytes = 5
+
+// ErrFrame is the mark of every decoding error.
+var ErrFrame = errors.New("invalid frame")
+
+type kind uint8
+
+// Values of kind are part of the protocol and must not be renumbered.
+const (
+	kindHello kind = iota + 1
+	kindMembers
+	kindHeartbeat
+	kindResume
+	kindDispatch
+	kindAnswers
+	kindCancel
+	kindLeaving
+	kindFence
+	kindFenced
+	kindQuery
+	kindQueryReply
+	kindConfig
+	kindQuota
+)
+
+func (*Hello) kind() kind      { return kindHello }
+func (*Members) kind() kind    { return kindMembers }
+func (*Heartbeat) kind() kind  { return kindHeartbeat }
+func (*Resume) kind() kind     { return kindResume }
+func (*Dispatch) kind() kind   { return kindDispatch }
+func (*Answers) kind() kind    { return kindAnswers }
+func (*Cancel) kind() kind     { return kindCancel }
+func (*Leaving) kind() kind    { return kindLeaving }
+func (*Fence) kind() kind      { return kindFence }
+func (*Fenced) kind() kind     { return kindFenced }
+func (*Query) kind() kind      { return kindQuery }
+func (*QueryReply) kind() kind { return kindQueryReply }
+func (*Config) kind() kind     { return kindConfig }
+func (*Quota) kind() kind      { return kindQuota }
+
+var newMessage = map[kind]func() Message{
+	kindHello:      func() Message { return new(Hello) },
+	kindMembers:    func() Message { return new(Members) },
+	kindHeartbeat:  func() Message { return new(Heartbeat) },
+	kindResume:     func() Message { return new(Resume) },
+	kindDispatch:   func() Message { return new(Dispatch) },
+	kindAnswers:    func() Message { return new(Answers) },
+	kindCancel:     func() Message { return new(Cancel) },
+	kindLeaving:    func() Message { return new(Leaving) },
+	kindFence:      func() Message { return new(Fence) },
+	kindFenced:     func() Message { return new(Fenced) },
+	kindQuery:      func() Message { return new(Query) },
+	kindQueryReply: func() Message { return new(QueryReply) },
+	kindConfig:     func() Message { return new(Config) },
+	kindQuota:      func() Message { return new(Quota) },
+}
+
+var kindNames = map[kind]string{
+	kindHello: "hello", kindMembers: "members", kindHeartbeat: "heartbeat", kindResume: "resume",
+	kindDispatch: "dispatch", kindAnswers: "answers", kindCancel: "cancel", kindLeaving: "leaving",
+	kindFence: "fence", kindFenced: "fenced", kindQuery: "query", kindQueryReply: "query_reply",
+	kindConfig: "config", kindQuota: "quota",
+}
+
+// KindName returns the name of the message's type, for metrics and logs.
+func KindName(m Message) string { return kindNames[m.kind()] }
+
+var decodeMode = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: 1 << 16,
+		MaxMapPairs:      1 << 10,
+		MaxNestedLevels:  8,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
+// Append appends the frame of a message to dst.
+func Append(dst []byte, m Message) ([]byte, error) {
+	payload, err := cbor.Marshal(m)
+	if err != nil {
+		return dst, errors.Wrapf(err, "encode %s", KindName(m))
+	}
+	if len(payload) > MaxFrameBytes {
+		return dst, errors.Mark(errors.Newf("%s of %d bytes exceeds the frame limit", KindName(m), len(payload)), ErrFrame)
+	}
+	dst = binary.BigEndian.AppendUint32(dst, uint32(len(payload)))
+	dst = append(dst, byte(m.kind()))
+	return append(dst, payload...), nil
+}
+
+// Read reads one frame. An error of the reader is returned as it is; a frame
+// that cannot be decoded gives an error marked ErrFrame.
+func Read(r io.Reader) (Message, error) {
+	var header [frameHeaderBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return nil, err
+	}
+	size := binary.BigEndian.Uint32(header[:4])
+	if size > MaxFrameBytes {
+		return nil, errors.Mark(errors.Newf("frame of %d bytes exceeds the limit", size), ErrFrame)
+	}
+	payload := make([]byte, size)
+	if _, err := io.ReadFull(r, payload); err != nil {
+		return nil, err
+	}
+	return decode(kind(header[4]), payload)
+}
+
+func decode(k kind, payload []byte) (Message, error) {
+	construct, ok := newMessage[k]
+	if !ok {
+		return nil, errors.Mark(errors.Newf("unknown message kind %d", k), ErrFrame)
+	}
+	m := construct()
+	if err := decodeMode.Unmarshal(payload, m); err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "decode %s", kindNames[k]), ErrFrame)
+	}
+	return m, nil
+}
