--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -4,6 +4,8 @@
 package wire
 
 import (
+	"crypto/rand"
+	"encoding/binary"
 	"fmt"
 	"time"
 
@@ -17,6 +19,18 @@
 // String returns the incarnation in hexadecimal.
 func (i Incarnation) String() string { return fmt.Sprintf("%016x", uint64(i)) }
 
+// NewIncarnation draws the identity of a process run. Zero is never drawn: it
+// stands for no process.
+func NewIncarnation() Incarnation {
+	var b [8]byte
+	for {
+		rand.Read(b[:])
+		if i := binary.BigEndian.Uint64(b[:]); i != 0 {
+			return Incarnation(i)
+		}
+	}
+}
+
 // Role tells an entry from an agent.
 type Role uint8
 
@@ -95,6 +109,9 @@
 	BudgetMS int64  `cbor:"6,keyasint"`
 	Batch    bool   `cbor:"7,keyasint,omitempty"`
 	Input    []byte `cbor:"8,keyasint"`
+	// Idempotent allows a second start of the same task after an unknown
+	// outcome.
+	Idempotent bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Dispatch asks an agent to start tasks. It is meant for one incarnation.
--- /dev/null
+++ b/process/agent/core.go
@@ -0,0 +1,409 @@
+// Package agent is the process beside one target. It accepts dispatches from
+// entries, decides through package fencing what may start, keeps the target's
+// slots, and hands results back.
+//
+// Core holds the decisions and is driven by events, so that it also runs in
+// virtual time; Daemon connects it to the network and the clock.
+package agent
+
+import (
+	"sync"
+	"time"
+
+	"github.com/azurerouter/azurerouter/connection/target"
+	"github.com/azurerouter/azurerouter/connection/wire"
+	"github.com/azurerouter/azurerouter/process/fencing"
+	"github.com/azurerouter/azurerouter/version/config"
+)
+
+// HeartbeatInterval is the longest time without a message to a connected entry.
+const HeartbeatInterval = 500 * time.Millisecond
+
+// Env is what Core needs of its surroundings. No method may block or call back
+// into Core before it returns.
+type Env interface {
+	Now() time.Time
+	// Send queues a message to an entry; it is lost if there is no connection.
+	Send(entry wire.Incarnation, m wire.Message)
+	// Disconnect ends the connection to an entry.
+	Disconnect(entry wire.Incarnation)
+	// Run calls the target and later calls done, once. cancel stops the call.
+	Run(call target.Call, done func(target.Result)) (cancel func())
+	// Violated reports a broken guarantee.
+	Violated(guarantee, step, peer, detail string)
+}
+
+// Options describe the target.
+type Options struct {
+	Incarnation wire.Incarnation
+	Slots       int
+	// Backlog is how many accepted tasks may wait for a slot.
+	Backlog int
+	Limits  fencing.Limits
+}
+
+// Core is the state of one agent incarnation. It is safe for concurrent use.
+type Core struct {
+	env     Env
+	options Options
+	guard   *fencing.Guard
+
+	mu      sync.Mutex
+	leaving bool
+	running map[taskRef]func()
+	urgent  []queued
+	batch   []queued
+	links   map[wire.Incarnation]*link
+	// recoverers are the entries that fenced another one and wait for the
+	// ends of tasks that were still running then.
+	recoverers map[wire.Incarnation][]wire.Incarnation
+	config     *config.State
+	counters   Counters
+}
+
+// Counters count events since the start of the agent.
+type Counters struct {
+	Started    uint64                     `json:"started"`
+	NotStarted map[wire.NotStarted]uint64 `json:"not_started"`
+	Rejoined   uint64                     `json:"rejoined"`
+}
+
+type taskRef struct {
+	entry wire.Incarnation
+	seq   uint64
+}
+
+type queued struct {
+	ref      taskRef
+	task     wire.DispatchTask
+	deadline time.Time
+}
+
+type link struct {
+	lastSent time.Time
+}
+
+// NewCore returns the state of a fresh agent incarnation.
+func NewCore(env Env, options Options) *Core {
+	c := &Core{env: env, options: options,
+		running:    make(map[taskRef]func()),
+		links:      make(map[wire.Incarnation]*link),
+		recoverers: make(map[wire.Incarnation][]wire.Incarnation),
+		config:     config.NewState(),
+		counters:   Counters{NotStarted: make(map[wire.NotStarted]uint64)},
+	}
+	c.guard = fencing.New(options.Incarnation, options.Limits, func(guarantee, detail string) {
+		env.Violated(guarantee, "start", "", detail)
+	})
+	return c
+}
+
+// Connected starts the lease of an entry on a new connection.
+func (c *Core) Connected(entry wire.Incarnation) {
+	now := c.env.Now()
+	c.guard.Connected(now, entry)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.links[entry] = &link{lastSent: now}
+	if c.leaving {
+		c.send(entry, &wire.Leaving{})
+	}
+}
+
+// Disconnected forgets the connection of an entry; its tasks go on.
+func (c *Core) Disconnected(entry wire.Incarnation) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.links, entry)
+}
+
+// Received handles a message of a connected entry.
+func (c *Core) Received(entry wire.Incarnation, m wire.Message) {
+	now := c.env.Now()
+	held := c.guard.Heard(now, entry)
+	switch m := m.(type) {
+	case *wire.Dispatch:
+		c.dispatch(now, entry, m)
+	case *wire.Heartbeat:
+		c.guard.Release(now, entry, m.Released)
+	case *wire.Resume:
+		c.resume(now, entry, m)
+	case *wire.Cancel:
+		c.cancel(now, entry, m)
+	case *wire.Fence:
+		c.fence(now, entry, m)
+	case *wire.Config:
+		c.applyConfig(m)
+	}
+	if !held {
+		// Only a new connection renews a lapsed lease.
+		c.env.Disconnect(entry)
+	}
+}
+
+func (c *Core) dispatch(now time.Time, entry wire.Incarnation, m *wire.Dispatch) {
+	if m.Entry != entry {
+		c.env.Violated("G3", "dispatch", entry.String(), "dispatch names another entry than its connection")
+		return
+	}
+	c.guard.Release(now, entry, m.Released)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var answers []wire.TaskAnswer
+	for _, task := range m.Tasks {
+		offer := c.guard.Offer(now, m.Agent, entry, task, c.refusal())
+		switch {
+		case offer.Accepted:
+			c.enqueue(now, entry, task)
+		case offer.Answer != nil:
+			answers = append(answers, *offer.Answer)
+		default:
+			c.counters.Rejoined++
+		}
+	}
+	c.answer(entry, answers)
+	c.fill(now)
+}
+
+// refusal returns the agent's own reason to refuse a new task, if any.
+func (c *Core) refusal() wire.NotStarted {
+	switch {
+	case c.leaving:
+		return wire.NotStartedLeaving
+	case len(c.running)+len(c.urgent)+len(c.batch) >= c.options.Slots+c.options.Backlog:
+		return wire.NotStartedBusy
+	}
+	return ""
+}
+
+func (c *Core) enqueue(now time.Time, entry wire.Incarnation, task wire.DispatchTask) {
+	item := queued{ref: taskRef{entry, task.Seq}, task: task,
+		deadline: now.Add(time.Duration(task.BudgetMS) * time.Millisecond)}
+	if task.Batch {
+		c.batch = append(c.batch, item)
+		return
+	}
+	c.urgent = append(c.urgent, item)
+}
+
+// fill starts waiting tasks while there are free slots, urgent ones first.
+func (c *Core) fill(now time.Time) {
+	for len(c.running) < c.options.Slots {
+		item, ok := c.pop()
+		if !ok {
+			return
+		}
+		if reason := c.guard.Begin(now, item.ref.entry, item.ref.seq); reason != "" {
+			c.answer(item.ref.entry, []wire.TaskAnswer{{Seq: item.ref.seq, Attempt: item.task.Attempt, NotStarted: reason}})
+			continue
+		}
+		c.start(now, item)
+	}
+}
+
+func (c *Core) pop() (queued, bool) {
+	for _, queue := range []*[]queued{&c.urgent, &c.batch} {
+		if len(*queue) > 0 {
+			item := (*queue)[0]
+			*queue = (*queue)[1:]
+			return item, true
+		}
+	}
+	return queued{}, false
+}
+
+func (c *Core) start(now time.Time, item queued) {
+	c.counters.Started++
+	call := target.Call{Key: item.task.Key, Index: item.task.Index, Attempt: item.task.Attempt,
+		Budget: item.deadline.Sub(now), Input: item.task.Input}
+	attempt := item.task.Attempt
+	// Reserves the slot before Run, whose done may come from another goroutine.
+	c.running[item.ref] = func() {}
+	c.running[item.ref] = c.env.Run(call, func(result target.Result) { c.ended(item.ref, attempt, result) })
+}
+
+func (c *Core) ended(ref taskRef, attempt int, result target.Result) {
+	now := c.env.Now()
+	answer := wire.TaskAnswer{Seq: ref.seq, Attempt: attempt, Outcome: result.Outcome, Output: result.Output,
+		Error: result.Error, RunMS: wire.Milliseconds(result.Took)}
+	if result.NotStarted {
+		answer = wire.TaskAnswer{Seq: ref.seq, Attempt: attempt, NotStarted: wire.NotStartedTargetRefused}
+	}
+	held, fenced := c.guard.End(now, ref.entry, answer)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.running, ref)
+	if fenced {
+		for _, recoverer := range c.recoverers[ref.entry] {
+			c.send(recoverer, &wire.Fenced{Entry: ref.entry, Tasks: []wire.HeldTask{held}})
+		}
+	} else {
+		c.answer(ref.entry, []wire.TaskAnswer{answer})
+	}
+	c.fill(now)
+}
+
+func (c *Core) answer(entry wire.Incarnation, answers []wire.TaskAnswer) {
+	if len(answers) == 0 {
+		return
+	}
+	for _, answer := range answers {
+		if answer.NotStarted != "" {
+			c.counters.NotStarted[answer.NotStarted]++
+		}
+	}
+	c.send(entry, &wire.Answers{Agent: c.options.Incarnation, Entry: entry, Tasks: answers, Load: c.load()})
+}
+
+func (c *Core) load() wire.Load {
+	return wire.Load{Running: len(c.running), Queued: len(c.urgent) + len(c.batch)}
+}
+
+func (c *Core) send(entry wire.Incarnation, m wire.Message) {
+	if l, ok := c.links[entry]; ok {
+		l.lastSent = c.env.Now()
+	}
+	c.env.Send(entry, m)
+}
+
+func (c *Core) resume(now time.Time, entry wire.Incarnation, m *wire.Resume) {
+	answers := c.guard.Resume(now, entry, m.High, m.Unreleased)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answer(entry, answers)
+}
+
+func (c *Core) cancel(now time.Time, entry wire.Incarnation, m *wire.Cancel) {
+	stop, ended := c.guard.Cancel(now, entry, m.Seqs)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dropQueued(entry, m.Seqs)
+	for _, seq := range stop {
+		if cancel, ok := c.running[taskRef{entry, seq}]; ok {
+			cancel()
+		}
+	}
+	c.answer(entry, ended)
+}
+
+func (c *Core) dropQueued(entry wire.Incarnation, seqs []uint64) {
+	wanted := make(map[taskRef]bool, len(seqs))
+	for _, seq := range seqs {
+		wanted[taskRef{entry, seq}] = true
+	}
+	for _, queue := range []*[]queued{&c.urgent, &c.batch} {
+		kept := (*queue)[:0:0]
+		for _, item := range *queue {
+			if !wanted[item.ref] {
+				kept = append(kept, item)
+			}
+		}
+		*queue = kept
+	}
+}
+
+func (c *Core) fence(now time.Time, recoverer wire.Incarnation, m *wire.Fence) {
+	alive, tasks := c.guard.Fence(now, m.Entry, time.Duration(m.SilentMS)*time.Millisecond)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !alive {
+		c.recoverers[m.Entry] = appendNew(c.recoverers[m.Entry], recoverer)
+	}
+	c.send(recoverer, &wire.Fenced{Entry: m.Entry, Alive: alive, Tasks: tasks})
+}
+
+func appendNew(list []wire.Incarnation, inc wire.Incarnation) []wire.Incarnation {
+	for _, known := range list {
+		if known == inc {
+			return list
+		}
+	}
+	return append(list, inc)
+}
+
+func (c *Core) applyConfig(m *wire.Config) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	files := make([]config.File, len(m.Files))
+	for i, file := range m.Files {
+		files[i] = config.File{Name: file.Name, Version: file.Version, Content: file.Content}
+	}
+	c.config.Restore(m.Offset, files)
+}
+
+// ConfigOffset returns the configuration version in force.
+func (c *Core) ConfigOffset() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.config.Offset()
+}
+
+// Leave refuses new work from now on and tells every entry.
+func (c *Core) Leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leaving {
+		return
+	}
+	c.leaving = true
+	for entry := range c.links {
+		c.send(entry, &wire.Leaving{})
+	}
+}
+
+// Drained reports whether no task is open and every result has been released.
+func (c *Core) Drained() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.running)+len(c.urgent)+len(c.batch) == 0 && c.guard.Unreleased() == 0
+}
+
+// Tick does what is due: heartbeats, and dropping what has expired. It is to be
+// called several times per HeartbeatInterval.
+func (c *Core) Tick() {
+	now := c.env.Now()
+	c.guard.Expire(now)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for entry, l := range c.links {
+		if now.Sub(l.lastSent) >= HeartbeatInterval {
+			c.send(entry, &wire.Heartbeat{Load: c.load(), ConfigOffset: c.config.Offset()})
+		}
+	}
+	for entry := range c.recoverers {
+		if c.guard.Forgotten(entry) {
+			delete(c.recoverers, entry)
+		}
+	}
+}
+
+// Dump is the state of an agent for an operator.
+type Dump struct {
+	Incarnation  string               `json:"incarnation"`
+	Leaving      bool                 `json:"leaving"`
+	Slots        int                  `json:"slots"`
+	Running      int                  `json:"running"`
+	Queued       int                  `json:"queued"`
+	ConfigOffset uint64               `json:"config_offset"`
+	Entries      []string             `json:"entries"`
+	Counters     Counters             `json:"counters"`
+	Senders      []fencing.SenderDump `json:"senders"`
+}
+
+// Dump returns a copy of the state.
+func (c *Core) Dump() Dump {
+	now := c.env.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	dump := Dump{Incarnation: c.options.Incarnation.String(), Leaving: c.leaving, Slots: c.options.Slots,
+		Running: len(c.running), Queued: len(c.urgent) + len(c.batch), ConfigOffset: c.config.Offset(),
+		Counters: c.counters, Senders: c.guard.Dump(now)}
+	dump.Counters.NotStarted = make(map[wire.NotStarted]uint64, len(c.counters.NotStarted))
+	for reason, count := range c.counters.NotStarted {
+		dump.Counters.NotStarted[reason] = count
+	}
+	for entry := range c.links {
+		dump.Entries = append(dump.Entries, entry.String())
+	}
+	return dump
+}
--- /dev/null
+++ b/process/agent/daemon.go
@@ -0,0 +1,283 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/run"
+
+	"github.com/azurerouter/azurerouter/connection/peer"
+	"github.com/azurerouter/azurerouter/connection/target"
+	"github.com/azurerouter/azurerouter/connection/wire"
+	"github.com/azurerouter/azurerouter/process/fencing"
+	"github.com/azurerouter/azurerouter/process/observe"
+	"github.com/azurerouter/azurerouter/process/settings"
+)
+
+const (
+	tickInterval = 50 * time.Millisecond
+	// dialInterval is how often entries without a connection are dialled.
+	dialInterval = 500 * time.Millisecond
+	dialTimeout  = 2 * time.Second
+	// drainPoll is how often a shutdown looks whether everything has ended.
+	drainPoll = 20 * time.Millisecond
+)
+
+// Daemon runs a Core as a process.
+type Daemon struct {
+	settings *settings.Agent
+	observer *observe.Observer
+	identity *peer.Identity
+	target   *target.Client
+	core     *Core
+	self     wire.Incarnation
+	// unreachable holds while an entry cannot be dialled.
+	unreachable *observe.Condition
+
+	mu sync.Mutex
+	// conns are the connections by entry incarnation.
+	conns map[wire.Incarnation]*peer.Conn
+	// entries are the known entries; seeds are dialled until one answers.
+	entries map[wire.Incarnation]wire.EntryAddress
+	dialing map[string]bool
+	members uint64
+}
+
+// NewDaemon prepares an agent process. It opens nothing yet.
+func NewDaemon(s *settings.Agent, observer *observe.Observer) (*Daemon, error) {
+	identity, err := peer.LoadIdentity(s.Keys)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{settings: s, observer: observer, identity: identity,
+		target: target.New(s.TargetURL, s.MaxConns), self: wire.NewIncarnation(), unreachable: observer.Condition("entry_unreachable"),
+		conns:   make(map[wire.Incarnation]*peer.Conn),
+		entries: make(map[wire.Incarnation]wire.EntryAddress),
+		dialing: make(map[string]bool),
+	}
+	d.core = NewCore((*daemonEnv)(d), Options{Incarnation: d.self, Slots: s.Slots, Backlog: *s.Backlog, Limits: fencing.DefaultLimits})
+	return d, nil
+}
+
+// AddTo adds the actors of the process to a run group. stop ends with the first
+// signal to shut down, for which the agent drains.
+func (d *Daemon) AddTo(g *run.Group, stop <-chan struct{}) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.Add(func() error { return d.tick(ctx) }, func(error) { cancel() })
+	g.Add(func() error { return d.dialEntries(ctx) }, func(error) { cancel() })
+	g.Add(func() error { return d.drainOn(ctx, stop) }, func(error) { cancel() })
+	g.Add(observe.Admin(d.settings.AdminAddr, d.observer, func() any { return d.core.Dump() }, d.ready))
+	d.observer.Log.Info().Str("incarnation", d.self.String()).Str("service", d.settings.Service).
+		Str("zone", d.settings.Zone).Msg("agent started")
+}
+
+func (d *Daemon) ready() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.conns) == 0 {
+		return errors.New("no entry is connected")
+	}
+	return nil
+}
+
+func (d *Daemon) tick(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			d.core.Tick()
+		}
+	}
+}
+
+// drainOn ends the process after a graceful shutdown: no new work, what runs
+// ends, and its results reach their entries.
+func (d *Daemon) drainOn(ctx context.Context, stop <-chan struct{}) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-stop:
+	}
+	d.observer.Log.Info().Msg("draining")
+	d.core.Leave()
+	deadline := time.After(d.settings.DrainTimeout())
+	poll := time.NewTicker(drainPoll)
+	defer poll.Stop()
+	for !d.core.Drained() {
+		select {
+		case <-deadline:
+			d.observer.Log.Warn().Msg("drain timeout, tasks are cut off")
+			return nil
+		case <-poll.C:
+		}
+	}
+	d.observer.Log.Info().Msg("drained")
+	return nil
+}
+
+func (d *Daemon) hello() wire.Hello {
+	return wire.Hello{Role: wire.RoleAgent, Incarnation: d.self, Name: d.settings.Name, Zone: d.settings.Zone,
+		Service: d.settings.Service, Slots: d.settings.Slots, MemoryMB: d.settings.MemoryMB,
+		Accelerators: d.settings.Accelerators, ConfigOffset: d.core.ConfigOffset()}
+}
+
+// dialEntries keeps a connection to every known entry.
+func (d *Daemon) dialEntries(ctx context.Context) error {
+	ticker := time.NewTicker(dialInterval)
+	defer ticker.Stop()
+	for {
+		for _, addr := range d.undialled() {
+			go d.dial(ctx, addr)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// undialled lists the addresses to dial now and marks them as being dialled. The
+// seeds are used while no entry is connected.
+func (d *Daemon) undialled() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var addrs []string
+	for inc, entry := range d.entries {
+		if _, connected := d.conns[inc]; !connected {
+			addrs = append(addrs, entry.PeerAddr)
+		}
+	}
+	if len(d.conns) == 0 {
+		addrs = append(addrs, d.settings.Seeds...)
+	}
+	var fresh []string
+	for _, addr := range addrs {
+		if !d.dialing[addr] {
+			d.dialing[addr] = true
+			fresh = append(fresh, addr)
+		}
+	}
+	return fresh
+}
+
+func (d *Daemon) dial(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	_, err := peer.Dial(ctx, addr, d.identity.TLS(), d.hello(), (*handler)(d))
+	d.mu.Lock()
+	delete(d.dialing, addr)
+	d.mu.Unlock()
+	if err != nil {
+		d.unreachable.Begin(err)
+		return
+	}
+	d.unreachable.End()
+}
+
+// handler receives the events of the connections to entries.
+type handler Daemon
+
+// Connected implements peer.Handler.
+func (h *handler) Connected(c *peer.Conn) error {
+	d := (*Daemon)(h)
+	if c.Peer.Role != wire.RoleEntry {
+		return errors.Newf("peer %s is no entry", c.Peer.Name)
+	}
+	d.mu.Lock()
+	earlier := d.conns[c.Peer.Incarnation]
+	d.conns[c.Peer.Incarnation] = c
+	d.mu.Unlock()
+	if earlier != nil {
+		earlier.Close()
+	}
+	d.core.Connected(c.Peer.Incarnation)
+	d.observer.Log.Info().Str("step", "connect").Str("peer", c.Peer.Name).Str("incarnation", c.Peer.Incarnation.String()).Msg("entry connected")
+	return nil
+}
+
+// Received implements peer.Handler.
+func (h *handler) Received(c *peer.Conn, m wire.Message) {
+	d := (*Daemon)(h)
+	d.observer.CountReceived(m)
+	if members, ok := m.(*wire.Members); ok {
+		d.learn(members)
+		return
+	}
+	d.core.Received(c.Peer.Incarnation, m)
+}
+
+// Disconnected implements peer.Handler.
+func (h *handler) Disconnected(c *peer.Conn, err error) {
+	d := (*Daemon)(h)
+	d.mu.Lock()
+	current := d.conns[c.Peer.Incarnation] == c
+	if current {
+		delete(d.conns, c.Peer.Incarnation)
+	}
+	d.mu.Unlock()
+	if current {
+		d.core.Disconnected(c.Peer.Incarnation)
+		d.observer.Log.Info().Str("step", "connection").Str("peer", c.Peer.Name).Err(err).Msg("entry disconnected")
+	}
+}
+
+// learn replaces the known entries unless the list is older than one applied.
+func (d *Daemon) learn(m *wire.Members) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if m.Offset < d.members {
+		return
+	}
+	d.members = m.Offset
+	clear(d.entries)
+	for _, entry := range m.Entries {
+		d.entries[entry.Incarnation] = entry
+	}
+}
+
+// daemonEnv is the Env of a Core that runs as a process.
+type daemonEnv Daemon
+
+// Now implements Env.
+func (e *daemonEnv) Now() time.Time { return time.Now() }
+
+// Send implements Env.
+func (e *daemonEnv) Send(entry wire.Incarnation, m wire.Message) {
+	e.mu.Lock()
+	conn := e.conns[entry]
+	e.mu.Unlock()
+	if conn != nil && conn.Send(m) == nil {
+		e.observer.CountSent(m)
+	}
+}
+
+// Disconnect implements Env.
+func (e *daemonEnv) Disconnect(entry wire.Incarnation) {
+	e.mu.Lock()
+	conn := e.conns[entry]
+	e.mu.Unlock()
+	if conn != nil {
+		conn.Close()
+	}
+}
+
+// Run implements Env.
+func (e *daemonEnv) Run(call target.Call, done func(target.Result)) (cancel func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		defer cancel()
+		done(e.target.Run(ctx, call))
+	}()
+	return cancel
+}
+
+// Violated implements Env.
+func (e *daemonEnv) Violated(guarantee, step, peer, detail string) {
+	e.observer.Violated(guarantee, step, peer, detail)
+}
--- /dev/null
+++ b/process/entry/agents.go
@@ -0,0 +1,404 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/azurerouter/azurerouter/connection/wire"
+	"github.com/azurerouter/azurerouter/process/scheduler"
+	"github.com/azurerouter/azurerouter/version/config"
+)
+
+// sendWindow bounds the sequences that an agent has to remember for this entry.
+// It is the agent's window, beyond which the agent refuses.
+const sendWindow = 4096
+
+// agentLink is what an entry knows of one agent incarnation. It outlives the
+// connection by AgentLease.
+type agentLink struct {
+	hello wire.Hello
+
+	mu        sync.Mutex
+	connected bool
+	leaving   bool
+	// serving is false while the agent is silent or gone.
+	serving      bool
+	lastHeard    time.Time
+	lastSent     time.Time
+	nextCancel   time.Time
+	configOffset uint64
+	high         uint64
+	outstanding  map[uint64]*sentTask
+	// unreleased are the sequences whose results the agent must keep.
+	unreleased map[uint64]struct{}
+	released   []uint64
+	cancels    []uint64
+}
+
+// sentTask is a task that was sent to an agent and not answered.
+type sentTask struct {
+	service  *service
+	task     scheduler.Task
+	dispatch wire.DispatchTask
+}
+
+func (c *Core) agent(id wire.Incarnation) *agentLink {
+	c.agentsMu.RLock()
+	defer c.agentsMu.RUnlock()
+	return c.agents[id]
+}
+
+func (c *Core) allAgents() map[wire.Incarnation]*agentLink {
+	c.agentsMu.RLock()
+	defer c.agentsMu.RUnlock()
+	all := make(map[wire.Incarnation]*agentLink, len(c.agents))
+	for id, link := range c.agents {
+		all[id] = link
+	}
+	return all
+}
+
+// AgentConnected takes a new connection of an agent. What was sent on an earlier
+// connection to the same incarnation and not answered is sent again under the
+// same sequences, which start at most once.
+func (c *Core) AgentConnected(hello wire.Hello) {
+	now := c.env.Now()
+	id := hello.Incarnation
+	c.agentsMu.Lock()
+	link, known := c.agents[id]
+	if !known {
+		link = &agentLink{hello: hello, high: c.retired[id],
+			outstanding: make(map[uint64]*sentTask), unreleased: make(map[uint64]struct{})}
+		c.agents[id] = link
+	}
+	c.agentsMu.Unlock()
+	resume, again := link.connect(now, hello)
+	c.env.SendAgent(id, resume)
+	if len(again) > 0 {
+		c.env.SendAgent(id, link.message(now, c.self, again))
+	}
+	if m := c.peers.currentConfig(); m != nil && link.behind(m.Offset) {
+		c.env.SendAgent(id, m)
+	}
+	if m := c.peers.currentMembers(); m != nil {
+		c.env.SendAgent(id, m)
+	}
+	c.fenceDeadOwners(id, hello.Service)
+	if svc := c.service(hello.Service); svc != nil {
+		svc.setTarget(now, hello)
+		c.pump(now, svc)
+	}
+}
+
+func (l *agentLink) connect(now time.Time, hello wire.Hello) (*wire.Resume, []*sentTask) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.connected, l.serving, l.leaving = true, true, false
+	l.lastHeard, l.lastSent = now, now
+	l.configOffset = hello.ConfigOffset
+	l.released = nil
+	resume := &wire.Resume{High: l.high}
+	for seq := range l.unreleased {
+		resume.Unreleased = append(resume.Unreleased, seq)
+	}
+	var again []*sentTask
+	for _, sent := range l.outstanding {
+		again = append(again, sent)
+	}
+	return resume, again
+}
+
+// AgentDisconnected takes the end of the connection. Outstanding tasks wait for
+// the agent to come back within AgentLease.
+func (c *Core) AgentDisconnected(id wire.Incarnation) {
+	link := c.agent(id)
+	if link == nil {
+		return
+	}
+	link.mu.Lock()
+	link.connected = false
+	link.mu.Unlock()
+	c.stopServing(c.env.Now(), id, link)
+}
+
+// AgentReceived handles a message of a connected agent.
+func (c *Core) AgentReceived(id wire.Incarnation, m wire.Message) {
+	now := c.env.Now()
+	link := c.agent(id)
+	if link == nil {
+		return
+	}
+	resumed := link.heard(now)
+	svc := c.service(link.hello.Service)
+	if resumed && svc != nil {
+		svc.setTarget(now, link.hello)
+	}
+	switch m := m.(type) {
+	case *wire.Answers:
+		c.agentAnswers(now, id, link, m)
+	case *wire.Heartbeat:
+		link.noteConfig(m.ConfigOffset)
+		if svc != nil {
+			svc.report(now, id, m.Load)
+			c.pump(now, svc)
+		}
+	case *wire.Leaving:
+		link.leave()
+		c.stopServing(now, id, link)
+	case *wire.Fenced:
+		c.fenced(now, id, m)
+	}
+}
+
+// heard notes a sign of life and reports whether the agent was silent before.
+func (l *agentLink) heard(now time.Time) (resumed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lastHeard = now
+	if l.serving || l.leaving || !l.connected {
+		return false
+	}
+	l.serving = true
+	return true
+}
+
+func (l *agentLink) leave() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leaving = true
+}
+
+func (l *agentLink) noteConfig(offset uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.configOffset = max(l.configOffset, offset)
+}
+
+func (c *Core) stopServing(now time.Time, id wire.Incarnation, link *agentLink) {
+	link.mu.Lock()
+	link.serving = false
+	link.mu.Unlock()
+	if svc := c.service(link.hello.Service); svc != nil {
+		svc.mu.Lock()
+		svc.scheduler.RemoveTarget(now, id)
+		svc.mu.Unlock()
+	}
+}
+
+func (s *service) setTarget(now time.Time, hello wire.Hello) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.SetTarget(now, scheduler.Target{ID: hello.Incarnation, Name: hello.Name, Zone: hello.Zone,
+		Slots: hello.Slots, MemoryMB: hello.MemoryMB, Accelerators: hello.Accelerators})
+}
+
+// addKnownTargets gives a service that was configured after its agents
+// connected the targets that it has.
+func (c *Core) addKnownTargets(svc *service) {
+	now := c.env.Now()
+	for _, link := range c.allAgents() {
+		link.mu.Lock()
+		serving := link.serving
+		link.mu.Unlock()
+		if serving && link.hello.Service == svc.name {
+			svc.setTarget(now, link.hello)
+		}
+	}
+}
+
+// checkAgents ends what silent agents hold: after AgentSilence nothing more is
+// sent, after AgentLease outstanding tasks are unknown.
+func (c *Core) checkAgents(now time.Time) {
+	for id, link := range c.allAgents() {
+		silence, connected, serving := link.state(now)
+		if serving && silence >= AgentSilence {
+			c.stopServing(now, id, link)
+		}
+		if silence < AgentLease {
+			continue
+		}
+		for _, sent := range link.giveUp() {
+			c.unknown(now, id, sent, "the agent was lost")
+		}
+		if !connected && silence >= forgetAgentAfter {
+			c.forgetAgent(id, link)
+		}
+	}
+}
+
+// forgetAgentAfter is when all but the last sequence used is dropped of an agent
+// that is gone.
+const forgetAgentAfter = 2 * time.Minute
+
+// forgetAgent keeps the last sequence, so that the same agent incarnation, should
+// it come back, is not sent a sequence that it has seen.
+func (c *Core) forgetAgent(id wire.Incarnation, link *agentLink) {
+	c.agentsMu.Lock()
+	defer c.agentsMu.Unlock()
+	link.mu.Lock()
+	defer link.mu.Unlock()
+	if !link.connected {
+		delete(c.agents, id)
+		c.retired[id] = link.high
+	}
+}
+
+func (l *agentLink) state(now time.Time) (silence time.Duration, connected, serving bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.lastHeard), l.connected, l.serving
+}
+
+func (l *agentLink) giveUp() []*sentTask {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var lost []*sentTask
+	for seq, sent := range l.outstanding {
+		delete(l.outstanding, seq)
+		lost = append(lost, sent)
+	}
+	return lost
+}
+
+// record assigns sequences. It reports false if the agent cannot be sent to, and
+// then assigns none.
+func (l *agentLink) record(batch []*sentTask) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.serving || len(l.unreleased)+len(batch) > sendWindow {
+		return false
+	}
+	for _, sent := range batch {
+		l.high++
+		sent.dispatch.Seq = l.high
+		l.outstanding[l.high] = sent
+		l.unreleased[l.high] = struct{}{}
+	}
+	return true
+}
+
+// message builds the dispatch of a batch. The budgets are those of now.
+func (l *agentLink) message(now time.Time, self wire.Incarnation, batch []*sentTask) *wire.Dispatch {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m := &wire.Dispatch{Agent: l.hello.Incarnation, Entry: self, Released: l.takeReleased()}
+	for _, sent := range batch {
+		task := sent.dispatch
+		task.BudgetMS = wire.Milliseconds(sent.task.Deadline.Sub(now))
+		m.Tasks = append(m.Tasks, task)
+	}
+	l.lastSent = now
+	return m
+}
+
+func (l *agentLink) takeReleased() []uint64 {
+	released := l.released
+	l.released = nil
+	return released
+}
+
+// take returns the task of an answer, or nil if the answer matches nothing
+// outstanding.
+func (l *agentLink) take(seq uint64, attempt int) *sentTask {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sent, ok := l.outstanding[seq]
+	if !ok || sent.dispatch.Attempt != attempt {
+		return nil
+	}
+	delete(l.outstanding, seq)
+	return sent
+}
+
+func (l *agentLink) release(seq uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.unreleased[seq]; ok {
+		delete(l.unreleased, seq)
+		l.released = append(l.released, seq)
+	}
+}
+
+func (c *Core) releaseSent(sent []sentRef) {
+	for _, ref := range sent {
+		if link := c.agent(ref.agent); link != nil {
+			link.release(ref.seq)
+		}
+	}
+}
+
+// cancelSent tells the agents to stop tasks that are outstanding.
+func (c *Core) cancelSent(sent []sentRef) {
+	for _, ref := range sent {
+		if link := c.agent(ref.agent); link != nil {
+			link.cancel(ref.seq)
+		}
+	}
+}
+
+func (l *agentLink) cancel(seq uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.outstanding[seq]; ok {
+		l.cancels = append(l.cancels, seq)
+	}
+}
+
+// flushAgents sends cancellations, and heartbeats that carry releases, that are
+// due.
+func (c *Core) flushAgents(now time.Time) {
+	for id, link := range c.allAgents() {
+		for _, m := range link.due(now, c.self, c.peers.configOffset()) {
+			c.env.SendAgent(id, m)
+		}
+	}
+}
+
+func (l *agentLink) due(now time.Time, self wire.Incarnation, configOffset uint64) []wire.Message {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.connected {
+		return nil
+	}
+	var due []wire.Message
+	if len(l.cancels) > 0 && !now.Before(l.nextCancel) {
+		due = append(due, &wire.Cancel{Entry: self, Seqs: l.cancels})
+		l.cancels = nil
+		l.nextCancel = now.Add(cancelInterval)
+	}
+	if len(due) == 0 && now.Sub(l.lastSent) >= HeartbeatInterval {
+		due = append(due, &wire.Heartbeat{Released: l.takeReleased(), ConfigOffset: configOffset})
+	}
+	if len(due) > 0 {
+		l.lastSent = now
+	}
+	return due
+}
+
+// PushConfig sends the configuration to every agent and entry that has an older
+// one.
+func (c *Core) PushConfig(offset uint64, files []config.File) {
+	m := &wire.Config{Offset: offset}
+	for _, file := range files {
+		m.Files = append(m.Files, wire.ConfigFile{Name: file.Name, Version: file.Version, Content: file.Content})
+	}
+	c.peers.setConfig(m)
+	for id, link := range c.allAgents() {
+		if link.behind(offset) {
+			c.env.SendAgent(id, m)
+		}
+	}
+	c.pushConfigToEntries(m)
+}
+
+// behind reports whether the agent has an older configuration, and takes it as
+// sent: the connection delivers it or ends.
+func (l *agentLink) behind(offset uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.connected || l.configOffset >= offset {
+		return false
+	}
+	l.configOffset = offset
+	return true
+}
--- /dev/null
+++ b/process/entry/daemon.go
@@ -0,0 +1,363 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/run"
+
+	"github.com/azurerouter/azurerouter/connection/logclient"
+	"github.com/azurerouter/azurerouter/connection/peer"
+	"github.com/azurerouter/azurerouter/connection/wire"
+	"github.com/azurerouter/azurerouter/process/claims"
+	"github.com/azurerouter/azurerouter/process/membership"
+	"github.com/azurerouter/azurerouter/process/observe"
+	"github.com/azurerouter/azurerouter/process/settings"
+	"github.com/azurerouter/azurerouter/request/job"
+	"github.com/azurerouter/azurerouter/request/refusal"
+	"github.com/azurerouter/azurerouter/version/config"
+)
+
+const (
+	tickInterval = 2 * time.Millisecond
+	// dialInterval is how often entries without a connection are dialled.
+	dialInterval  = 500 * time.Millisecond
+	dialTimeout   = 2 * time.Second
+	appendTimeout = 2 * time.Second
+	// followWait is the long poll of a stream, followRetry the pause after an
+	// error.
+	followWait   = 5 * time.Second
+	followRetry  = 100 * time.Millisecond
+	followMax    = 1000
+	drainPoll    = 20 * time.Millisecond
+	readTimeout  = 30 * time.Second
+	idleTimeout  = 2 * time.Minute
+	headerLimit  = 16 << 10
+	fencedReason = "fenced by an agent; the process has to start again"
+)
+
+// Daemon runs a Core as a process.
+type Daemon struct {
+	settings *settings.Entry
+	observer *observe.Observer
+	identity *peer.Identity
+	log      *logclient.Client
+	core     *Core
+	self     wire.Incarnation
+	http     *http.Server
+	logDown  *observe.Condition
+
+	mu       sync.Mutex
+	agents   map[wire.Incarnation]*peer.Conn
+	entries  map[wire.Incarnation]*peer.Conn
+	dialing  map[string]bool
+	members  *membership.Entries
+	config   *config.State
+	faults   []config.Fault
+	sources  map[string]string
+	drained  chan struct{}
+	stopOnce sync.Once
+}
+
+// NewDaemon prepares an entry process. It opens nothing yet.
+func NewDaemon(s *settings.Entry, observer *observe.Observer) (*Daemon, error) {
+	identity, err := peer.LoadIdentity(s.Keys)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{settings: s, observer: observer, identity: identity, log: logclient.New(s.LogURL, nil),
+		self: wire.NewIncarnation(), logDown: observer.Condition("log_unavailable"),
+		agents:  make(map[wire.Incarnation]*peer.Conn),
+		entries: make(map[wire.Incarnation]*peer.Conn),
+		dialing: make(map[string]bool),
+		members: membership.New(), config: config.NewState(),
+		drained: make(chan struct{}),
+	}
+	d.core = NewCore((*daemonEnv)(d), d.self, 1, uint64(time.Now().UnixNano()))
+	d.http = &http.Server{Addr: s.HTTPAddr, Handler: d.api(), ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: headerLimit}
+	return d, nil
+}
+
+func (d *Daemon) api() *API {
+	m := d.observer.Metrics
+	return &API{core: d.core, now: time.Now,
+		submitted: func(single bool) {
+			form := "job"
+			if single {
+				form = "request"
+			}
+			m.Tagged(map[string]string{observe.TagForm: form}).Counter(observe.Submissions).Inc(1)
+		},
+		answered: func(state job.State, took time.Duration) {
+			m.Tagged(map[string]string{observe.TagState: string(state)}).Counter(observe.JobAnswers).Inc(1)
+			m.Timer(observe.ResponseSeconds).Record(took)
+		},
+		refused: func(code refusal.Code) {
+			m.Tagged(map[string]string{observe.TagCode: string(code)}).Counter(observe.Refusals).Inc(1)
+		},
+	}
+}
+
+// AddTo adds the actors of the process to a run group. stop is closed by the
+// first signal to shut down, for which the entry drains.
+func (d *Daemon) AddTo(g *run.Group, stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	hello := func() wire.Hello { return d.hello() }
+	listener, err := peer.Listen(d.settings.PeerAddr, d.identity.TLS(), hello, (*handler)(d))
+	if err != nil {
+		cancel()
+		return err
+	}
+	actor := func(f func(context.Context) error) {
+		g.Add(func() error { return f(ctx) }, func(error) { cancel() })
+	}
+	actor(d.tick)
+	actor(d.followClaims)
+	actor(d.followConfig)
+	actor(d.followMembers)
+	actor(d.announce)
+	actor(d.dialEntries)
+	actor(func(ctx context.Context) error { return d.drainOn(ctx, stop) })
+	g.Add(func() error { return listener.Serve(ctx) }, func(error) { listener.Close() })
+	g.Add(d.http.ListenAndServe, func(error) { d.http.Close() })
+	g.Add(observe.Admin(d.settings.AdminAddr, d.observer, func() any { return d.dump() }, d.core.Ready))
+	d.observer.Log.Info().Str("incarnation", d.self.String()).Str("zone", d.settings.Zone).Msg("entry started")
+	return nil
+}
+
+func (d *Daemon) tick(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			d.core.Tick()
+		}
+	}
+}
+
+// drainOn ends the process after a graceful shutdown, or after an agent has
+// refused this incarnation for good. Submissions in flight are answered first,
+// within the drain timeout.
+func (d *Daemon) drainOn(ctx context.Context, stop <-chan struct{}) error {
+	poll := time.NewTicker(drainPoll)
+	defer poll.Stop()
+	var end error
+	for waiting := true; waiting; {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-stop:
+			waiting = false
+		case <-poll.C:
+			if d.core.FencedOff() {
+				end = errors.New(fencedReason)
+				waiting = false
+			}
+		}
+	}
+	d.observer.Log.Info().AnErr("cause", end).Msg("draining")
+	d.core.Drain()
+	d.announceStop(ctx)
+	limit, cancel := context.WithTimeout(ctx, d.settings.DrainTimeout())
+	defer cancel()
+	for d.core.ActiveJobs() > 0 && limit.Err() == nil {
+		<-poll.C
+	}
+	if err := d.http.Shutdown(limit); err != nil {
+		d.observer.Log.Warn().Err(err).Int("jobs", d.core.ActiveJobs()).Msg("drain timeout, submissions are cut off")
+		return end
+	}
+	d.core.flushAgents(time.Now())
+	d.observer.Log.Info().Msg("drained")
+	return end
+}
+
+func (d *Daemon) hello() wire.Hello {
+	return wire.Hello{Role: wire.RoleEntry, Incarnation: d.self, Name: d.settings.Name, Zone: d.settings.Zone,
+		PeerAddr: d.settings.PeerAddr, ConfigOffset: d.core.peers.configOffset()}
+}
+
+// handler receives the events of the connections to agents and entries.
+type handler Daemon
+
+// Connected implements peer.Handler.
+func (h *handler) Connected(c *peer.Conn) error {
+	d := (*Daemon)(h)
+	if c.Peer.Incarnation == d.self {
+		return errors.New("dialled itself")
+	}
+	conns := d.connsOf(c.Peer.Role)
+	if conns == nil {
+		return errors.Newf("peer %s has unknown role %d", c.Peer.Name, c.Peer.Role)
+	}
+	d.mu.Lock()
+	earlier := conns[c.Peer.Incarnation]
+	if earlier != nil && c.Peer.Role == wire.RoleEntry {
+		// Two entries may dial each other at once; the first connection stays.
+		d.mu.Unlock()
+		return errors.Newf("entry %s is connected already", c.Peer.Name)
+	}
+	conns[c.Peer.Incarnation] = c
+	d.mu.Unlock()
+	if earlier != nil {
+		earlier.Close()
+	}
+	if c.Peer.Role == wire.RoleAgent {
+		d.core.AgentConnected(c.Peer)
+	} else {
+		d.core.EntryConnected(c.Peer)
+		d.pushMembers()
+	}
+	d.observer.Log.Info().Str("step", "connect").Str("peer", c.Peer.Name).Str("incarnation", c.Peer.Incarnation.String()).Msg("peer connected")
+	return nil
+}
+
+func (d *Daemon) connsOf(role wire.Role) map[wire.Incarnation]*peer.Conn {
+	switch role {
+	case wire.RoleAgent:
+		return d.agents
+	case wire.RoleEntry:
+		return d.entries
+	}
+	return nil
+}
+
+// Received implements peer.Handler.
+func (h *handler) Received(c *peer.Conn, m wire.Message) {
+	d := (*Daemon)(h)
+	d.observer.CountReceived(m)
+	if c.Peer.Role == wire.RoleAgent {
+		d.core.AgentReceived(c.Peer.Incarnation, m)
+		return
+	}
+	switch m := m.(type) {
+	case *wire.Config:
+		d.restoreConfig(c.Peer.Name, m)
+	case *wire.Members:
+		d.restoreMembers(m)
+	}
+	d.core.EntryReceived(c.Peer.Incarnation, m)
+}
+
+// Disconnected implements peer.Handler.
+func (h *handler) Disconnected(c *peer.Conn, err error) {
+	d := (*Daemon)(h)
+	conns := d.connsOf(c.Peer.Role)
+	d.mu.Lock()
+	current := conns[c.Peer.Incarnation] == c
+	if current {
+		delete(conns, c.Peer.Incarnation)
+	}
+	d.mu.Unlock()
+	if !current {
+		return
+	}
+	if c.Peer.Role == wire.RoleAgent {
+		d.core.AgentDisconnected(c.Peer.Incarnation)
+	} else {
+		d.core.EntryDisconnected(c.Peer.Incarnation)
+	}
+	d.observer.Log.Info().Str("step", "connection").Str("peer", c.Peer.Name).Err(err).Msg("peer disconnected")
+}
+
+// dialEntries keeps a connection to every other entry. Of two entries the one
+// with the lower incarnation dials, except to a seed, whose incarnation is not
+// known.
+func (d *Daemon) dialEntries(ctx context.Context) error {
+	ticker := time.NewTicker(dialInterval)
+	defer ticker.Stop()
+	for {
+		for _, addr := range d.undialled() {
+			go d.dial(ctx, addr)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (d *Daemon) undialled() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var fresh []string
+	add := func(addr string) {
+		if !d.dialing[addr] && addr != d.settings.PeerAddr {
+			d.dialing[addr] = true
+			fresh = append(fresh, addr)
+		}
+	}
+	for _, entry := range d.members.List() {
+		if _, connected := d.entries[entry.Incarnation]; !connected && d.self < entry.Incarnation {
+			add(entry.PeerAddr)
+		}
+	}
+	if len(d.entries) == 0 {
+		for _, seed := range d.settings.Seeds {
+			add(seed)
+		}
+	}
+	return fresh
+}
+
+func (d *Daemon) dial(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	peer.Dial(ctx, addr, d.identity.TLS(), d.hello(), (*handler)(d)) // a failure is tried again at the next interval
+	d.mu.Lock()
+	delete(d.dialing, addr)
+	d.mu.Unlock()
+}
+
+// daemonEnv is the Env of a Core that runs as a process.
+type daemonEnv Daemon
+
+// Now implements Env.
+func (e *daemonEnv) Now() time.Time { return time.Now() }
+
+// SendAgent implements Env.
+func (e *daemonEnv) SendAgent(agent wire.Incarnation, m wire.Message) { e.send(e.agents, agent, m) }
+
+// SendEntry implements Env.
+func (e *daemonEnv) SendEntry(entry wire.Incarnation, m wire.Message) { e.send(e.entries, entry, m) }
+
+func (e *daemonEnv) send(conns map[wire.Incarnation]*peer.Conn, to wire.Incarnation, m wire.Message) {
+	e.mu.Lock()
+	conn := conns[to]
+	e.mu.Unlock()
+	if conn != nil && conn.Send(m) == nil {
+		e.observer.CountSent(m)
+	}
+}
+
+// Append implements Env.
+func (e *daemonEnv) Append(batch claims.Batch) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
+		defer cancel()
+		offset, err := e.log.Append(ctx, claims.Stream, batch.Data)
+		(*Daemon)(e).noteLog(err)
+		e.core.Appended(batch.Nonce, offset, err)
+	}()
+}
+
+// Violated implements Env.
+func (e *daemonEnv) Violated(guarantee, step, peer, detail string) {
+	e.observer.Violated(guarantee, step, peer, detail)
+}
+
+func (d *Daemon) noteLog(err error) {
+	if err != nil {
+		d.logDown.Begin(err)
+		return
+	}
+	d.logDown.End()
+}
--- /dev/null
+++ b/process/entry/dispatch.go
@@ -0,0 +1,224 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/azurerouter/azurerouter/connection/wire"
+	"github.com/azurerouter/azurerouter/process/scheduler"
+	"github.com/azurerouter/azurerouter/request/job"
+)
+
+// pump sends every task of a service that may be sent now, one message per
+// agent.
+func (c *Core) pump(now time.Time, svc *service) {
+	svc.mu.Lock()
+	assigned := svc.scheduler.Assign(now, svc.random)
+	svc.mu.Unlock()
+	byAgent := make(map[wire.Incarnation][]scheduler.Task)
+	var order []wire.Incarnation
+	for _, a := range assigned {
+		if _, ok := byAgent[a.Target]; !ok {
+			order = append(order, a.Target)
+		}
+		byAgent[a.Target] = append(byAgent[a.Target], a.Task)
+	}
+	for _, agent := range order {
+		c.dispatch(now, svc, agent, byAgent[agent])
+	}
+}
+
+func (c *Core) dispatch(now time.Time, svc *service, agent wire.Incarnation, tasks []scheduler.Task) {
+	var batch []*sentTask
+	for _, task := range tasks {
+		if sent, ok := c.prepare(now, svc, agent, task); ok {
+			batch = append(batch, sent)
+		}
+	}
+	if len(batch) == 0 {
+		return
+	}
+	link := c.agent(agent)
+	fencedOff := c.fencedOff.Load()
+	if link == nil || fencedOff || !link.record(batch) {
+		for _, sent := range batch {
+			c.notStarted(now, agent, sent, scheduler.EndNotStarted, !fencedOff)
+		}
+		return
+	}
+	for _, sent := range batch {
+		c.noteSent(sent, agent)
+	}
+	c.counters.dispatched.Add(uint64(len(batch)))
+	c.env.SendAgent(agent, link.message(now, c.self, batch))
+}
+
+// prepare marks a task as outstanding. It asserts that no second start of a
+// non-idempotent task is possible.
+func (c *Core) prepare(now time.Time, svc *service, agent wire.Incarnation, task scheduler.Task) (*sentTask, bool) {
+	sent, refused := c.markOutstanding(svc, agent, task)
+	if refused {
+		svc.finish(now, agent, task.ID, scheduler.EndNotStarted, 0)
+		return nil, false
+	}
+	return sent, true
+}
+
+func (c *Core) markOutstanding(svc *service, agent wire.Incarnation, task scheduler.Task) (sent *sentTask, refused bool) {
+	s := c.shard(task.ID.Key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.jobs[task.ID.Key]
+	if !ok || e.phase != running || e.job.Ended(task.ID.Index) {
+		return nil, true
+	}
+	state := &e.tasks[task.ID.Index]
+	if state.outstanding || state.mayHaveRun && !e.sub.Idempotent {
+		c.env.Violated("G1", "dispatch", agent.String(), "second start of task of job "+task.ID.Key.String())
+		return nil, true
+	}
+	state.outstanding = true
+	state.attempts++
+	return &sentTask{service: svc, task: task, dispatch: wire.DispatchTask{
+		Key: task.ID.Key, Index: task.ID.Index, Count: len(e.sub.Inputs), Attempt: state.attempts,
+		Batch: e.sub.Priority == job.Batch, Input: e.sub.Inputs[task.ID.Index], Idempotent: e.sub.Idempotent,
+	}}, false
+}
+
+func (c *Core) noteSent(sent *sentTask, agent wire.Incarnation) {
+	s := c.shard(sent.task.ID.Key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.jobs[sent.task.ID.Key]; ok {
+		e.sent = append(e.sent, sentRef{agent: agent, seq: sent.dispatch.Seq})
+	}
+}
+
+// agentAnswers takes the ends of tasks from an agent.
+func (c *Core) agentAnswers(now time.Time, agent wire.Incarnation, link *agentLink, m *wire.Answers) {
+	if m.Entry != c.self || m.Agent != agent {
+		c.counters.strayAnswers.Add(uint64(len(m.Tasks)))
+		return
+	}
+	for _, answer := range m.Tasks {
+		sent := link.take(answer.Seq, answer.Attempt)
+		if sent == nil {
+			c.counters.strayAnswers.Add(1)
+			continue
+		}
+		c.taskAnswered(now, agent, link, sent, answer)
+	}
+	if svc := c.service(link.hello.Service); svc != nil {
+		svc.report(now, agent, m.Load)
+		c.pump(now, svc)
+	}
+}
+
+func (c *Core) taskAnswered(now time.Time, agent wire.Incarnation, link *agentLink, sent *sentTask, answer wire.TaskAnswer) {
+	switch answer.NotStarted {
+	case wire.Started:
+		c.taskEnded(now, agent, sent, answer)
+	case wire.NotStartedDuplicate:
+		c.unknown(now, agent, sent, "the agent had settled the dispatch earlier")
+	case wire.NotStartedFenced:
+		c.fencedOff.Store(true)
+		link.release(answer.Seq)
+		c.notStarted(now, agent, sent, scheduler.EndNotStarted, false)
+	case wire.NotStartedBusy:
+		link.release(answer.Seq)
+		c.notStarted(now, agent, sent, scheduler.EndBusy, true)
+	case wire.NotStartedCancelled:
+		link.release(answer.Seq)
+		c.cancelled(now, agent, sent)
+	default:
+		link.release(answer.Seq)
+		c.notStarted(now, agent, sent, scheduler.EndNotStarted, answer.NotStarted != wire.NotStartedDeadline)
+	}
+}
+
+var endByOutcome = map[job.Outcome]scheduler.End{
+	job.OK: scheduler.EndOK, job.Failed: scheduler.EndFailed,
+	job.Timeout: scheduler.EndTimeout, job.Cancelled: scheduler.EndCancelled,
+}
+
+func (c *Core) taskEnded(now time.Time, agent wire.Incarnation, sent *sentTask, answer wire.TaskAnswer) {
+	end, ok := endByOutcome[answer.Outcome]
+	if !ok {
+		c.unknown(now, agent, sent, "the agent's answer has no known outcome")
+		return
+	}
+	sent.service.finish(now, agent, sent.task.ID, end, time.Duration(answer.RunMS)*time.Millisecond)
+	c.clearOutstanding(sent, true)
+	c.finishTask(now, sent.task.ID.Key, sent.task.ID.Index,
+		job.TaskResult{Outcome: answer.Outcome, Output: answer.Output, Error: answer.Error})
+}
+
+// notStarted handles a task that provably was not started: it is tried
+// elsewhere within the retry budget.
+func (c *Core) notStarted(now time.Time, agent wire.Incarnation, sent *sentTask, end scheduler.End, retry bool) {
+	sent.service.finish(now, agent, sent.task.ID, end, 0)
+	wanted := c.clearOutstanding(sent, false)
+	if retry && wanted && c.retry(now, agent, sent) {
+		return
+	}
+	c.finishTask(now, sent.task.ID.Key, sent.task.ID.Index, job.TaskResult{Outcome: job.NotStarted})
+}
+
+// unknown handles a task that may or may not have been started. Only an
+// idempotent one is tried again.
+func (c *Core) unknown(now time.Time, agent wire.Incarnation, sent *sentTask, cause string) {
+	sent.service.finish(now, agent, sent.task.ID, scheduler.EndUnknown, 0)
+	wanted := c.clearOutstanding(sent, true)
+	if sent.task.Idempotent && wanted && c.retry(now, agent, sent) {
+		return
+	}
+	c.finishTask(now, sent.task.ID.Key, sent.task.ID.Index, job.TaskResult{Outcome: job.Unknown, Error: cause})
+}
+
+// cancelled handles a task that the agent dropped before it started.
+func (c *Core) cancelled(now time.Time, agent wire.Incarnation, sent *sentTask) {
+	sent.service.finish(now, agent, sent.task.ID, scheduler.EndCancelled, 0)
+	c.clearOutstanding(sent, false)
+	c.finishTask(now, sent.task.ID.Key, sent.task.ID.Index,
+		job.TaskResult{Outcome: job.Cancelled, Error: "cancelled before it was started"})
+}
+
+// clearOutstanding reports whether the task is still wanted: its job runs, can
+// still be complete and has time left.
+func (c *Core) clearOutstanding(sent *sentTask, mayHaveRun bool) (wanted bool) {
+	s := c.shard(sent.task.ID.Key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.jobs[sent.task.ID.Key]
+	if !ok || e.phase != running {
+		return false
+	}
+	state := &e.tasks[sent.task.ID.Index]
+	state.outstanding = false
+	state.mayHaveRun = state.mayHaveRun || mayHaveRun
+	return !e.late && !e.job.Failing() && !e.job.Ended(sent.task.ID.Index)
+}
+
+func (c *Core) retry(now time.Time, agent wire.Incarnation, sent *sentTask) bool {
+	task := sent.task
+	task.Attempt++
+	task.Avoid = agent
+	sent.service.mu.Lock()
+	defer sent.service.mu.Unlock()
+	if !sent.service.scheduler.Retry(now, task) {
+		return false
+	}
+	c.counters.retries.Add(1)
+	return true
+}
+
+func (s *service) finish(now time.Time, agent wire.Incarnation, id scheduler.TaskID, end scheduler.End, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.Finish(now, agent, id, end, took)
+}
+
+func (s *service) report(now time.Time, agent wire.Incarnation, load wire.Load) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.Report(now, agent, load)
+}
--- /dev/null
+++ b/process/entry/http.go
@@ -0,0 +1,176 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/azurerouter/azurerouter/request/job"
+	"github.com/azurerouter/azurerouter/request/refusal"
+)
+
+// Paths of the API for callers.
+const (
+	PathJobs     = "/v1/jobs"
+	PathRequests = "/v1/requests"
+)
+
+// API serves callers over HTTP.
+type API struct {
+	core *Core
+	now  func() time.Time
+	// submitted, answered and refused count what the API did.
+	submitted func(single bool)
+	answered  func(state job.State, took time.Duration)
+	refused   func(code refusal.Code)
+}
+
+// ServeHTTP implements http.Handler.
+func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	single := r.URL.Path == PathRequests
+	if !single && r.URL.Path != PathJobs {
+		a.refuse(w, refusal.New(refusal.NotFound, "route", "paths are %s and %s", PathJobs, PathRequests))
+		return
+	}
+	switch r.Method {
+	case http.MethodPost:
+		a.submit(w, r, single)
+	case http.MethodGet:
+		a.get(w, r)
+	case http.MethodDelete:
+		a.cancel(w, r)
+	default:
+		w.Header().Set("Allow", "GET, POST, DELETE")
+		a.writeRefusal(w, http.StatusMethodNotAllowed,
+			refusal.New(refusal.BadRequest, "route", "method %s is not supported", r.Method))
+	}
+}
+
+func (a *API) submit(w http.ResponseWriter, r *http.Request, single bool) {
+	a.submitted(single)
+	began := a.now()
+	if r.ContentLength > job.MaxBodyBytes {
+		a.refuse(w, refusal.New(refusal.TooLarge, "parse", "body exceeds %d bytes", job.MaxBodyBytes))
+		return
+	}
+	sub, err := job.Parse(r.Body, single, began, a.core.ParseLimits())
+	if err != nil {
+		refused, _ := refusal.As(err)
+		if refused.Code == refusal.KeyTooOld {
+			refused.Unknown()
+		}
+		a.refuse(w, refused)
+		return
+	}
+	replies := make(chan Reply, 1)
+	detach := a.core.Submit(sub, func(reply Reply) { replies <- reply })
+	a.wait(w, r.Context(), sub.Hash, replies, detach, began)
+}
+
+// wait writes the reply, or ends the caller's interest when it goes away.
+func (a *API) wait(w http.ResponseWriter, ctx context.Context, hash job.KeyHash, replies <-chan Reply, detach func(), began time.Time) {
+	select {
+	case reply := <-replies:
+		if reply.Refusal != nil {
+			a.refuse(w, reply.Refusal)
+			return
+		}
+		a.answered(reply.Answer.State, a.now().Sub(began))
+		if writeJSON(w, http.StatusOK, reply.Answer) == nil {
+			a.core.Delivered(hash)
+		}
+	case <-ctx.Done():
+		detach()
+	}
+}
+
+func (a *API) keyOf(r *http.Request) (job.KeyHash, *refusal.Error) {
+	query := r.URL.Query()
+	team, service, key := query.Get("team"), query.Get("service"), query.Get("key")
+	if team == "" || service == "" || key == "" {
+		return job.KeyHash{}, refusal.New(refusal.BadRequest, "parse", "team, service and key are required in the query")
+	}
+	return job.HashKey(team, service, key), nil
+}
+
+// get waits for the answer of a key that this entry holds.
+func (a *API) get(w http.ResponseWriter, r *http.Request) {
+	hash, refused := a.keyOf(r)
+	if refused != nil {
+		a.refuse(w, refused)
+		return
+	}
+	wait := job.DefaultDeadline
+	if text := r.URL.Query().Get("deadline_ms"); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 32)
+		if err != nil || ms <= 0 {
+			a.refuse(w, refusal.New(refusal.BadRequest, "parse", "deadline_ms must be a positive number of milliseconds"))
+			return
+		}
+		wait = time.Duration(ms) * time.Millisecond
+	}
+	replies := make(chan Reply, 1)
+	detach, known := a.core.Attach(hash, a.now().Add(wait), func(reply Reply) { replies <- reply })
+	if !known {
+		a.refuse(w, refusal.New(refusal.NotFound, "attach", "this entry does not hold the key").Unknown())
+		return
+	}
+	a.wait(w, r.Context(), hash, replies, detach, a.now())
+}
+
+// cancel stops a job. The caller that waits for it gets its answer.
+func (a *API) cancel(w http.ResponseWriter, r *http.Request) {
+	hash, refused := a.keyOf(r)
+	if refused != nil {
+		a.refuse(w, refused)
+		return
+	}
+	if !a.core.Cancel(hash) {
+		a.refuse(w, refusal.New(refusal.NotFound, "cancel", "no job of this key is running at this entry").Unknown())
+		return
+	}
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (a *API) refuse(w http.ResponseWriter, refused *refusal.Error) {
+	a.writeRefusal(w, refused.Code.Status(), refused)
+}
+
+// refusalBody is the JSON form of a refusal.
+type refusalBody struct {
+	Code    refusal.Code `json:"code"`
+	Run     refusal.Run  `json:"run"`
+	Message string       `json:"message"`
+	Step    string       `json:"step"`
+	Peer    string       `json:"peer,omitempty"`
+}
+
+func (a *API) writeRefusal(w http.ResponseWriter, status int, refused *refusal.Error) {
+	a.refused(refused.Code)
+	if refused.RetryAfter > 0 {
+		seconds := math.Ceil(refused.RetryAfter.Seconds())
+		w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	if refused.Code == refusal.Draining || refused.Code == refusal.TooLarge {
+		w.Header().Set("Connection", "close")
+	}
+	writeJSON(w, status, refusalBody{Code: refused.Code, Run: refused.Run, Message: refused.Message,
+		Step: refused.Step, Peer: refused.Peer})
+}
+
+// writeJSON writes a whole body with its length, so that a caller can tell a
+// body that was cut off.
+func writeJSON(w http.ResponseWriter, status int, body any) error {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(encoded)))
+	w.WriteHeader(status)
+	_, err = w.Write(encoded)
+	return err
+}
--- /dev/null
+++ b/process/entry/peers.go
@@ -0,0 +1,321 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/azurerouter/azurerouter/connection/wire"
+	"github.com/azurerouter/azurerouter/process/claims"
+	"github.com/azurerouter/azurerouter/request/job"
+	"github.com/azurerouter/azurerouter/request/refusal"
+)
+
+// peerState is what an entry knows of the other entries, and of submissions
+// that they own.
+type peerState struct {
+	mu         sync.Mutex
+	entries    map[wire.Incarnation]*entryLink
+	queries    map[uint64]*query
+	nextQuery  uint64
+	recoveries map[recoveryKey]*recovery
+	config     *wire.Config
+	members    *wire.Members
+}
+
+type entryLink struct {
+	hello     wire.Hello
+	connected bool
+	// generation counts connections, to tell which queries went to this one.
+	generation   int
+	lastHeard    time.Time
+	lastSent     time.Time
+	configOffset uint64
+}
+
+// query is a call whose key another entry owns.
+type query struct {
+	id         uint64
+	owner      wire.Incarnation
+	sub        *job.Submission
+	waiter     *waiter
+	generation int
+}
+
+func (p *peerState) init() {
+	p.entries = make(map[wire.Incarnation]*entryLink)
+	p.queries = make(map[uint64]*query)
+	p.recoveries = make(map[recoveryKey]*recovery)
+}
+
+func (p *peerState) pendingQueries() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.queries)
+}
+
+func (p *peerState) currentConfig() *wire.Config {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.config
+}
+
+func (p *peerState) configOffset() uint64 {
+	if m := p.currentConfig(); m != nil {
+		return m.Offset
+	}
+	return 0
+}
+
+func (p *peerState) setConfig(m *wire.Config) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.config = m
+}
+
+func (p *peerState) currentMembers() *wire.Members {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.members
+}
+
+// EntryConnected takes a new connection to another entry.
+func (c *Core) EntryConnected(hello wire.Hello) {
+	now := c.env.Now()
+	p := &c.peers
+	p.mu.Lock()
+	link, known := p.entries[hello.Incarnation]
+	if !known {
+		link = &entryLink{}
+		p.entries[hello.Incarnation] = link
+	}
+	link.hello, link.connected, link.configOffset = hello, true, hello.ConfigOffset
+	link.lastHeard, link.lastSent = now, now
+	link.generation++
+	cfg, members := p.config, p.members
+	p.mu.Unlock()
+	if members != nil {
+		c.env.SendEntry(hello.Incarnation, members)
+	}
+	if cfg != nil && cfg.Offset > hello.ConfigOffset {
+		c.env.SendEntry(hello.Incarnation, cfg)
+	}
+	c.sendQueries(now)
+}
+
+// EntryDisconnected takes the end of a connection to another entry.
+func (c *Core) EntryDisconnected(id wire.Incarnation) {
+	c.peers.mu.Lock()
+	defer c.peers.mu.Unlock()
+	if link, ok := c.peers.entries[id]; ok {
+		link.connected = false
+	}
+}
+
+// EntryReceived handles a message of a connected entry. Config and Members are
+// for the daemon, which applies them in order of their offsets.
+func (c *Core) EntryReceived(id wire.Incarnation, m wire.Message) {
+	now := c.env.Now()
+	c.peers.mu.Lock()
+	if link, ok := c.peers.entries[id]; ok {
+		link.lastHeard = now
+	}
+	c.peers.mu.Unlock()
+	switch m := m.(type) {
+	case *wire.Query:
+		c.answerQuery(now, id, m)
+	case *wire.QueryReply:
+		c.queryReplied(id, m)
+	}
+}
+
+// askOwner waits for the answer of the entry that owns the key.
+func (c *Core) askOwner(now time.Time, sub *job.Submission, owner claims.Owner, w *waiter) {
+	if owner.Digest != sub.Digest {
+		refused := refusal.New(refusal.KeyConflict, "submit", "the key was submitted before with another body")
+		w.reply(Reply{Refusal: refused.Unknown().At(owner.Entry.String())})
+		return
+	}
+	if reply, ok := c.recoveredReply(sub); ok {
+		w.reply(reply)
+		return
+	}
+	p := &c.peers
+	p.mu.Lock()
+	p.nextQuery++
+	p.queries[p.nextQuery] = &query{id: p.nextQuery, owner: owner.Entry, sub: sub, waiter: w}
+	p.mu.Unlock()
+	c.sendQueries(now)
+}
+
+// sendQueries sends each query once per connection to its owner.
+func (c *Core) sendQueries(now time.Time) {
+	type outgoing struct {
+		to wire.Incarnation
+		m  *wire.Query
+	}
+	var out []outgoing
+	p := &c.peers
+	p.mu.Lock()
+	for _, q := range p.queries {
+		link, ok := p.entries[q.owner]
+		if !ok || !link.connected || q.generation == link.generation {
+			continue
+		}
+		q.generation = link.generation
+		link.lastSent = now
+		out = append(out, outgoing{q.owner, &wire.Query{ID: q.id, Key: q.sub.Hash, Digest: q.sub.Digest,
+			BudgetMS: wire.Milliseconds(q.waiter.deadline.Sub(now)), Body: q.sub.Raw, Single: q.sub.Single}})
+	}
+	p.mu.Unlock()
+	for _, o := range out {
+		c.env.SendEntry(o.to, o.m)
+	}
+}
+
+// answerQuery is the owner's side: the resubmission attaches to the job, or
+// runs it if nothing of it was started.
+func (c *Core) answerQuery(now time.Time, from wire.Incarnation, m *wire.Query) {
+	reply := func(r Reply) { c.env.SendEntry(from, queryReply(m.ID, r)) }
+	sub, err := job.Parse(bytes.NewReader(m.Body), m.Single, now, c.ParseLimits())
+	if err != nil {
+		refused, _ := refusal.As(err)
+		reply(Reply{Refusal: refused.Unknown()})
+		return
+	}
+	if sub.Hash != m.Key || sub.Digest != m.Digest {
+		c.env.Violated("G3", "query", from.String(), "query body does not match its key")
+		reply(Reply{Refusal: refusal.New(refusal.BadRequest, "query", "body does not match the key").Unknown()})
+		return
+	}
+	// The caller may have submitted the key before, whatever it says.
+	sub.First = false
+	sub.Deadline = now.Add(time.Duration(m.BudgetMS) * time.Millisecond)
+	if owner, ok := c.claimOwner(sub.Hash); ok && owner.Entry != c.self {
+		reply(Reply{Refusal: refusal.New(refusal.OwnerUnreachable, "query", "the key belongs to another entry").Unknown()})
+		return
+	}
+	c.admit(now, sub, &waiter{deadline: sub.Deadline, reply: reply})
+}
+
+func queryReply(id uint64, r Reply) *wire.QueryReply {
+	m := &wire.QueryReply{ID: id}
+	if r.Refusal != nil {
+		m.Refusal = wire.Refusal{Code: string(r.Refusal.Code), Run: string(r.Refusal.Run), Message: r.Refusal.Message,
+			Step: r.Refusal.Step, RetryAfterMS: wire.Milliseconds(r.Refusal.RetryAfter)}
+		return m
+	}
+	m.Answer, _ = json.Marshal(r.Answer)
+	return m
+}
+
+// queryReplied is the asking side.
+func (c *Core) queryReplied(from wire.Incarnation, m *wire.QueryReply) {
+	p := &c.peers
+	p.mu.Lock()
+	q, ok := p.queries[m.ID]
+	if !ok || q.owner != from {
+		p.mu.Unlock()
+		c.counters.strayAnswers.Add(1)
+		return
+	}
+	delete(p.queries, m.ID)
+	p.mu.Unlock()
+	q.waiter.reply(c.replyFromOwner(q, m))
+}
+
+func (c *Core) replyFromOwner(q *query, m *wire.QueryReply) Reply {
+	if m.Refusal.Code != "" {
+		refused := &refusal.Error{Code: refusal.Code(m.Refusal.Code), Run: refusal.Run(m.Refusal.Run),
+			Message: m.Refusal.Message, Step: m.Refusal.Step, RetryAfter: time.Duration(m.Refusal.RetryAfterMS) * time.Millisecond}
+		return Reply{Refusal: refused.At(q.owner.String())}
+	}
+	var answer job.Answer
+	if err := json.Unmarshal(m.Answer, &answer); err != nil {
+		return Reply{Refusal: refusal.New(refusal.OwnerUnreachable, "query", "answer could not be read: %v", err).Unknown().At(q.owner.String())}
+	}
+	if answer.Key != q.sub.Key || answer.Team != q.sub.Team || answer.Service != q.sub.Service || len(answer.Tasks) != len(q.sub.Inputs) {
+		c.env.Violated("G3", "query", q.owner.String(), "the owner answered another submission")
+		return Reply{Refusal: refusal.New(refusal.OwnerUnreachable, "query", "the owner answered another submission").Unknown()}
+	}
+	return Reply{Answer: &answer}
+}
+
+// checkPeers sends heartbeats, ends queries past their deadline, and recovers
+// the keys of owners that are silent.
+func (c *Core) checkPeers(now time.Time) {
+	c.heartbeatEntries(now)
+	c.sendQueries(now)
+	for _, q := range c.expiredQueries(now) {
+		refused := refusal.New(refusal.Deadline, "query", "the owner did not answer before the deadline")
+		q.waiter.reply(Reply{Refusal: refused.Unknown().At(q.owner.String()).After(time.Second)})
+	}
+	c.recover(now)
+}
+
+func (c *Core) heartbeatEntries(now time.Time) {
+	var due []wire.Incarnation
+	p := &c.peers
+	p.mu.Lock()
+	for id, link := range p.entries {
+		if link.connected && now.Sub(link.lastSent) >= HeartbeatInterval {
+			link.lastSent = now
+			due = append(due, id)
+		}
+	}
+	p.mu.Unlock()
+	offset := p.configOffset()
+	for _, id := range due {
+		c.env.SendEntry(id, &wire.Heartbeat{ConfigOffset: offset})
+	}
+}
+
+func (c *Core) expiredQueries(now time.Time) []*query {
+	p := &c.peers
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var expired []*query
+	for id, q := range p.queries {
+		if !now.Before(q.waiter.deadline.Add(deadlineGrace)) {
+			delete(p.queries, id)
+			expired = append(expired, q)
+		}
+	}
+	return expired
+}
+
+// PushMembers passes the known entries on to every connected process.
+func (c *Core) PushMembers(m *wire.Members) {
+	p := &c.peers
+	p.mu.Lock()
+	p.members = m
+	var entries []wire.Incarnation
+	for id, link := range p.entries {
+		if link.connected {
+			entries = append(entries, id)
+		}
+	}
+	p.mu.Unlock()
+	for _, id := range entries {
+		c.env.SendEntry(id, m)
+	}
+	for id := range c.allAgents() {
+		c.env.SendAgent(id, m)
+	}
+}
+
+func (c *Core) pushConfigToEntries(m *wire.Config) {
+	var behind []wire.Incarnation
+	c.peers.mu.Lock()
+	for id, link := range c.peers.entries {
+		if link.connected && link.configOffset < m.Offset {
+			link.configOffset = m.Offset
+			behind = append(behind, id)
+		}
+	}
+	c.peers.mu.Unlock()
+	for _, id := range behind {
+		c.env.SendEntry(id, m)
+	}
+}
--- /dev/null
+++ b/process/entry/streams.go
@@ -0,0 +1,225 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/azurerouter/azurerouter/connection/logclient"
+	"github.com/azurerouter/azurerouter/connection/wire"
+	"github.com/azurerouter/azurerouter/process/claims"
+	"github.com/azurerouter/azurerouter/process/membership"
+	"github.com/azurerouter/azurerouter/version/config"
+)
+
+// ConfigStream is the log stream of the published configuration.
+const ConfigStream = "config"
+
+const (
+	// snapshotRecords and snapshotInterval say when a snapshot of the
+	// configuration is due, whichever comes first.
+	snapshotRecords  = 256
+	snapshotInterval = 2 * time.Minute
+	// snapshotSpread keeps entries from writing the same snapshot at once.
+	snapshotSpread = 30 * time.Second
+)
+
+// follow reads a stream for ever. apply takes a page and returns the offset to
+// read next.
+func (d *Daemon) follow(ctx context.Context, stream string, next func() uint64, apply func(logclient.Page)) error {
+	for ctx.Err() == nil {
+		page, err := d.log.Read(ctx, stream, next(), followMax, followWait)
+		if ctx.Err() != nil {
+			break
+		}
+		d.noteLog(err)
+		if err != nil {
+			sleep(ctx, followRetry)
+			continue
+		}
+		apply(page)
+	}
+	return ctx.Err()
+}
+
+func sleep(ctx context.Context, wait time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+}
+
+func (d *Daemon) followClaims(ctx context.Context) error {
+	return d.follow(ctx, claims.Stream, d.core.NextClaim, d.core.ClaimRecords)
+}
+
+func (d *Daemon) followConfig(ctx context.Context) error {
+	due := time.Now().Add(snapshotInterval)
+	return d.follow(ctx, ConfigStream, d.nextConfig, func(page logclient.Page) {
+		d.applyConfig(page)
+		if d.snapshotDue(due, page) {
+			d.writeSnapshot(ctx)
+			due = time.Now().Add(snapshotInterval + rand.N(snapshotSpread))
+		}
+	})
+}
+
+func (d *Daemon) nextConfig() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.config.Next()
+}
+
+// applyConfig folds a page of the config stream and puts the result in force.
+func (d *Daemon) applyConfig(page logclient.Page) {
+	d.mu.Lock()
+	before := d.config.Offset()
+	for _, record := range page.Records {
+		if _, err := d.config.Apply(record.Offset, page.First, record.Data); err != nil {
+			d.configError(err)
+		}
+	}
+	changed := d.config.Offset() != before
+	d.mu.Unlock()
+	if changed || !d.core.isConfigured() {
+		d.putInForce()
+	}
+}
+
+// restoreConfig takes over the configuration of another entry, if it is newer.
+func (d *Daemon) restoreConfig(from string, m *wire.Config) {
+	files := make([]config.File, len(m.Files))
+	for i, file := range m.Files {
+		files[i] = config.File{Name: file.Name, Version: file.Version, Content: file.Content}
+	}
+	d.mu.Lock()
+	restored := d.config.Restore(m.Offset, files)
+	d.mu.Unlock()
+	if restored {
+		d.observer.Log.Info().Str("step", "config").Str("peer", from).Uint64("offset", m.Offset).Msg("configuration taken from a peer")
+		d.putInForce()
+	}
+}
+
+// putInForce merges the files and hands the result to Core and to the peers. An
+// entry without any publication has nothing to put in force.
+func (d *Daemon) putInForce() {
+	d.mu.Lock()
+	offset, files := d.config.Offset(), d.config.Files()
+	if offset == 0 {
+		d.mu.Unlock()
+		return
+	}
+	merged, faults := config.Merge(files)
+	d.faults, d.sources = faults, merged.Source
+	d.mu.Unlock()
+	d.core.Configure(merged.Config)
+	d.core.PushConfig(offset, files)
+	d.observer.Log.Info().Str("step", "config").Uint64("offset", offset).Int("faults", len(faults)).Msg("configuration in force")
+}
+
+func (d *Daemon) snapshotDue(due time.Time, page logclient.Page) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	behind := d.config.Offset() - min(d.config.Offset(), d.config.SnapshotUpTo())
+	caughtUp := d.config.Next() >= page.Next
+	return caughtUp && behind > 0 && (behind >= snapshotRecords || time.Now().After(due))
+}
+
+func (d *Daemon) writeSnapshot(ctx context.Context) {
+	d.mu.Lock()
+	record, err := d.config.EncodeSnapshot()
+	d.mu.Unlock()
+	if err != nil {
+		d.observer.Log.Error().Str("step", "snapshot").Err(err).Msg("configuration snapshot cannot be encoded")
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	// A lost response does no harm: a second snapshot has no effect.
+	_, err = d.log.Append(ctx, ConfigStream, record)
+	d.noteLog(err)
+}
+
+func (d *Daemon) followMembers(ctx context.Context) error {
+	next := func() uint64 {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.members.Offset() + 1
+	}
+	return d.follow(ctx, membership.Stream, next, func(page logclient.Page) {
+		changed := false
+		d.mu.Lock()
+		for _, record := range page.Records {
+			c, err := d.members.Apply(record.Offset, record.Time, record.Data)
+			if err != nil {
+				d.observer.Log.Warn().Str("step", "members").Uint64("offset", record.Offset).Err(err).Msg("record skipped")
+			}
+			changed = changed || c
+		}
+		d.mu.Unlock()
+		if changed {
+			d.pushMembers()
+		}
+	})
+}
+
+func (d *Daemon) restoreMembers(m *wire.Members) {
+	d.mu.Lock()
+	restored := d.members.Restore(time.Now(), m.Offset, m.Entries)
+	d.mu.Unlock()
+	if restored {
+		d.pushMembers()
+	}
+}
+
+// pushMembers passes on the entries of the log, this one, and those connected
+// that could not announce themselves while the log is down.
+func (d *Daemon) pushMembers() {
+	self := wire.EntryAddress{Incarnation: d.self, Name: d.settings.Name, Zone: d.settings.Zone, PeerAddr: d.settings.PeerAddr}
+	d.mu.Lock()
+	byName := map[string]wire.EntryAddress{}
+	for _, entry := range d.members.List() {
+		byName[entry.Name] = entry
+	}
+	for _, conn := range d.entries {
+		p := conn.Peer
+		byName[p.Name] = wire.EntryAddress{Incarnation: p.Incarnation, Name: p.Name, Zone: p.Zone, PeerAddr: p.PeerAddr}
+	}
+	byName[self.Name] = self
+	m := &wire.Members{Offset: d.members.Offset()}
+	for _, entry := range byName {
+		m.Entries = append(m.Entries, entry)
+	}
+	d.mu.Unlock()
+	d.core.PushMembers(m)
+	d.core.SetEntryCount(len(m.Entries))
+}
+
+// announce repeats this entry's announcement, so that it is not trimmed.
+func (d *Daemon) announce(ctx context.Context) error {
+	d.pushMembers()
+	for ctx.Err() == nil {
+		wait := membership.AnnounceInterval
+		if !d.core.draining.Load() && d.appendAnnouncement(ctx, false) != nil {
+			wait = time.Second
+		}
+		sleep(ctx, wait)
+	}
+	return ctx.Err()
+}
+
+func (d *Daemon) announceStop(ctx context.Context) { d.appendAnnouncement(ctx, true) }
+
+func (d *Daemon) appendAnnouncement(ctx context.Context, stopped bool) error {
+	record, err := membership.Encode(membership.Announcement{Stopped: stopped, Entry: wire.EntryAddress{
+		Incarnation: d.self, Name: d.settings.Name, Zone: d.settings.Zone, PeerAddr: d.settings.PeerAddr}})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err = d.log.Append(ctx, membership.Stream, record)
+	d.noteLog(err)
+	return err
+}
--- /dev/null
+++ b/process/entry/submit.go
@@ -0,0 +1,269 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/azurerouter/azurerouter/process/scheduler"
+	"github.com/azurerouter/azurerouter/request/job"
+	"github.com/azurerouter/azurerouter/request/refusal"
+)
+
+// Submit takes a submission. reply is called once, from any goroutine. detach
+// ends the caller's interest: an unkeyed request that nobody waits for is
+// cancelled, while a keyed one goes on, because its caller may resubmit.
+func (c *Core) Submit(sub *job.Submission, reply func(Reply)) (detach func()) {
+	now := c.env.Now()
+	if refused := c.admissible(sub); refused != nil {
+		reply(Reply{Refusal: unlessFirst(sub, refused)})
+		return func() {}
+	}
+	if !sub.Keyed() {
+		sub.Hash = c.randomHash()
+	}
+	w := &waiter{deadline: sub.Deadline, reply: reply}
+	c.admit(now, sub, w)
+	return func() { c.detach(sub.Hash, w) }
+}
+
+// unlessFirst weakens a refusal that arose before the key's owner was known: an
+// earlier submission of the key may have run at another entry, unless the
+// caller states that there was none.
+func unlessFirst(sub *job.Submission, refused *refusal.Error) *refusal.Error {
+	if sub.First {
+		return refused
+	}
+	return refused.Unknown()
+}
+
+func (c *Core) admissible(sub *job.Submission) *refusal.Error {
+	if err := c.Ready(); err != nil {
+		refused, _ := refusal.As(err)
+		return refused.After(time.Second)
+	}
+	if c.service(sub.Service) == nil {
+		return refusal.New(refusal.UnknownService, "submit", "service %q is not configured", sub.Service)
+	}
+	return nil
+}
+
+func (c *Core) randomHash() (hash job.KeyHash) {
+	c.randomMu.Lock()
+	defer c.randomMu.Unlock()
+	for i := range hash {
+		hash[i] = byte(c.random.Uint32())
+	}
+	return hash
+}
+
+// admit attaches the caller to the job of the key, or starts one.
+func (c *Core) admit(now time.Time, sub *job.Submission, w *waiter) {
+	if sub.Keyed() {
+		if owner, ok := c.claimOwner(sub.Hash); ok && owner.Entry != c.self {
+			c.askOwner(now, sub, owner, w)
+			return
+		}
+	}
+	s := c.shard(sub.Hash)
+	s.mu.Lock()
+	e, known := s.jobs[sub.Hash]
+	if !known {
+		e = newEntryJob(sub, c.service(sub.Service), claiming, now)
+		e.waiters = []*waiter{w}
+		s.add(sub.Hash, e)
+		s.mu.Unlock()
+		c.begin(now, sub)
+		return
+	}
+	then := s.attach(now, e, sub, w, c.service(sub.Service))
+	s.mu.Unlock()
+	then(c)
+}
+
+// begin claims a keyed submission and starts any other at once.
+func (c *Core) begin(now time.Time, sub *job.Submission) {
+	if !sub.Keyed() {
+		c.run(now, sub.Hash)
+		return
+	}
+	c.addClaim(now, sub)
+}
+
+// attach adds a caller to a known key. It returns what is left to do without
+// the lock.
+func (s *shard) attach(now time.Time, e *entryJob, sub *job.Submission, w *waiter, svc *service) func(*Core) {
+	if e.sub.Digest != sub.Digest {
+		refused := refusal.New(refusal.KeyConflict, "submit", "the key was submitted before with another body").Unknown()
+		return func(*Core) { w.reply(Reply{Refusal: refused}) }
+	}
+	switch e.phase {
+	case answered:
+		answer := e.answer
+		return func(*Core) { w.reply(Reply{Answer: answer}) }
+	case evicted:
+		refused := refusal.New(refusal.KeyTooOld, "submit", "the answer is no longer held").Unknown()
+		return func(*Core) { w.reply(Reply{Refusal: refused}) }
+	case idle:
+		// Nothing was started, so the resubmission runs in its place. The
+		// claim is added again: it may not have taken effect.
+		fresh := newEntryJob(sub, svc, claiming, now)
+		fresh.waiters = []*waiter{w}
+		s.add(sub.Hash, fresh)
+		return func(c *Core) { c.begin(now, sub) }
+	}
+	e.waiters = append(e.waiters, w)
+	return func(*Core) {}
+}
+
+// run starts a submission that this entry owns: its tasks enter the queue.
+func (c *Core) run(now time.Time, hash job.KeyHash) {
+	s := c.shard(hash)
+	s.mu.Lock()
+	e, ok := s.jobs[hash]
+	if !ok || e.phase != claiming {
+		s.mu.Unlock()
+		return
+	}
+	e.phase = running
+	e.sub.Raw = nil
+	svc, tasks := e.service, schedulerTasks(now, e.sub)
+	s.mu.Unlock()
+
+	refused := c.enqueue(now, svc, tasks)
+	if refused != nil {
+		s.mu.Lock()
+		waiters := s.leave(now, hash, e, idle)
+		s.mu.Unlock()
+		replyAll(waiters, Reply{Refusal: refused})
+		return
+	}
+	c.pump(now, svc)
+}
+
+func (c *Core) enqueue(now time.Time, svc *service, tasks []scheduler.Task) *refusal.Error {
+	if svc == nil {
+		return refusal.New(refusal.UnknownService, "submit", "the service was removed from the configuration")
+	}
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	return svc.scheduler.Admit(now, tasks)
+}
+
+func schedulerTasks(now time.Time, sub *job.Submission) []scheduler.Task {
+	tasks := make([]scheduler.Task, len(sub.Inputs))
+	for i := range tasks {
+		tasks[i] = scheduler.Task{ID: scheduler.TaskID{Key: sub.Hash, Index: i}, Team: sub.Team, Priority: sub.Priority,
+			Enqueued: now, Deadline: sub.Deadline, Needs: sub.Needs, Idempotent: sub.Idempotent}
+	}
+	return tasks
+}
+
+// detach removes a caller that went away.
+func (c *Core) detach(hash job.KeyHash, w *waiter) {
+	s := c.shard(hash)
+	s.mu.Lock()
+	e, ok := s.jobs[hash]
+	if !ok {
+		s.mu.Unlock()
+		return
+	}
+	kept := e.waiters[:0]
+	for _, other := range e.waiters {
+		if other != w {
+			kept = append(kept, other)
+		}
+	}
+	e.waiters = kept
+	abandoned := len(kept) == 0 && !e.sub.Keyed() && e.phase == running
+	s.mu.Unlock()
+	if abandoned {
+		c.Cancel(hash)
+	}
+}
+
+// Cancel stops a job: tasks that wait never start, and running ones are told to
+// stop. It reports false if this entry has no such job running.
+func (c *Core) Cancel(hash job.KeyHash) bool {
+	now := c.env.Now()
+	s := c.shard(hash)
+	s.mu.Lock()
+	e, ok := s.jobs[hash]
+	if ok && e.phase == claiming {
+		waiters := s.leave(now, hash, e, idle)
+		sub := e.sub
+		s.mu.Unlock()
+		c.withdrawClaim(hash)
+		refused := refusal.New(refusal.Deadline, "claim", "cancelled before it was claimed")
+		replyAll(waiters, Reply{Refusal: unlessFirst(sub, refused)})
+		return true
+	}
+	if !ok || e.phase != running {
+		s.mu.Unlock()
+		return false
+	}
+	queued, sent, svc := e.unsent(), append([]sentRef(nil), e.sent...), e.service
+	s.mu.Unlock()
+	c.cancelQueued(now, svc, hash, queued, job.Cancelled)
+	c.cancelSent(sent)
+	return true
+}
+
+// cancelQueued takes tasks out of the queue and ends them.
+func (c *Core) cancelQueued(now time.Time, svc *service, hash job.KeyHash, indexes []int, outcome job.Outcome) {
+	var removed []int
+	svc.mu.Lock()
+	for _, index := range indexes {
+		if svc.scheduler.Cancel(scheduler.TaskID{Key: hash, Index: index}) {
+			removed = append(removed, index)
+		}
+	}
+	svc.mu.Unlock()
+	for _, index := range removed {
+		c.finishTask(now, hash, index, job.TaskResult{Outcome: outcome})
+	}
+}
+
+// expireQueue ends the tasks whose deadline passed while they waited.
+func (c *Core) expireQueue(now time.Time, svc *service) {
+	svc.mu.Lock()
+	expired := svc.scheduler.Expire(now)
+	svc.mu.Unlock()
+	for _, task := range expired {
+		c.finishTask(now, task.ID.Key, task.ID.Index,
+			job.TaskResult{Outcome: job.NotStarted, Error: "no target had room before the deadline"})
+	}
+}
+
+// Delivered is called when the whole answer has been written to a caller. The
+// agents may then drop the results.
+func (c *Core) Delivered(hash job.KeyHash) {
+	s := c.shard(hash)
+	s.mu.Lock()
+	var release []sentRef
+	if e, ok := s.jobs[hash]; ok && e.phase == answered {
+		release, e.sent = e.sent, nil
+	}
+	s.mu.Unlock()
+	c.releaseSent(release)
+}
+
+// Attach waits for the answer of a key without submitting it. It reports false
+// if this entry does not hold the key.
+func (c *Core) Attach(hash job.KeyHash, deadline time.Time, reply func(Reply)) (detach func(), known bool) {
+	w := &waiter{deadline: deadline, reply: reply}
+	s := c.shard(hash)
+	s.mu.Lock()
+	e, ok := s.jobs[hash]
+	if !ok || e.phase == idle || e.phase == evicted {
+		s.mu.Unlock()
+		return nil, false
+	}
+	if e.phase == answered {
+		answer := e.answer
+		s.mu.Unlock()
+		reply(Reply{Answer: answer})
+		return func() {}, true
+	}
+	e.waiters = append(e.waiters, w)
+	s.mu.Unlock()
+	return func() { c.detach(hash, w) }, true
+}
--- /dev/null
+++ b/process/settings/settings.go
@@ -0,0 +1,151 @@
+// Package settings reads the settings of one process: its addresses, its
+// availability zone and its keys. They are given at the start of the process,
+// unlike the published configuration of package config.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tailscale/hujson"
+
+	"github.com/azurerouter/azurerouter/connection/peer"
+)
+
+// Defaults of settings that a file may leave out.
+const (
+	DefaultDrainTimeoutMS = 30_000
+	DefaultBacklog        = 2
+	DefaultMaxConns       = 60
+	MaxSlots              = 4096
+)
+
+// Entry holds the settings of an entry process.
+type Entry struct {
+	// Name tells the instance from others in logs and dumps.
+	Name string `json:"name"`
+	// Zone is the availability zone.
+	Zone string `json:"zone"`
+	// HTTPAddr is where callers connect, as IP:port.
+	HTTPAddr string `json:"http_addr"`
+	// PeerAddr is where agents and other entries connect, as IP:port (UDP).
+	PeerAddr string `json:"peer_addr"`
+	// AdminAddr serves operators, as IP:port on a loopback address.
+	AdminAddr string `json:"admin_addr"`
+	// LogURL is the base URL of the platform's log service.
+	LogURL string `json:"log_url"`
+	// Seeds are peer addresses of entries, or of the balancer before them.
+	Seeds []string      `json:"seeds"`
+	Keys  peer.KeyFiles `json:"keys"`
+	// DrainTimeoutMS bounds a graceful shutdown, in milliseconds.
+	DrainTimeoutMS int64 `json:"drain_timeout_ms"`
+}
+
+// Agent holds the settings of an agent process.
+type Agent struct {
+	Name      string        `json:"name"`
+	Zone      string        `json:"zone"`
+	AdminAddr string        `json:"admin_addr"`
+	Seeds     []string      `json:"seeds"`
+	Keys      peer.KeyFiles `json:"keys"`
+	// Service is the service that the target belongs to.
+	Service string `json:"service"`
+	// TargetURL is the base URL of the target.
+	TargetURL string `json:"target_url"`
+	// Slots is how many tasks the target runs at once.
+	Slots int `json:"slots"`
+	// Backlog is how many accepted tasks may wait for a slot.
+	Backlog *int `json:"backlog"`
+	// MaxConns bounds the connections to the target.
+	MaxConns int `json:"max_conns"`
+	// MemoryMB and Accelerators are what one task can use at the target.
+	MemoryMB     int `json:"memory_mb"`
+	Accelerators int `json:"accelerators"`
+	// DrainTimeoutMS bounds a graceful shutdown, in milliseconds.
+	DrainTimeoutMS int64 `json:"drain_timeout_ms"`
+}
+
+// DrainTimeout returns the bound of a graceful shutdown.
+func (e *Entry) DrainTimeout() time.Duration {
+	return time.Duration(e.DrainTimeoutMS) * time.Millisecond
+}
+
+// DrainTimeout returns the bound of a graceful shutdown.
+func (a *Agent) DrainTimeout() time.Duration {
+	return time.Duration(a.DrainTimeoutMS) * time.Millisecond
+}
+
+// LoadEntry reads and checks the settings of an entry. The error names the file
+// and the field at fault.
+func LoadEntry(path string) (*Entry, error) {
+	settings := &Entry{DrainTimeoutMS: DefaultDrainTimeoutMS}
+	if err := load(path, settings); err != nil {
+		return nil, err
+	}
+	return settings, errors.Wrap(firstFault([]requirement{
+		{settings.Name != "", "name is missing"},
+		{settings.Zone != "", "zone is missing"},
+		{settings.HTTPAddr != "", "http_addr is missing, expected IP:port"},
+		{settings.PeerAddr != "", "peer_addr is missing, expected IP:port"},
+		{settings.AdminAddr != "", "admin_addr is missing, expected IP:port on loopback"},
+		{settings.LogURL != "", "log_url is missing"},
+		{settings.DrainTimeoutMS > 0, "drain_timeout_ms must be above 0"},
+	}), path)
+}
+
+// LoadAgent reads and checks the settings of an agent. The error names the file
+// and the field at fault.
+func LoadAgent(path string) (*Agent, error) {
+	backlog := DefaultBacklog
+	settings := &Agent{DrainTimeoutMS: DefaultDrainTimeoutMS, Backlog: &backlog, MaxConns: DefaultMaxConns}
+	if err := load(path, settings); err != nil {
+		return nil, err
+	}
+	return settings, errors.Wrap(firstFault([]requirement{
+		{settings.Name != "", "name is missing"},
+		{settings.Zone != "", "zone is missing"},
+		{settings.AdminAddr != "", "admin_addr is missing, expected IP:port on loopback"},
+		{settings.Service != "", "service is missing"},
+		{settings.TargetURL != "", "target_url is missing"},
+		{len(settings.Seeds) > 0, "seeds is empty, expected at least one IP:port of an entry"},
+		{settings.Slots > 0 && settings.Slots <= MaxSlots, "slots must be 1 to 4096"},
+		{settings.Backlog != nil && *settings.Backlog >= 0, "backlog must not be negative"},
+		{settings.MaxConns > 0, "max_conns must be above 0"},
+		{settings.DrainTimeoutMS > 0, "drain_timeout_ms must be above 0"},
+	}), path)
+}
+
+type requirement struct {
+	met     bool
+	message string
+}
+
+func firstFault(requirements []requirement) error {
+	for _, r := range requirements {
+		if !r.met {
+			return errors.New(r.message)
+		}
+	}
+	return nil
+}
+
+func load(path string, into any) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "settings")
+	}
+	return errors.Wrap(decode(text, into), path)
+}
+
+func decode(text []byte, into any) error {
+	plain, err := hujson.Standardize(text)
+	if err != nil {
+		return err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(plain))
+	decoder.DisallowUnknownFields()
+	return decoder.Decode(into)
+}
--- a/request/job/submission.go
+++ b/request/job/submission.go
@@ -68,6 +68,10 @@
 	Inputs      []json.RawMessage
 	// Single is true for a single request, false for a job.
 	Single bool
+	// First is true if the caller states that it has not sent this key before.
+	First bool
+	// Raw is the body as it was received.
+	Raw []byte
 }
 
 // Keyed reports whether the submission must be claimed before it starts.
@@ -75,16 +79,19 @@
 
 // body is the JSON form shared by jobs and single requests.
 type body struct {
-	Service     string            `json:"service"`
-	Team        string            `json:"team"`
-	Key         string            `json:"key"`
-	SubmittedAt time.Time         `json:"submitted_at"`
-	DeadlineMS  *int64            `json:"deadline_ms"`
-	Priority    Priority          `json:"priority"`
-	Idempotent  bool              `json:"idempotent"`
-	Needs       Needs             `json:"needs"`
-	Tasks       []json.RawMessage `json:"tasks"`
-	Input       json.RawMessage   `json:"input"`
+	Service     string    `json:"service"`
+	Team        string    `json:"team"`
+	Key         string    `json:"key"`
+	SubmittedAt time.Time `json:"submitted_at"`
+	DeadlineMS  *int64    `json:"deadline_ms"`
+	Priority    Priority  `json:"priority"`
+	Idempotent  bool      `json:"idempotent"`
+	// Resubmission is absent if the caller does not know whether it has sent
+	// the key before.
+	Resubmission *bool             `json:"resubmission"`
+	Needs        Needs             `json:"needs"`
+	Tasks        []json.RawMessage `json:"tasks"`
+	Input        json.RawMessage   `json:"input"`
 }
 
 // Limits are the settings that bound the times a submission may name.
@@ -114,6 +121,7 @@
 	if err := sub.checkTimes(now, limits); err != nil {
 		return nil, err
 	}
+	sub.Raw = raw
 	sub.Hash = HashKey(sub.Team, sub.Service, sub.Key)
 	sub.Digest = sub.digest()
 	return sub, nil
@@ -136,6 +144,7 @@
 	sub := &Submission{
 		Service: b.Service, Team: b.Team, Key: b.Key, SubmittedAt: b.SubmittedAt.UTC(),
 		Priority: b.Priority, Idempotent: b.Idempotent, Needs: b.Needs, Single: single,
+		First: b.Key == "" || b.Resubmission != nil && !*b.Resubmission,
 	}
 	if sub.Priority == "" {
 		sub.Priority = Urgent
