--- /dev/null
+++ b/version/config/fields.go
@@ -0,0 +1,120 @@
+package config
+
+import (
+	"fmt"
+	"time"
+)
+
+// Field describes one setting. Path has "*" in the place of the name of a
+// service or team. A setting without a Unit is a list of names, and has no
+// default or range.
+type Field struct {
+	Path    string
+	Unit    string
+	Default int64
+	Min     int64
+	Max     int64
+	Doc     string
+}
+
+// List reports whether the setting is a list of names instead of a number.
+func (f Field) List() bool { return f.Unit == "" }
+
+// Expected describes the values that the setting accepts.
+func (f Field) Expected() string {
+	if f.List() {
+		return "list of names, or null"
+	}
+	return fmt.Sprintf("whole number from %d to %d, in %s", f.Min, f.Max, f.Unit)
+}
+
+// numberField is a Field together with the place of its value in T.
+type numberField[T any] struct {
+	Field
+	set func(*T, int64)
+}
+
+const (
+	servicePrefix = "services.*."
+	teamPrefix    = "teams.*."
+	limitsPrefix  = "limits."
+)
+
+func milliseconds(v int64) time.Duration { return time.Duration(v) * time.Millisecond }
+
+var serviceFields = []numberField[Service]{
+	{Field{servicePrefix + "queue_limit", "tasks", 20_000, 1, 1_000_000,
+		"Tasks that one entry queues for the service; more are refused with overloaded."},
+		func(s *Service, v int64) { s.QueueLimit = int(v) }},
+	{Field{servicePrefix + "max_backlog", "tasks", 2, 0, 100,
+		"Tasks that one entry sends to one target beyond the slots of the target."},
+		func(s *Service, v int64) { s.MaxBacklog = int(v) }},
+	{Field{servicePrefix + "retry_budget_percent", "percent", 10, 0, 100,
+		"Retries as a share of recent successes."},
+		func(s *Service, v int64) { s.RetryBudgetPercent = int(v) }},
+	{Field{servicePrefix + "batch_reserve_percent", "percent", 10, 0, 90,
+		"Share of the slots that batch work leaves free for urgent work."},
+		func(s *Service, v int64) { s.BatchReservePercent = int(v) }},
+	// The upper bound is the lower bound of dedupe_window_ms, because a
+	// deadline may not exceed the window and the two are set in different files.
+	{Field{servicePrefix + "default_deadline_ms", "milliseconds", 30_000, 1, 60_000,
+		"Deadline of a submission that names none."},
+		func(s *Service, v int64) { s.DefaultDeadline = milliseconds(v) }},
+	{Field{servicePrefix + "ejection.failure_percent", "percent", 50, 1, 100,
+		"Share of failed answers within the window from which a target is ejected."},
+		func(s *Service, v int64) { s.Ejection.FailurePercent = int(v) }},
+	{Field{servicePrefix + "ejection.min_answers", "answers", 10, 1, 10_000,
+		"Answers within the window below which a target is not judged."},
+		func(s *Service, v int64) { s.Ejection.MinAnswers = int(v) }},
+	{Field{servicePrefix + "ejection.window_ms", "milliseconds", 10_000, 100, 600_000,
+		"Time over which the answers of a target are counted."},
+		func(s *Service, v int64) { s.Ejection.Window = milliseconds(v) }},
+	{Field{servicePrefix + "ejection.max_zone_percent", "percent", 30, 0, 100,
+		"Share of the targets of one availability zone that may be ejected at once."},
+		func(s *Service, v int64) { s.Ejection.MaxZonePercent = int(v) }},
+	{Field{servicePrefix + "ejection.probe_interval_ms", "milliseconds", 1_000, 10, 600_000,
+		"Time between two probe tasks to an ejected target."},
+		func(s *Service, v int64) { s.Ejection.ProbeInterval = milliseconds(v) }},
+	{Field{servicePrefix + "ejection.readmit_steps", "steps", 4, 1, 100,
+		"Steps in which a target that answers its probes gets its full load back."},
+		func(s *Service, v int64) { s.Ejection.ReadmitSteps = int(v) }},
+}
+
+var teamFields = []numberField[Team]{
+	{Field{teamPrefix + "starts_per_second", "task starts/s", 1_000, 0, 1_000_000,
+		"Rate of task starts of the team, over all entries together."},
+		func(t *Team, v int64) { t.StartsPerSecond = int(v) }},
+	{Field{teamPrefix + "burst", "tasks", 2_000, 1, 1_000_000,
+		"Task starts that the team may save up while it starts fewer than its rate."},
+		func(t *Team, v int64) { t.Burst = int(v) }},
+}
+
+var limitsFields = []numberField[Limits]{
+	// The retention time of the log must be at least twice the window; the
+	// upper bound keeps the claim table of an entry in memory.
+	{Field{limitsPrefix + "dedupe_window_ms", "milliseconds", 600_000, 60_000, 3_600_000,
+		"Age of submitted_at up to which a submission key is accepted."},
+		func(l *Limits, v int64) { l.DedupeWindow = milliseconds(v) }},
+	{Field{limitsPrefix + "answer_retention_ms", "milliseconds", 120_000, 1_000, 3_600_000,
+		"Time for which an entry keeps an answer after sending it."},
+		func(l *Limits, v int64) { l.AnswerRetention = milliseconds(v) }},
+}
+
+var serviceTeamsField = Field{Path: servicePrefix + "teams",
+	Doc: "Teams that may submit. Without the list every team may; an empty list admits none."}
+
+// Fields returns every setting, in the order of the documentation.
+func Fields() []Field {
+	var fields []Field
+	for _, f := range serviceFields {
+		fields = append(fields, f.Field)
+	}
+	fields = append(fields, serviceTeamsField)
+	for _, f := range teamFields {
+		fields = append(fields, f.Field)
+	}
+	for _, f := range limitsFields {
+		fields = append(fields, f.Field)
+	}
+	return fields
+}
