version/config: align ejection settings with the scheduler, add data-driven tests

Cause: the scheduler judges the last answers of a target and probes with a doubling pause, so a time window and readmission steps had no reader. Merged.Values lists every value with unit and file for display. They failed once on a DisagreementError that named another file from run to run; it now names the first file by name. Ruled out: a minimum of 0 for retry_budget_percent and max_zone_percent; the scheduler reads 0 as its default.

--- a/version/config/build.go
+++ b/version/config/build.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 )
 
@@ -41,23 +42,37 @@
 // fill sets every number of target to its setting or its default.
 func fill[T any](m *merger, target *T, fields []numberField[T], name string) {
 	for _, f := range fields {
-		value := f.Default
-		if s, ok := m.set[strings.Replace(f.Path, anyName, name, 1)]; ok {
+		path, value := pathFor(f.Field, name), f.Default
+		if s, ok := m.set[path]; ok {
 			value = s.number
 		}
 		f.set(target, value)
+		m.addValue(path, strconv.FormatInt(value, 10), f.Unit)
 	}
 }
 
+func pathFor(f Field, name string) string { return strings.Replace(f.Path, anyName, name, 1) }
+
+func (m *merger) addValue(path, text, unit string) {
+	m.values = append(m.values, Value{Path: path, Text: text, Unit: unit, File: m.set[path].file})
+}
+
 // serviceTeams returns the teams that may submit to a service. A name of a team
 // that does not exist is left out and reported. A list that loses all its names
 // stays a list that admits none.
 func (m *merger) serviceTeams(service string, teams map[string]Team) []string {
-	path := strings.Replace(serviceTeamsField.Path, anyName, service, 1)
+	path := pathFor(serviceTeamsField, service)
 	s, ok := m.set[path]
 	if !ok {
+		m.addValue(path, "every team", "")
 		return nil
 	}
+	admitted := admittedTeams(m, path, s, teams)
+	m.addValue(path, "["+strings.Join(admitted, ", ")+"]", "")
+	return admitted
+}
+
+func admittedTeams(m *merger, path string, s setting, teams map[string]Team) []string {
 	admitted := []string{}
 	for _, name := range s.list {
 		if _, known := teams[name]; known {
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -111,10 +111,9 @@
 type Ejection struct {
 	FailurePercent int
 	MinAnswers     int
-	Window         time.Duration
 	MaxZonePercent int
-	ProbeInterval  time.Duration
-	ReadmitSteps   int
+	ProbeAfter     time.Duration
+	ProbeMax       time.Duration
 }
 
 // Team holds the quota of one team, over all entries together.
@@ -134,4 +133,18 @@
 type Merged struct {
 	Config Config
 	Source map[string]string
+
+	values []Value
+}
+
+// Value is one value of a merged configuration, for display.
+type Value struct {
+	Path string
+	Text string
+	Unit string
+	// File set the value; it is empty if the value is the default.
+	File string
 }
+
+// Values returns every value in force, by section and name.
+func (m Merged) Values() []Value { return m.values }
--- /dev/null
+++ b/version/config/datadriven_test.go
@@ -0,0 +1,176 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"golang.org/x/tools/txtar"
+)
+
+// TestMergeData guards against wrong or missing faults, and against values that
+// are lost, out of range or attributed to the wrong file.
+func TestMergeData(t *testing.T) {
+	datadriven.RunTest(t, "testdata/merge.txt", func(t *testing.T, td *datadriven.TestData) string {
+		var files []File
+		for _, f := range txtar.Parse([]byte(td.Input + "\n")).Files {
+			files = append(files, File{Name: f.Name, Content: f.Data})
+		}
+		var out strings.Builder
+		for _, fault := range Check(files) {
+			fmt.Fprintln(&out, fault)
+		}
+		if td.Cmd == "check" {
+			return out.String()
+		}
+		merged, _ := Merge(files)
+		for _, v := range merged.Values() {
+			if v.File != "" || td.HasArg("defaults") {
+				fmt.Fprintf(&out, "%s = %s (%s) from %q\n", v.Path, v.Text, v.Unit, v.File)
+			}
+		}
+		return out.String()
+	})
+}
+
+// TestStreamData guards against wrong verdicts, against snapshots and peer
+// states that are taken or refused wrongly, and against offsets that go back.
+func TestStreamData(t *testing.T) {
+	log, readers := &testLog{first: 1}, map[string]*State{}
+	datadriven.RunTest(t, "testdata/stream.txt", func(t *testing.T, td *datadriven.TestData) string {
+		reader := NewState()
+		if name := argValues(td, "reader"); len(name) > 0 {
+			if readers[name[0]] == nil {
+				readers[name[0]] = reader
+			}
+			reader = readers[name[0]]
+		}
+		switch td.Cmd {
+		case "change":
+			return log.appendChange(td)
+		case "raw":
+			return log.append([]byte(td.Input))
+		case "snapshot":
+			record, err := reader.EncodeSnapshot()
+			if err != nil {
+				return err.Error()
+			}
+			return log.append(record)
+		case "forge":
+			return log.append(forgedSnapshot(td))
+		case "trim":
+			td.ScanArgs(t, "first", &log.first)
+			return ""
+		case "skip":
+			return judgement(reader.Apply(reader.Next()+1, log.first, nil))
+		case "repeat":
+			return judgement(reader.Apply(reader.Offset(), log.first, nil))
+		case "read":
+			return log.read(reader) + describe(reader)
+		case "restore":
+			from := readers[argValues(td, "from")[0]]
+			if err := reader.RestoreFrom(from.Offset(), from.Files()); err != nil {
+				return err.Error()
+			}
+			return deferredText(reader) + describe(reader)
+		}
+		return "unknown command"
+	})
+}
+
+func argValues(td *datadriven.TestData, key string) []string {
+	arg, _ := td.Arg(key)
+	return arg.Vals
+}
+
+// testLog is a log of which the oldest records can be trimmed.
+type testLog struct {
+	first   uint64
+	records [][]byte
+}
+
+func (l *testLog) next() uint64 { return uint64(len(l.records)) + 1 }
+
+func (l *testLog) append(record []byte) string {
+	l.records = append(l.records, record)
+	return fmt.Sprintf("at %d\n", len(l.records))
+}
+
+func versions(pairs []string) map[string]uint64 {
+	base := map[string]uint64{}
+	for _, pair := range pairs {
+		name, text, _ := strings.Cut(pair, ":")
+		var version uint64
+		fmt.Sscan(text, &version)
+		base[name] = version
+	}
+	return base
+}
+
+func (l *testLog) appendChange(td *datadriven.TestData) string {
+	c := Change{ID: argValues(td, "id")[0], Base: versions(argValues(td, "base")), Put: map[string][]byte{},
+		Delete: argValues(td, "delete")}
+	for _, name := range argValues(td, "put") {
+		c.Put[name] = []byte("{} // " + c.ID)
+	}
+	record, err := EncodeChange(c)
+	if err != nil {
+		return err.Error()
+	}
+	return l.append(record)
+}
+
+func forgedSnapshot(td *datadriven.TestData) []byte {
+	r := record{Kind: snapshotRecord}
+	fmt.Sscan(argValues(td, "upto")[0], &r.UpTo)
+	for name, version := range versions(argValues(td, "files")) {
+		r.Files = append(r.Files, recordFile{Name: name, Version: version, Content: []byte("{} // forged")})
+	}
+	record, _ := encodeRecord(r)
+	return record
+}
+
+// read folds everything up to the end of the log.
+func (l *testLog) read(s *State) string {
+	var out strings.Builder
+	for offset := max(s.Next(), l.first); offset < l.next(); offset++ {
+		verdict, err := s.Apply(offset, l.first, l.records[offset-1])
+		out.WriteString(judgement(verdict, err))
+		out.WriteString(deferredText(s))
+	}
+	return out.String()
+}
+
+func deferredText(s *State) string {
+	var out strings.Builder
+	for _, j := range s.Deferred() {
+		out.WriteString("  deferred " + judgement(j.Verdict, j.Err))
+	}
+	return out.String()
+}
+
+func judgement(v Verdict, err error) string {
+	switch {
+	case err != nil:
+		return fmt.Sprintf("%T: %v\n", err, err)
+	case v.Pending:
+		return fmt.Sprintf("%d pending\n", v.Offset)
+	case v.Snapshot:
+		return fmt.Sprintf("%d snapshot\n", v.Offset)
+	case v.Accepted:
+		return fmt.Sprintf("%d %s accepted\n", v.Offset, v.ID)
+	}
+	return fmt.Sprintf("%d %s conflict on %s\n", v.Offset, v.ID, v.Conflict)
+}
+
+func describe(s *State) string {
+	out := fmt.Sprintf("offset %d, next %d, snapshot up to %d:", s.Offset(), s.Next(), s.SnapshotUpTo())
+	for _, f := range s.Files() {
+		out += fmt.Sprintf(" %s@%d", f.Name, f.Version)
+		if f.Deleted() {
+			out += "(deleted)"
+		}
+	}
+	return out + "\n"
+}
--- a/version/config/merge.go
+++ b/version/config/merge.go
@@ -26,6 +26,7 @@
 type merger struct {
 	set    map[string]setting
 	faults []Fault
+	values []Value
 	file   *parsedFile
 }
 
@@ -41,6 +42,7 @@
 		}
 	}
 	merged := Merged{Config: m.build(), Source: map[string]string{}}
+	merged.values = m.values
 	for path, s := range m.set {
 		merged.Source[path] = s.file
 	}
--- a/version/config/record.go
+++ b/version/config/record.go
@@ -132,7 +132,7 @@
 func (r *record) files() []File {
 	files := make([]File, 0, len(r.Files))
 	for _, f := range r.Files {
-		files = append(files, File{Name: f.Name, Version: f.Version, Content: f.Content})
+		files = append(files, File(f))
 	}
 	return files
 }
--- a/version/config/state.go
+++ b/version/config/state.go
@@ -251,9 +251,11 @@
 }
 
 // contradiction finds a file for which no records between two states lead from
-// the older one to the newer one.
+// the older one to the newer one. Of several files it returns the first by name,
+// so that all readers report the same.
 func contradiction(older, newer map[string]File, olderAt, newerAt uint64) (file, reason string) {
-	for name, f := range newer {
+	for _, name := range slices.Sorted(maps.Keys(newer)) {
+		f := newer[name]
 		before, known := older[name]
 		switch {
 		case f.Version > olderAt:
@@ -263,7 +265,8 @@
 			return name, "has another version or content"
 		}
 	}
-	for name, f := range older {
+	for _, name := range slices.Sorted(maps.Keys(older)) {
+		f := older[name]
 		if _, kept := newer[name]; !kept && !(f.Deleted() && expiredDeletion(f, newerAt)) {
 			return name, "is missing in the newer state"
 		}
