process/observe: add logs, metrics, violation registry and admin server

Cause: every daemon needs one place for its log, its metrics, the count of violated guarantees and the endpoints for operators.

Admin returns an oklog/run actor that serves /metrics, /dump, /health and /ready on a loopback address and logs the dump on SIGUSR1.

Ruled out: letting the HTTP handler call the dump function directly, which would pile up goroutines behind a held lock. One dump runs at a time and its caller waits at most 2 s.

--- /dev/null
+++ b/process/observe/admin.go
@@ -0,0 +1,137 @@
+package observe
+
+import (
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	adminReadTimeout  = 5 * time.Second
+	adminWriteTimeout = 10 * time.Second
+)
+
+// Admin returns an actor for run.Group that serves operators on a loopback
+// address: /metrics, /dump, /health and /ready. It writes the dump to the log
+// on SIGUSR1. dump returns a value that json.Marshal accepts and that shares no
+// memory with the process; it should be bounded in size. ready returns why the
+// process is not ready, or nil.
+func Admin(addr string, observer *Observer, dump func() any, ready func() error) (execute func() error, interrupt func(error)) {
+	a := newAdmin(addr, observer, dump, ready)
+	return a.execute, a.interrupt
+}
+
+type admin struct {
+	addr     string
+	observer *Observer
+	dumper   *dumper
+	ready    func() error
+	server   *http.Server
+	signals  chan os.Signal
+	stop     chan struct{}
+	bound    chan string
+}
+
+func newAdmin(addr string, observer *Observer, dump func() any, ready func() error) *admin {
+	a := &admin{
+		addr:     addr,
+		observer: observer,
+		dumper:   newDumper(observer, dump, ready),
+		ready:    ready,
+		signals:  make(chan os.Signal, 1),
+		stop:     make(chan struct{}),
+		bound:    make(chan string, 1),
+	}
+	a.server = &http.Server{Handler: a.routes(), ReadTimeout: adminReadTimeout, WriteTimeout: adminWriteTimeout}
+	return a
+}
+
+func (a *admin) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", a.observer.reporter)
+	mux.HandleFunc("GET /dump", a.serveDump)
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /ready", a.serveReady)
+	return mux
+}
+
+func (a *admin) execute() error {
+	if err := checkLoopback(a.addr); err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", a.addr)
+	if err != nil {
+		return errors.Wrap(err, "admin")
+	}
+	a.bound <- listener.Addr().String()
+	a.observer.Log.Info().Str("addr", listener.Addr().String()).Msg("admin listening")
+	signal.Notify(a.signals, syscall.SIGUSR1)
+	defer signal.Stop(a.signals)
+	go a.dumpOnSignal()
+	err = a.server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "admin")
+}
+
+func (a *admin) interrupt(error) {
+	close(a.stop)
+	a.server.Close()
+}
+
+// checkLoopback refuses addresses that other machines can reach, because the
+// server asks for no certificate.
+func checkLoopback(addr string) error {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return errors.Wrap(err, "admin address")
+	}
+	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+		return errors.Newf("admin address %q is not a loopback IP address", addr)
+	}
+	return nil
+}
+
+func (a *admin) dumpOnSignal() {
+	for {
+		select {
+		case <-a.stop:
+			return
+		case <-a.signals:
+			a.logDump()
+		}
+	}
+}
+
+func (a *admin) logDump() {
+	data, err := a.dumper.take()
+	if err != nil {
+		a.observer.Log.Error().Err(err).Msg("state dump failed")
+		return
+	}
+	a.observer.Log.Info().RawJSON("dump", data).Msg("state dump")
+}
+
+func (a *admin) serveDump(w http.ResponseWriter, _ *http.Request) {
+	data, err := a.dumper.take()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(append(data, '\n'))
+}
+
+func (a *admin) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if err := a.ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Write([]byte("ready\n"))
+}
--- /dev/null
+++ b/process/observe/dump.go
@@ -0,0 +1,138 @@
+package observe
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// MaxDumpBytes bounds an encoded dump. It is one log line, so it stays
+	// below the line limit of common collectors.
+	MaxDumpBytes = 1 << 20
+	// dumpTimeout bounds the wait for a dump function that waits for a lock.
+	dumpTimeout = 2 * time.Second
+)
+
+var (
+	errDumpRunning = errors.New("another dump is being taken")
+	errDumpTimeout = errors.Newf("no dump within %v", dumpTimeout)
+)
+
+// Dump is what /dump answers.
+type Dump struct {
+	Process        string            `json:"process"`
+	Time           time.Time         `json:"time"`
+	UptimeSeconds  float64           `json:"uptime_seconds"`
+	Ready          string            `json:"ready"`
+	Violations     map[string]uint64 `json:"violations"`
+	LastViolations []Violation       `json:"last_violations"`
+	OmittedMembers map[string]int    `json:"omitted_members,omitempty"`
+	State          json.RawMessage   `json:"state"`
+}
+
+// dumper takes one dump at a time. The dump function runs on a goroutine of
+// its own, so that neither the HTTP server nor the signal handler waits for a
+// lock of the process longer than dumpTimeout.
+type dumper struct {
+	observer *Observer
+	state    func() any
+	ready    func() error
+	running  chan struct{}
+}
+
+func newDumper(o *Observer, state func() any, ready func() error) *dumper {
+	return &dumper{observer: o, state: state, ready: ready, running: make(chan struct{}, 1)}
+}
+
+type dumpResult struct {
+	data []byte
+	err  error
+}
+
+// take returns an encoded dump of at most MaxDumpBytes.
+func (d *dumper) take() ([]byte, error) {
+	select {
+	case d.running <- struct{}{}:
+	default:
+		return nil, errDumpRunning
+	}
+	done := make(chan dumpResult, 1)
+	go func() {
+		defer func() { <-d.running }()
+		data, err := d.encode()
+		done <- dumpResult{data, err}
+	}()
+	timer := time.NewTimer(dumpTimeout)
+	defer timer.Stop()
+	select {
+	case result := <-done:
+		return result.data, result.err
+	case <-timer.C:
+		return nil, errDumpTimeout
+	}
+}
+
+func (d *dumper) encode() ([]byte, error) {
+	now := time.Now()
+	state, err := json.Marshal(d.state())
+	if err != nil {
+		return nil, errors.Wrap(err, "encode state")
+	}
+	dump := Dump{Process: d.observer.name, Time: now, UptimeSeconds: now.Sub(d.observer.started).Seconds(), Ready: "yes"}
+	if err := d.ready(); err != nil {
+		dump.Ready = err.Error()
+	}
+	dump.LastViolations, dump.Violations = d.observer.Violations()
+	for i := range dump.LastViolations {
+		dump.LastViolations[i].Detail = shorten(dump.LastViolations[i].Detail)
+	}
+	dump.State, dump.OmittedMembers = boundState(state, MaxDumpBytes/2)
+	return json.Marshal(dump)
+}
+
+// maxDetailBytes keeps the violations of a dump far below its limit.
+const maxDetailBytes = 1 << 10
+
+func shorten(detail string) string {
+	if len(detail) <= maxDetailBytes {
+		return detail
+	}
+	return fmt.Sprintf("%s... (%d bytes)", detail[:maxDetailBytes], len(detail))
+}
+
+// boundState leaves out the largest members of an object until the rest fits
+// into max bytes, and returns the sizes of what it left out. A state that is no
+// object is left out as a whole.
+func boundState(state []byte, max int) (json.RawMessage, map[string]int) {
+	if len(state) <= max {
+		return state, nil
+	}
+	var members map[string]json.RawMessage
+	if err := json.Unmarshal(state, &members); err != nil {
+		return json.RawMessage("null"), map[string]int{"state": len(state)}
+	}
+	names := make([]string, 0, len(members))
+	for name := range members {
+		names = append(names, name)
+	}
+	sort.Slice(names, func(i, j int) bool { return len(members[names[i]]) > len(members[names[j]]) })
+	omitted := make(map[string]int)
+	size := len(state)
+	for _, name := range names {
+		if size <= max {
+			break
+		}
+		size -= len(members[name])
+		omitted[name] = len(members[name])
+		delete(members, name)
+	}
+	bounded, err := json.Marshal(members)
+	if err != nil {
+		return json.RawMessage("null"), map[string]int{"state": len(state)}
+	}
+	return bounded, omitted
+}
--- /dev/null
+++ b/process/observe/names.go
@@ -0,0 +1,82 @@
+package observe
+
+// Names of metrics, as a scraper sees them after Prefix and an underscore.
+// docs/metrics.md describes each one; a test holds the two against each other.
+const (
+	// Prefix starts the name of every metric.
+	Prefix = "azurerouter"
+
+	// InvariantViolations counts violated assertions, by TagGuarantee.
+	InvariantViolations = "invariant_violations"
+	// ConditionActive is 1 while a repeating condition lasts, by TagCondition.
+	ConditionActive = "condition_active"
+
+	// MessagesSent counts messages to other processes, by TagKind.
+	MessagesSent = "messages_sent"
+	// MessagesReceived counts messages from other processes, by TagKind.
+	MessagesReceived = "messages_received"
+	// AnswersUnmatched counts task answers that matched nothing outstanding.
+	AnswersUnmatched = "answers_unmatched"
+	// Connections is the number of open connections to other processes.
+	Connections = "connections"
+
+	// Submissions counts jobs and single requests received, by TagForm.
+	Submissions = "submissions"
+	// JobAnswers counts whole answers, by TagState.
+	JobAnswers = "job_answers"
+	// Refusals counts refused submissions, by TagCode.
+	Refusals = "refusals"
+	// JobsHeld is the number of jobs in the job table.
+	JobsHeld = "jobs_held"
+	// ResponseSeconds is the time from a submission to its whole answer.
+	ResponseSeconds = "response_seconds"
+
+	// TasksQueued is the number of tasks waiting for a target, by TagService.
+	TasksQueued = "tasks_queued"
+	// TasksOutstanding is the number of tasks sent and not yet answered.
+	TasksOutstanding = "tasks_outstanding"
+	// TasksDispatched counts tasks sent to agents, by TagService.
+	TasksDispatched = "tasks_dispatched"
+	// TasksRetried counts tasks sent again to another target.
+	TasksRetried = "tasks_retried"
+	// TargetsEjected is the number of ejected targets, by TagService.
+	TargetsEjected = "targets_ejected"
+
+	// TasksStarted counts calls of the target by its agent.
+	TasksStarted = "tasks_started"
+	// TasksEnded counts ends of tasks at the agent, by TagOutcome.
+	TasksEnded = "tasks_ended"
+	// TasksNotStarted counts dispatches an agent refused, by TagReason.
+	TasksNotStarted = "tasks_not_started"
+	// SlotsUsed is the number of tasks running on the target.
+	SlotsUsed = "slots_used"
+	// ResultBytesHeld is the size of the results an agent holds, in bytes.
+	ResultBytesHeld = "result_bytes_held"
+
+	// LogAppends counts appends to the log service, by TagStream and TagResult.
+	LogAppends = "log_appends"
+	// LogReads counts reads from the log service, by TagStream and TagResult.
+	LogReads = "log_reads"
+	// ClaimsPerAppend is the number of claims that share one append.
+	ClaimsPerAppend = "claims_per_append"
+
+	// ConfigOffset is the configuration version in force.
+	ConfigOffset = "config_offset"
+	// ConfigFaults is the number of faults in the configuration in force.
+	ConfigFaults = "config_faults"
+)
+
+// Names of the tags of metrics.
+const (
+	TagGuarantee = "guarantee"
+	TagCondition = "condition"
+	TagKind      = "kind"
+	TagForm      = "form"
+	TagState     = "state"
+	TagCode      = "code"
+	TagService   = "service"
+	TagOutcome   = "outcome"
+	TagReason    = "reason"
+	TagStream    = "stream"
+	TagResult    = "result"
+)
--- /dev/null
+++ b/process/observe/violations.go
@@ -0,0 +1,66 @@
+package observe
+
+import (
+	"sync"
+	"time"
+)
+
+// keptViolations bounds the violations that a dump shows. The counter has the
+// whole number.
+const keptViolations = 20
+
+// Violation is one violated assertion.
+type Violation struct {
+	Time      time.Time `json:"time"`
+	Guarantee string    `json:"guarantee"`
+	Step      string    `json:"step"`
+	Peer      string    `json:"peer,omitempty"`
+	Detail    string    `json:"detail"`
+}
+
+type violations struct {
+	mu    sync.Mutex
+	last  []Violation
+	count map[string]uint64
+}
+
+// Violated counts and logs a violated assertion of a guarantee (G1 to G8) and
+// keeps it for the dump. The caller stops the affected request.
+func (o *Observer) Violated(guarantee, step, peer, detail string) {
+	v := Violation{Time: time.Now(), Guarantee: guarantee, Step: step, Peer: peer, Detail: detail}
+	o.violations.add(v)
+	o.Metrics.Tagged(map[string]string{TagGuarantee: guarantee}).Counter(InvariantViolations).Inc(1)
+	o.Log.Error().Str("guarantee", guarantee).Str("step", step).Str("peer", peer).Str("detail", detail).
+		Msg("guarantee violated")
+}
+
+// Violations returns the last violations, oldest first, and the number of all
+// violations by guarantee.
+func (o *Observer) Violations() ([]Violation, map[string]uint64) {
+	return o.violations.snapshot()
+}
+
+func (v *violations) add(violation Violation) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.count == nil {
+		v.count = make(map[string]uint64)
+	}
+	v.count[violation.Guarantee]++
+	if len(v.last) == keptViolations {
+		copy(v.last, v.last[1:])
+		v.last = v.last[:keptViolations-1]
+	}
+	v.last = append(v.last, violation)
+}
+
+func (v *violations) snapshot() ([]Violation, map[string]uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	last := append([]Violation{}, v.last...)
+	count := make(map[string]uint64, len(v.count))
+	for guarantee, n := range v.count {
+		count[guarantee] = n
+	}
+	return last, count
+}
