scheduler: add the whole interface with a simple policy

Cause: the entry needs queues and target choice to be built against. Grant is added to the interface because the policy "credits" needs a way in for slots that agents set aside.

--- /dev/null
+++ b/process/scheduler/admission.go
@@ -0,0 +1,93 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/azurerouter/azurerouter/request/job"
+	"github.com/azurerouter/azurerouter/request/refusal"
+)
+
+const stepAdmit = "admit"
+
+// maxRetryAfter bounds the hint that goes with a refusal.
+const maxRetryAfter = 30 * time.Second
+
+// Admit queues all tasks of a submission or none. The refusal is one of
+// no_targets, cannot_run, overloaded or, for a task that already waits,
+// key_conflict. All tasks of one call have the same priority and deadline.
+func (s *Scheduler) Admit(now time.Time, tasks []Task) *refusal.Error {
+	if len(tasks) == 0 {
+		return nil
+	}
+	for _, task := range tasks {
+		if s.queue.has(task.ID) {
+			s.violations++
+			return refusal.New(refusal.KeyConflict, stepAdmit, "task %d already waits", task.ID.Index).Unknown()
+		}
+		if refused := s.checkTargets(task.Needs); refused != nil {
+			return refused
+		}
+	}
+	if s.queue.len()+len(tasks) > s.settings.QueueLimit {
+		return refusal.New(refusal.Overloaded, stepAdmit, "%d tasks wait, limit %d",
+			s.queue.len(), s.settings.QueueLimit).After(s.retryAfter(0))
+	}
+	if refused := s.checkWait(now, tasks); refused != nil {
+		return refused
+	}
+	for _, task := range tasks {
+		s.queue.push(task)
+	}
+	return nil
+}
+
+func (s *Scheduler) checkTargets(needs job.Needs) *refusal.Error {
+	if len(s.order) == 0 {
+		return refusal.New(refusal.NoTargets, stepAdmit, "no target is known").After(time.Second)
+	}
+	for _, t := range s.order {
+		if t.couldRun(needs) {
+			return nil
+		}
+	}
+	return refusal.New(refusal.CannotRun, stepAdmit, "no target has %d MB of memory and %d accelerators",
+		needs.MemoryMB, needs.Accelerators)
+}
+
+// checkWait refuses a submission whose last task could not end in time.
+func (s *Scheduler) checkWait(now time.Time, tasks []Task) *refusal.Error {
+	last := tasks[len(tasks)-1]
+	wait := s.estimateWait(now, last.Priority, len(tasks))
+	remaining := last.Deadline.Sub(now)
+	if wait == 0 || wait+s.runTime.value <= remaining {
+		return nil
+	}
+	return refusal.New(refusal.Overloaded, stepAdmit, "estimated wait of %v leaves too little of the remaining %v",
+		wait.Round(time.Millisecond), remaining.Round(time.Millisecond)).After(s.retryAfter(wait - remaining))
+}
+
+// estimateWait returns how long the last of count new tasks would wait: the
+// tasks ahead of it, divided by the rate at which the slots that other entries
+// leave to this one become free.
+func (s *Scheduler) estimateWait(now time.Time, priority job.Priority, count int) time.Duration {
+	ahead := s.queue.waiting[job.Urgent] + count
+	if priority == job.Batch {
+		ahead += s.queue.waiting[job.Batch]
+	}
+	share, idle := 0, 0
+	for _, t := range s.order {
+		if t.health.state == ejected {
+			continue
+		}
+		share += max(0, t.Slots-t.foreign)
+		idle += max(0, t.room(now, &s.settings))
+	}
+	if ahead <= idle {
+		return 0
+	}
+	return time.Duration(ahead-idle) * s.runTime.value / time.Duration(max(1, share))
+}
+
+func (s *Scheduler) retryAfter(excess time.Duration) time.Duration {
+	return min(max(excess, time.Second), maxRetryAfter)
+}
--- /dev/null
+++ b/process/scheduler/choose.go
@@ -0,0 +1,155 @@
+package scheduler
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/azurerouter/azurerouter/request/job"
+)
+
+// agedInterval is how many starts lie between two starts of aged batch work
+// while urgent work waits. It bounds what aging takes from urgent work to a
+// tenth, and still lets every batch task start in the end.
+const agedInterval = 10
+
+// round is one pass of Assign.
+type round struct {
+	s       *Scheduler
+	now     time.Time
+	random  *rand.Rand
+	open    []*target
+	idle    int
+	slots   int
+	blocked map[class]bool
+}
+
+func (s *Scheduler) newRound(now time.Time, random *rand.Rand) *round {
+	r := &round{s: s, now: now, random: random, blocked: map[class]bool{}}
+	if s.queue.len() == 0 {
+		return r
+	}
+	for _, t := range s.order {
+		r.slots += t.Slots
+		if room := t.room(now, &s.settings); room > 0 {
+			r.open = append(r.open, t)
+			r.idle += room
+		}
+	}
+	return r
+}
+
+// next takes the next task from the queue and gives it to a target. The target
+// is nil if nothing more can be sent now.
+func (r *round) next() (Task, *target) {
+	for len(r.open) > 0 {
+		c, found := r.nextClass()
+		if !found {
+			break
+		}
+		task := r.s.queue.head(c)
+		if !task.Deadline.After(r.now) {
+			r.blocked[c] = true // Expire removes and reports the task.
+			continue
+		}
+		t := r.choose(task)
+		if t == nil {
+			r.blocked[c] = true
+			continue
+		}
+		r.start(task, t)
+		return task, t
+	}
+	return Task{}, nil
+}
+
+func (r *round) start(task Task, t *target) {
+	r.s.queue.remove(task.ID)
+	t.start(task)
+	r.idle--
+	if t.room(r.now, &r.s.settings) > 0 {
+		return
+	}
+	for i := range r.open {
+		if r.open[i] == t {
+			r.open = append(r.open[:i], r.open[i+1:]...)
+			return
+		}
+	}
+}
+
+// nextClass returns the class whose head goes next: urgent work by arrival,
+// then batch work. Aged batch work takes every agedInterval-th start.
+func (r *round) nextClass() (class, bool) {
+	urgent, anyUrgent := r.oldest(job.Urgent)
+	batch, anyBatch := r.oldest(job.Batch)
+	if anyBatch && r.aged(batch) {
+		r.s.agedStarts++
+		if !anyUrgent || r.s.agedStarts%agedInterval == 0 {
+			return batch, true
+		}
+	} else if anyBatch && !anyUrgent && r.idle > r.reserve() {
+		return batch, true
+	}
+	return urgent, anyUrgent
+}
+
+func (r *round) aged(c class) bool {
+	return r.now.Sub(r.s.queue.head(c).Enqueued) >= r.s.settings.BatchAging
+}
+
+func (r *round) reserve() int {
+	return int(max(0, r.s.settings.BatchReserve) * float64(r.slots))
+}
+
+func (r *round) oldest(priority job.Priority) (class, bool) {
+	var best class
+	var bestTime time.Time
+	found := false
+	for _, c := range r.s.queue.ordered {
+		if c.priority != priority || r.blocked[c] {
+			continue
+		}
+		if enqueued := r.s.queue.head(c).Enqueued; !found || enqueued.Before(bestTime) {
+			best, bestTime, found = c, enqueued, true
+		}
+	}
+	return best, found
+}
+
+// choose returns the target for a task by the policy of the service, or nil.
+func (r *round) choose(task Task) *target {
+	candidates := make([]*target, 0, len(r.open))
+	var avoided *target
+	for _, t := range r.open {
+		switch {
+		case !t.fits(task.Needs):
+		case t.ID == task.Avoid:
+			avoided = t
+		default:
+			candidates = append(candidates, t)
+		}
+	}
+	if len(candidates) == 0 {
+		return avoided
+	}
+	first := candidates[r.random.IntN(len(candidates))]
+	switch r.s.settings.Policy {
+	case Random:
+		return first
+	case TwoChoices:
+		return lessLoaded(first, candidates[r.random.IntN(len(candidates))])
+	}
+	best := first
+	for _, t := range candidates {
+		best = lessLoaded(best, t)
+	}
+	return best
+}
+
+// lessLoaded compares the shares of busy slots and prefers a in a tie.
+func lessLoaded(a, b *target) *target {
+	if b.outstanding()*a.Slots < a.outstanding()*b.Slots {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/process/scheduler/dump.go
@@ -0,0 +1,44 @@
+package scheduler
+
+import "github.com/azurerouter/azurerouter/request/job"
+
+// Dump is the state of a scheduler for operators.
+type Dump struct {
+	Policy        Policy       `json:"policy"`
+	WaitingUrgent int          `json:"waiting_urgent"`
+	WaitingBatch  int          `json:"waiting_batch"`
+	MeanRunMS     int64        `json:"mean_run_ms"`
+	Violations    int          `json:"violations"`
+	Targets       []TargetDump `json:"targets"`
+}
+
+// TargetDump is what a scheduler knows of one target.
+type TargetDump struct {
+	Incarnation string `json:"incarnation"`
+	Name        string `json:"name"`
+	Zone        string `json:"zone"`
+	Slots       int    `json:"slots"`
+	Running     int    `json:"running"`
+	Foreign     int    `json:"foreign"`
+	State       string `json:"state"`
+}
+
+var stateNames = map[healthState]string{healthy: "healthy", ejected: "ejected", readmitting: "readmitting"}
+
+// Dump returns the state of the queues and of the live targets.
+func (s *Scheduler) Dump() Dump {
+	d := Dump{
+		Policy:        s.settings.Policy,
+		WaitingUrgent: s.queue.waiting[job.Urgent],
+		WaitingBatch:  s.queue.waiting[job.Batch],
+		MeanRunMS:     s.runTime.value.Milliseconds(),
+		Violations:    s.violations,
+	}
+	for _, t := range s.order {
+		d.Targets = append(d.Targets, TargetDump{
+			Incarnation: t.ID.String(), Name: t.Name, Zone: t.Zone, Slots: t.Slots,
+			Running: len(t.running), Foreign: t.foreign, State: stateNames[t.health.state],
+		})
+	}
+	return d
+}
--- /dev/null
+++ b/process/scheduler/ejection.go
@@ -0,0 +1,121 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+)
+
+type healthState uint8
+
+const (
+	healthy healthState = iota
+	ejected
+	readmitting
+)
+
+// sampleDecay is the weight that older answers keep with each new one; about
+// the last 20 answers count.
+const sampleDecay = 0.95
+
+// health judges a target by the share of failed answers among recent ones.
+type health struct {
+	state           healthState
+	samples, failed float64
+	// probeAt is when an ejected target may get its next probe.
+	probeAt time.Time
+	backoff time.Duration
+	// step is how many tasks a target may run while it is readmitted.
+	step, stepOK int
+}
+
+func (h *health) allowance(now time.Time) int {
+	switch h.state {
+	case ejected:
+		if now.Before(h.probeAt) {
+			return 0
+		}
+		return 1
+	case readmitting:
+		return h.step
+	}
+	return math.MaxInt
+}
+
+func (h *health) record(ok bool) {
+	h.samples = h.samples*sampleDecay + 1
+	h.failed *= sampleDecay
+	if !ok {
+		h.failed++
+	}
+}
+
+func (h *health) clear() { h.samples, h.failed = 0, 0 }
+
+// judge takes one answer of a target into account.
+func (s *Scheduler) judge(now time.Time, t *target, ok bool) {
+	h := &t.health
+	h.record(ok)
+	switch h.state {
+	case ejected:
+		s.judgeProbe(now, t, ok)
+	case readmitting:
+		s.judgeStep(now, t, ok)
+	default:
+		if h.samples >= float64(s.settings.EjectSamples)*0.9 && h.failed >= s.settings.EjectShare*h.samples && s.mayEject(t) {
+			s.eject(now, t, s.settings.ProbeAfter)
+		}
+	}
+}
+
+// mayEject applies the limit per availability zone. Targets that are dead or
+// gone are not counted.
+func (s *Scheduler) mayEject(t *target) bool {
+	live, out := 0, 0
+	for _, other := range s.order {
+		if other.Zone != t.Zone {
+			continue
+		}
+		live++
+		if other.health.state != healthy {
+			out++
+		}
+	}
+	return len(s.order) > 1 && out < max(1, int(s.settings.EjectZoneCap*float64(live)))
+}
+
+func (s *Scheduler) eject(now time.Time, t *target, backoff time.Duration) {
+	t.health.state = ejected
+	t.health.backoff = min(backoff, s.settings.ProbeMax)
+	t.health.probeAt = now.Add(t.health.backoff)
+	t.health.clear()
+}
+
+func (s *Scheduler) judgeProbe(now time.Time, t *target, ok bool) {
+	if now.Before(t.health.probeAt) {
+		return // The answer is to a task sent before the ejection.
+	}
+	if !ok {
+		s.eject(now, t, 2*t.health.backoff)
+		return
+	}
+	t.health.state = readmitting
+	t.health.step, t.health.stepOK = 2, 0
+}
+
+// judgeStep doubles the allowance after as many successes as the step allows.
+func (s *Scheduler) judgeStep(now time.Time, t *target, ok bool) {
+	h := &t.health
+	if !ok {
+		s.eject(now, t, 2*h.backoff)
+		return
+	}
+	h.stepOK++
+	if h.stepOK < h.step {
+		return
+	}
+	h.step, h.stepOK = 2*h.step, 0
+	if h.step >= t.Slots {
+		h.state, h.backoff = healthy, 0
+		h.clear()
+	}
+}
--- /dev/null
+++ b/process/scheduler/scheduler.go
@@ -0,0 +1,194 @@
+// Package scheduler decides for one service which waiting task is sent to
+// which target and when. It is pure: the time and the random numbers are
+// passed in, and it sends nothing itself. A Scheduler is not safe for
+// concurrent use.
+package scheduler
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/azurerouter/azurerouter/connection/wire"
+	"github.com/azurerouter/azurerouter/request/job"
+)
+
+// TaskID identifies a task of a submission.
+type TaskID struct {
+	Key   job.KeyHash
+	Index int
+}
+
+// Task is a task that waits for a target or runs on one.
+type Task struct {
+	ID                 TaskID
+	Team               string
+	Priority           job.Priority
+	Enqueued, Deadline time.Time
+	Needs              job.Needs
+	Idempotent         bool
+	// Attempt and Avoid are set by the caller before Retry. Avoid is a target
+	// that is used only if no other target can run the task.
+	Attempt int
+	Avoid   wire.Incarnation
+}
+
+// Target is a back end as its agent describes it.
+type Target struct {
+	ID           wire.Incarnation
+	Name, Zone   string
+	Slots        int
+	MemoryMB     int
+	Accelerators int
+}
+
+// Assignment is a task that is to be sent to a target now.
+type Assignment struct {
+	Task   Task
+	Target wire.Incarnation
+}
+
+// End says how an assignment ended.
+type End uint8
+
+// Values of End. EndFailed and EndTimeout count against the target.
+const (
+	EndOK End = iota
+	EndFailed
+	EndTimeout
+	EndCancelled
+	EndUnknown
+	EndNotStarted
+	EndBusy
+)
+
+// Scheduler holds the queues of one service and what is known of its targets.
+type Scheduler struct {
+	settings Settings
+	queue    queue
+	targets  map[wire.Incarnation]*target
+	// order lists the live targets in the order of registration, so that the
+	// same calls give the same choices.
+	order      []*target
+	budget     retryBudget
+	runTime    average
+	violations int
+	agedStarts int
+}
+
+// New returns a scheduler without targets.
+func New(settings Settings) *Scheduler {
+	return &Scheduler{
+		settings: settings.withDefaults(),
+		queue:    newQueue(),
+		targets:  map[wire.Incarnation]*target{},
+	}
+}
+
+// Configure replaces the settings. Tasks that wait or run stay as they are.
+func (s *Scheduler) Configure(settings Settings) { s.settings = settings.withDefaults() }
+
+// SetTarget adds a target, or changes one that is known by its incarnation. A
+// target that was removed while tasks ran on it keeps these tasks.
+func (s *Scheduler) SetTarget(now time.Time, description Target) {
+	t, known := s.targets[description.ID]
+	if !known {
+		t = newTarget()
+		s.targets[description.ID] = t
+	}
+	t.Target = description
+	if !t.live {
+		t.live = true
+		s.order = append(s.order, t)
+	}
+}
+
+// RemoveTarget stops sending to a target that left, is dead or is silent. Its
+// running tasks stay known until Finish is called for each of them.
+func (s *Scheduler) RemoveTarget(now time.Time, id wire.Incarnation) {
+	t, known := s.targets[id]
+	if !known || !t.live {
+		return
+	}
+	t.live = false
+	for i := range s.order {
+		if s.order[i] == t {
+			s.order = append(s.order[:i], s.order[i+1:]...)
+			break
+		}
+	}
+	s.forgetIfUnused(t)
+}
+
+func (s *Scheduler) forgetIfUnused(t *target) {
+	if !t.live && len(t.running) == 0 {
+		delete(s.targets, t.ID)
+	}
+}
+
+// Report takes the load that an agent sent with an answer or a heartbeat. It
+// is called after Finish for the tasks of the same answer.
+func (s *Scheduler) Report(now time.Time, id wire.Incarnation, load wire.Load) {
+	if t, known := s.targets[id]; known {
+		t.foreign = max(0, load.Running+load.Queued-len(t.running))
+	}
+}
+
+// Grant adds slots that an agent has set aside for this entry. Only the policy
+// Credits uses them; each assignment spends one.
+func (s *Scheduler) Grant(now time.Time, id wire.Incarnation, slots int) {
+	if t, known := s.targets[id]; known {
+		t.credits += slots
+	}
+}
+
+// Finish ends an assignment. took is the run time at the target. An end of an
+// assignment that is not known has no effect.
+func (s *Scheduler) Finish(now time.Time, id wire.Incarnation, task TaskID, end End, took time.Duration) {
+	t, known := s.targets[id]
+	if !known || !t.end(task) {
+		return
+	}
+	switch end {
+	case EndOK:
+		s.budget.success(now)
+		s.runTime.add(took)
+		s.judge(now, t, true)
+	case EndFailed, EndTimeout:
+		s.judge(now, t, false)
+	case EndBusy:
+		t.foreign = max(t.foreign, t.Slots+s.settings.AgentQueue-len(t.running))
+	}
+	s.forgetIfUnused(t)
+}
+
+// Retry puts a task that was not started back into the queue. It reports false
+// if the deadline has passed or the retry budget is used up.
+func (s *Scheduler) Retry(now time.Time, task Task) bool {
+	if !task.Deadline.After(now) || s.queue.has(task.ID) {
+		return false
+	}
+	if !s.budget.take(now, s.settings.RetryShare, s.settings.RetryMinimum) {
+		return false
+	}
+	s.queue.push(task)
+	return true
+}
+
+// Cancel removes a waiting task. It reports false if the task does not wait.
+func (s *Scheduler) Cancel(id TaskID) bool { return s.queue.remove(id) }
+
+// Expire removes and returns the waiting tasks whose deadline has passed.
+func (s *Scheduler) Expire(now time.Time) []Task { return s.queue.expire(now) }
+
+// Assign returns everything that may be sent now. The tasks leave the queue.
+func (s *Scheduler) Assign(now time.Time, random *rand.Rand) []Assignment {
+	var assigned []Assignment
+	round := s.newRound(now, random)
+	for {
+		task, t := round.next()
+		if t == nil {
+			return assigned
+		}
+		assigned = append(assigned, Assignment{Task: task, Target: t.ID})
+	}
+}
--- /dev/null
+++ b/process/scheduler/target.go
@@ -0,0 +1,62 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/azurerouter/azurerouter/request/job"
+)
+
+// target is what the entry knows of one target.
+type target struct {
+	Target
+	live bool
+	// running holds this entry's assignments that have not ended.
+	running map[TaskID]job.Needs
+	used    job.Needs
+	// foreign estimates the tasks of other entries, from the last report.
+	foreign int
+	credits int
+	health  health
+}
+
+func newTarget() *target { return &target{running: map[TaskID]job.Needs{}} }
+
+// outstanding is the known number of tasks at the target, of all entries.
+func (t *target) outstanding() int { return len(t.running) + t.foreign }
+
+// room returns how many more tasks may be sent now.
+func (t *target) room(now time.Time, settings *Settings) int {
+	if settings.Policy == Credits && t.health.state != ejected {
+		return t.credits
+	}
+	room := t.Slots + settings.AgentQueue - t.outstanding()
+	return min(room, t.health.allowance(now)-len(t.running))
+}
+
+// couldRun reports whether the target is large enough for a task when idle.
+func (t *target) couldRun(needs job.Needs) bool {
+	return t.Slots > 0 && needs.MemoryMB <= t.MemoryMB && needs.Accelerators <= t.Accelerators
+}
+
+// fits reports whether the target has capacity left beside this entry's tasks.
+func (t *target) fits(needs job.Needs) bool {
+	return needs.MemoryMB+t.used.MemoryMB <= t.MemoryMB && needs.Accelerators+t.used.Accelerators <= t.Accelerators
+}
+
+func (t *target) start(task Task) {
+	t.running[task.ID] = task.Needs
+	t.used.MemoryMB += task.Needs.MemoryMB
+	t.used.Accelerators += task.Needs.Accelerators
+	t.credits = max(0, t.credits-1)
+}
+
+func (t *target) end(id TaskID) bool {
+	needs, running := t.running[id]
+	if !running {
+		return false
+	}
+	delete(t.running, id)
+	t.used.MemoryMB -= needs.MemoryMB
+	t.used.Accelerators -= needs.Accelerators
+	return true
+}
