scheduler: keep a task from starting twice, starving or being misjudged

Cause: tests written against the first version showed five faults: a task past its deadline blocked its class until Expire, a running task could be queued again, a task that needs most of a target starved behind small ones, cannot_run was given for targets that had only left for a moment, and aged batch work was counted in rounds that started nothing. Change: expired heads are set aside for Expire; running tasks are indexed; a target is held for a task that does not fit for 1 s; capacities of targets that left count for an hour; only starts count towards the share of aged batch work. Ruled out: remembering capacities for ever, which makes cannot_run impossible to give after a change of instance types.

--- a/process/scheduler/admission.go
+++ b/process/scheduler/admission.go
@@ -7,24 +7,30 @@
 	"github.com/azurerouter/azurerouter/request/refusal"
 )
 
+// shapeMemory is how long the capacity of a target that left still counts as
+// one that may return. Replacing an instance takes minutes.
+const shapeMemory = time.Hour
+
 const stepAdmit = "admit"
 
 // maxRetryAfter bounds the hint that goes with a refusal.
 const maxRetryAfter = 30 * time.Second
 
 // Admit queues all tasks of a submission or none. The refusal is one of
-// no_targets, cannot_run, overloaded or, for a task that already waits,
+// no_targets, cannot_run, overloaded or, for a task that already waits or runs,
 // key_conflict. All tasks of one call have the same priority and deadline.
 func (s *Scheduler) Admit(now time.Time, tasks []Task) *refusal.Error {
 	if len(tasks) == 0 {
 		return nil
 	}
+	seen := make(map[TaskID]bool, len(tasks))
 	for _, task := range tasks {
-		if s.queue.has(task.ID) {
+		if seen[task.ID] || s.pending(task.ID) {
 			s.violations++
-			return refusal.New(refusal.KeyConflict, stepAdmit, "task %d already waits", task.ID.Index).Unknown()
+			return refusal.New(refusal.KeyConflict, stepAdmit, "task %d already waits or runs", task.ID.Index).Unknown()
 		}
-		if refused := s.checkTargets(task.Needs); refused != nil {
+		seen[task.ID] = true
+		if refused := s.checkTargets(now, task.Needs); refused != nil {
 			return refused
 		}
 	}
@@ -41,19 +47,32 @@
 	return nil
 }
 
-func (s *Scheduler) checkTargets(needs job.Needs) *refusal.Error {
-	if len(s.order) == 0 {
-		return refusal.New(refusal.NoTargets, stepAdmit, "no target is known").After(time.Second)
-	}
+func (s *Scheduler) checkTargets(now time.Time, needs job.Needs) *refusal.Error {
 	for _, t := range s.order {
 		if t.couldRun(needs) {
 			return nil
 		}
 	}
+	if len(s.order) == 0 || s.wasPresent(now, needs) {
+		return refusal.New(refusal.NoTargets, stepAdmit, "no target that can run the task is up").After(time.Second)
+	}
 	return refusal.New(refusal.CannotRun, stepAdmit, "no target has %d MB of memory and %d accelerators",
 		needs.MemoryMB, needs.Accelerators)
 }
 
+// wasPresent reports whether a target that left lately could run the task.
+func (s *Scheduler) wasPresent(now time.Time, needs job.Needs) bool {
+	found := false
+	for capacity, seen := range s.shapes {
+		if now.Sub(seen) > shapeMemory {
+			delete(s.shapes, capacity)
+		} else if covers(capacity, needs) {
+			found = true
+		}
+	}
+	return found
+}
+
 // checkWait refuses a submission whose last task could not end in time.
 func (s *Scheduler) checkWait(now time.Time, tasks []Task) *refusal.Error {
 	last := tasks[len(tasks)-1]
--- a/process/scheduler/choose.go
+++ b/process/scheduler/choose.go
@@ -12,6 +12,10 @@
 // tenth, and still lets every batch task start in the end.
 const agedInterval = 10
 
+// holdAfter is the waiting time after which a target is kept free for a task
+// that fits on no target beside the tasks that run there.
+const holdAfter = time.Second
+
 // round is one pass of Assign.
 type round struct {
 	s       *Scheduler
@@ -48,14 +52,17 @@
 		}
 		task := r.s.queue.head(c)
 		if !task.Deadline.After(r.now) {
-			r.blocked[c] = true // Expire removes and reports the task.
+			r.s.queue.remove(task.ID)
+			r.s.queue.expired = append(r.s.queue.expired, task)
 			continue
 		}
 		t := r.choose(task)
 		if t == nil {
 			r.blocked[c] = true
+			r.hold(task)
 			continue
 		}
+		r.countAged(c)
 		r.start(task, t)
 		return task, t
 	}
@@ -65,10 +72,28 @@
 func (r *round) start(task Task, t *target) {
 	r.s.queue.remove(task.ID)
 	t.start(task)
+	r.s.running[task.ID] = t
 	r.idle--
-	if t.room(r.now, &r.s.settings) > 0 {
+	if t.room(r.now, &r.s.settings) <= 0 {
+		r.close(t)
+	}
+}
+
+// hold keeps the first target that could run the task free of other tasks, so
+// that a stream of small tasks cannot keep a large one waiting for ever.
+func (r *round) hold(task Task) {
+	if r.now.Sub(task.Enqueued) < holdAfter {
 		return
 	}
+	for _, t := range r.s.order {
+		if t.health.state == healthy && t.couldRun(task.Needs) {
+			r.close(t)
+			return
+		}
+	}
+}
+
+func (r *round) close(t *target) {
 	for i := range r.open {
 		if r.open[i] == t {
 			r.open = append(r.open[:i], r.open[i+1:]...)
@@ -83,8 +108,7 @@
 	urgent, anyUrgent := r.oldest(job.Urgent)
 	batch, anyBatch := r.oldest(job.Batch)
 	if anyBatch && r.aged(batch) {
-		r.s.agedStarts++
-		if !anyUrgent || r.s.agedStarts%agedInterval == 0 {
+		if !anyUrgent || r.s.sinceAged >= agedInterval-1 {
 			return batch, true
 		}
 	} else if anyBatch && !anyUrgent && r.idle > r.reserve() {
@@ -93,6 +117,14 @@
 	return urgent, anyUrgent
 }
 
+// countAged counts the starts since the last one of aged batch work.
+func (r *round) countAged(c class) {
+	r.s.sinceAged++
+	if c.priority == job.Batch {
+		r.s.sinceAged = 0
+	}
+}
+
 func (r *round) aged(c class) bool {
 	return r.now.Sub(r.s.queue.head(c).Enqueued) >= r.s.settings.BatchAging
 }
--- a/process/scheduler/queue.go
+++ b/process/scheduler/queue.go
@@ -22,6 +22,8 @@
 	elements  map[TaskID]*item
 	deadlines deadlineHeap
 	waiting   map[job.Priority]int
+	// expired holds tasks that were found past their deadline outside Expire.
+	expired []Task
 }
 
 type item struct {
@@ -97,7 +99,8 @@
 func (q *queue) head(c class) Task { return q.classes[c].Front().Value.(*item).task }
 
 func (q *queue) expire(now time.Time) []Task {
-	var expired []Task
+	expired := q.expired
+	q.expired = nil
 	for len(q.deadlines) > 0 && !q.deadlines[0].task.Deadline.After(now) {
 		task := q.deadlines[0].task
 		expired = append(expired, task)
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -68,11 +68,15 @@
 	targets  map[wire.Incarnation]*target
 	// order lists the live targets in the order of registration, so that the
 	// same calls give the same choices.
-	order      []*target
+	order []*target
+	// running maps every assignment that has not ended to its target.
+	running map[TaskID]*target
+	// shapes holds when each combination of capacities was last present.
+	shapes     map[job.Needs]time.Time
 	budget     retryBudget
 	runTime    average
 	violations int
-	agedStarts int
+	sinceAged  int
 }
 
 // New returns a scheduler without targets.
@@ -81,6 +85,8 @@
 		settings: settings.withDefaults(),
 		queue:    newQueue(),
 		targets:  map[wire.Incarnation]*target{},
+		running:  map[TaskID]*target{},
+		shapes:   map[job.Needs]time.Time{},
 	}
 }
 
@@ -96,6 +102,7 @@
 		s.targets[description.ID] = t
 	}
 	t.Target = description
+	s.shapes[t.capacity()] = now
 	if !t.live {
 		t.live = true
 		s.order = append(s.order, t)
@@ -110,6 +117,7 @@
 		return
 	}
 	t.live = false
+	s.shapes[t.capacity()] = now
 	for i := range s.order {
 		if s.order[i] == t {
 			s.order = append(s.order[:i], s.order[i+1:]...)
@@ -148,6 +156,7 @@
 	if !known || !t.end(task) {
 		return
 	}
+	delete(s.running, task)
 	switch end {
 	case EndOK:
 		s.budget.success(now)
@@ -162,9 +171,14 @@
 }
 
 // Retry puts a task that was not started back into the queue. It reports false
-// if the deadline has passed or the retry budget is used up.
+// if the deadline has passed, the task waits or runs, or the retry budget is
+// used up.
 func (s *Scheduler) Retry(now time.Time, task Task) bool {
-	if !task.Deadline.After(now) || s.queue.has(task.ID) {
+	if !task.Deadline.After(now) {
+		return false
+	}
+	if s.pending(task.ID) {
+		s.violations++
 		return false
 	}
 	if !s.budget.take(now, s.settings.RetryShare, s.settings.RetryMinimum) {
@@ -174,6 +188,12 @@
 	return true
 }
 
+// pending reports whether a task waits or runs.
+func (s *Scheduler) pending(id TaskID) bool {
+	_, running := s.running[id]
+	return running || s.queue.has(id)
+}
+
 // Cancel removes a waiting task. It reports false if the task does not wait.
 func (s *Scheduler) Cancel(id TaskID) bool { return s.queue.remove(id) }
 
--- a/process/scheduler/target.go
+++ b/process/scheduler/target.go
@@ -26,21 +26,31 @@
 
 // room returns how many more tasks may be sent now.
 func (t *target) room(now time.Time, settings *Settings) int {
-	if settings.Policy == Credits && t.health.state != ejected {
-		return t.credits
-	}
 	room := t.Slots + settings.AgentQueue - t.outstanding()
+	if settings.Policy == Credits {
+		room = t.credits
+	}
 	return min(room, t.health.allowance(now)-len(t.running))
 }
 
+// capacity is the largest need that the target can meet when idle.
+func (t *target) capacity() job.Needs {
+	return job.Needs{MemoryMB: t.MemoryMB, Accelerators: t.Accelerators}
+}
+
 // couldRun reports whether the target is large enough for a task when idle.
 func (t *target) couldRun(needs job.Needs) bool {
-	return t.Slots > 0 && needs.MemoryMB <= t.MemoryMB && needs.Accelerators <= t.Accelerators
+	return t.Slots > 0 && covers(t.capacity(), needs)
+}
+
+func covers(capacity, needs job.Needs) bool {
+	return needs.MemoryMB <= capacity.MemoryMB && needs.Accelerators <= capacity.Accelerators
 }
 
 // fits reports whether the target has capacity left beside this entry's tasks.
 func (t *target) fits(needs job.Needs) bool {
-	return needs.MemoryMB+t.used.MemoryMB <= t.MemoryMB && needs.Accelerators+t.used.Accelerators <= t.Accelerators
+	total := job.Needs{MemoryMB: needs.MemoryMB + t.used.MemoryMB, Accelerators: needs.Accelerators + t.used.Accelerators}
+	return covers(t.capacity(), total)
 }
 
 func (t *target) start(task Task) {
