bench: compare policies in virtual time

Cause: the choice between the four policies needs figures. Change: one event queue, a model of 10 agents and 2 entries around the real scheduler, arrivals, faults, an omniscient single queue as the ideal, and the bench subcommand. Ruled out: a model of the network beyond zone latencies, since the goals concern queueing and messages.

--- /dev/null
+++ b/bench/ideal.go
@@ -0,0 +1,62 @@
+package bench
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/azurerouter/azurerouter/request/job"
+)
+
+// ideal returns the response time of every arrival in an omniscient single
+// queue over all slots, without messages or faults: urgent before batch, each
+// in order of arrival. It never starts a task that would end too late; the
+// response time of such a task is negative.
+func ideal(arrivals []arrival) []time.Duration {
+	response := make([]time.Duration, len(arrivals))
+	free := make(timeHeap, targets*slots)
+	var urgent, batch []int
+	next := 0
+	for next < len(arrivals) || len(urgent)+len(batch) > 0 {
+		now := free[0]
+		if len(urgent)+len(batch) == 0 {
+			now = max(now, arrivals[next].at)
+		}
+		for next < len(arrivals) && arrivals[next].at <= now {
+			if arrivals[next].priority == job.Urgent {
+				urgent = append(urgent, next)
+			} else {
+				batch = append(batch, next)
+			}
+			next++
+		}
+		var i int
+		if len(urgent) > 0 {
+			i, urgent = urgent[0], urgent[1:]
+		} else {
+			i, batch = batch[0], batch[1:]
+		}
+		a := arrivals[i]
+		end := max(now, a.at) + a.run // The slot may have been idle since before the arrival.
+		if end > a.deadline {
+			response[i] = -1
+			continue
+		}
+		response[i] = end - a.at
+		free[0] = end
+		heap.Fix(&free, 0)
+	}
+	return response
+}
+
+type timeHeap []time.Duration
+
+func (h timeHeap) Len() int           { return len(h) }
+func (h timeHeap) Less(i, j int) bool { return h[i] < h[j] }
+func (h timeHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *timeHeap) Push(x any)        { *h = append(*h, x.(time.Duration)) }
+func (h *timeHeap) Pop() any {
+	last := len(*h) - 1
+	v := (*h)[last]
+	*h = (*h)[:last]
+	return v
+}
--- /dev/null
+++ b/cmd/azurerouter/bench.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/azurerouter/azurerouter/bench"
+	"github.com/azurerouter/azurerouter/process/scheduler"
+)
+
+// Exit codes of the subcommands.
+const (
+	benchOK     = 0
+	benchFailed = 1
+	benchUsage  = 2
+)
+
+// benchParallel bounds the runs that are computed at the same time.
+const benchParallel = 4
+
+type benchOptions struct {
+	seed        uint64
+	duration    time.Duration
+	urgentShare float64
+	agentQueue  int
+	reserve     float64
+	policies    []string
+	scenarios   []string
+}
+
+// runBench prints a comparison of the scheduling policies in virtual time and
+// returns the exit code.
+func runBench(args []string, stdout, stderr io.Writer) int {
+	var options benchOptions
+	var policies, scenarios string
+	flags := flag.NewFlagSet("bench", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	flags.Uint64Var(&options.seed, "seed", 1, "seed of arrivals and choices (integer)")
+	flags.DurationVar(&options.duration, "duration", 5*time.Minute, "virtual time in which tasks arrive (duration)")
+	flags.Float64Var(&options.urgentShare, "urgent-share", 0.7, "urgent tasks among all tasks (share, 0 to 1)")
+	flags.IntVar(&options.agentQueue, "agent-queue", 0, "tasks that may wait at an agent beyond its slots (tasks)")
+	flags.Float64Var(&options.reserve, "batch-reserve", 0.1, "slots that batch work leaves free (share, 0 to 1)")
+	flags.StringVar(&policies, "policies", "random,least_outstanding,two_choices,credits", "policies (comma-separated names)")
+	flags.StringVar(&scenarios, "scenarios", "all", "scenarios (comma-separated names, or \"all\")")
+	if err := flags.Parse(args); err != nil {
+		if err == flag.ErrHelp {
+			return benchOK
+		}
+		return benchUsage
+	}
+	options.policies = strings.Split(policies, ",")
+	options.scenarios = strings.Split(scenarios, ",")
+	if err := bench.WriteTable(stdout, options.rows()); err != nil {
+		fmt.Fprintln(stderr, "bench:", err)
+		return benchFailed
+	}
+	return benchOK
+}
+
+// rows runs every selected scenario under every selected policy.
+func (o benchOptions) rows() []bench.Row {
+	var rows []bench.Row
+	var configs []bench.Config
+	for _, scenario := range bench.Scenarios() {
+		if !slices.Contains(o.scenarios, "all") && !slices.Contains(o.scenarios, scenario.Name) {
+			continue
+		}
+		for _, policy := range o.policies {
+			rows = append(rows, bench.Row{Scenario: scenario.Name, Policy: policy})
+			configs = append(configs, scenario.Configure(o.config(scheduler.Policy(policy))))
+		}
+	}
+	var group sync.WaitGroup
+	slots := make(chan struct{}, benchParallel)
+	for i := range rows {
+		group.Go(func() {
+			slots <- struct{}{}
+			rows[i].Report = bench.Run(configs[i])
+			<-slots
+		})
+	}
+	group.Wait()
+	return rows
+}
+
+func (o benchOptions) config(policy scheduler.Policy) bench.Config {
+	settings := scheduler.DefaultSettings()
+	settings.Policy = policy
+	settings.AgentQueue = o.agentQueue
+	settings.BatchReserve = o.reserve
+	if o.reserve == 0 {
+		settings.BatchReserve = -1 // The zero value would mean the default.
+	}
+	return bench.Config{Settings: settings, UrgentShare: o.urgentShare, Seed: o.seed, Duration: o.duration}
+}
--- /dev/null
+++ b/cmd/azurerouter/bench_test.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+// Guards against runs that depend on anything but the seed, such as the order
+// of a map, so that no figure could be printed again.
+func TestBenchRepeatsItsFigures(t *testing.T) {
+	args := []string{"-duration", "20s", "-scenarios", "load 95,zone lost"}
+	var first, second, stderr bytes.Buffer
+	if code := runBench(args, &first, &stderr); code != benchOK {
+		t.Fatalf("exit code %d: %s", code, stderr.String())
+	}
+	runBench(args, &second, &stderr)
+	if first.String() != second.String() {
+		t.Errorf("two runs differ:\n%s\n%s", first.String(), second.String())
+	}
+}
+
+// Guards against a help text that leaves out a flag's unit or default.
+func TestBenchHelpNamesUnits(t *testing.T) {
+	var stdout, stderr bytes.Buffer
+	if code := runBench([]string{"-h"}, &stdout, &stderr); code != benchOK {
+		t.Fatalf("exit code %d", code)
+	}
+	for _, line := range strings.Split(stderr.String(), "\n") {
+		if strings.HasPrefix(line, "    ") && !strings.Contains(line, "(") {
+			t.Errorf("no unit in %q", line)
+		}
+	}
+}
