scheduler: leave places at the agent for conflicts between entries

Cause: 5.92 % of messages at 80 % load had no used answer, all of them busy refusals: the count of other entries' tasks is as old as the last answer from the target (about 0.2 s), so two entries send into the same last slot. Ruled out: the retry budget as the cause (it only turns the refusals into not_started). Change: the entry still sends only into slots that it believes free, and the agent lets two tasks wait beyond its slots instead of refusing them; AgentQueue moves from the scheduler's settings to the model of the agent.

--- a/bench/agent.go
+++ b/bench/agent.go
@@ -60,7 +60,7 @@
 			a.answer(d, scheduler.EndNotStarted)
 		case len(a.running) < slots:
 			a.start(d)
-		case len(a.waiting) < a.c.cfg.Settings.AgentQueue:
+		case len(a.waiting) < a.c.cfg.AgentQueue:
 			a.waiting = append(a.waiting, d)
 		default:
 			a.answer(d, scheduler.EndBusy)
--- a/bench/cluster.go
+++ b/bench/cluster.go
@@ -40,6 +40,8 @@
 	// UrgentShare is the share of tasks that are urgent, 0 to 1.
 	UrgentShare float64
 	Seed        uint64
+	// AgentQueue is how many tasks may wait at an agent beyond its slots.
+	AgentQueue int
 	// Duration is the virtual time in which tasks arrive.
 	Duration   time.Duration
 	WrongSizes bool
--- a/cmd/azurerouter/bench.go
+++ b/cmd/azurerouter/bench.go
@@ -43,7 +43,7 @@
 	flags.Uint64Var(&options.seed, "seed", 1, "seed of arrivals and choices (integer)")
 	flags.DurationVar(&options.duration, "duration", 5*time.Minute, "virtual time in which tasks arrive (duration)")
 	flags.Float64Var(&options.urgentShare, "urgent-share", 0.7, "urgent tasks among all tasks (share, 0 to 1)")
-	flags.IntVar(&options.agentQueue, "agent-queue", 0, "tasks that may wait at an agent beyond its slots (tasks)")
+	flags.IntVar(&options.agentQueue, "agent-queue", 2, "tasks that may wait at an agent beyond its slots (tasks)")
 	flags.Float64Var(&options.reserve, "batch-reserve", 0.1, "slots that batch work leaves free (share, 0 to 1)")
 	flags.StringVar(&policies, "policies", "random,least_outstanding,two_choices,credits", "policies (comma-separated names)")
 	flags.StringVar(&scenarios, "scenarios", "all", "scenarios (comma-separated names, or \"all\")")
@@ -91,10 +91,9 @@
 func (o benchOptions) config(policy scheduler.Policy) bench.Config {
 	settings := scheduler.DefaultSettings()
 	settings.Policy = policy
-	settings.AgentQueue = o.agentQueue
 	settings.BatchReserve = o.reserve
 	if o.reserve == 0 {
 		settings.BatchReserve = -1 // The zero value would mean the default.
 	}
-	return bench.Config{Settings: settings, UrgentShare: o.urgentShare, Seed: o.seed, Duration: o.duration}
+	return bench.Config{Settings: settings, UrgentShare: o.urgentShare, Seed: o.seed, AgentQueue: o.agentQueue, Duration: o.duration}
 }
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -165,7 +165,7 @@
 	case EndFailed, EndTimeout:
 		s.judge(now, t, false)
 	case EndBusy:
-		t.foreign = max(t.foreign, t.Slots+s.settings.AgentQueue-len(t.running))
+		t.foreign = max(t.foreign, t.Slots-len(t.running))
 	}
 	s.forgetIfUnused(t)
 }
--- a/process/scheduler/settings.go
+++ b/process/scheduler/settings.go
@@ -26,8 +26,6 @@
 	// BatchReserve is the share of all slots that batch work leaves free for
 	// urgent work, 0 to 1. A negative value means no reserve.
 	BatchReserve float64
-	// AgentQueue is how many tasks may wait at an agent beyond its slots.
-	AgentQueue int
 	// EjectShare is the share of failed answers at which a target is ejected,
 	// 0 to 1.
 	EjectShare float64
--- a/process/scheduler/target.go
+++ b/process/scheduler/target.go
@@ -26,7 +26,7 @@
 
 // room returns how many more tasks may be sent now.
 func (t *target) room(now time.Time, settings *Settings) int {
-	room := t.Slots + settings.AgentQueue - t.outstanding()
+	room := t.Slots - t.outstanding()
 	if settings.Policy == Credits {
 		room = t.credits
 	}
