--- a/cmd/azurerouter/bench.go
+++ b/cmd/azurerouter/bench.go
@@ -44,7 +44,7 @@
 	flags.DurationVar(&options.duration, "duration", 5*time.Minute, "virtual time in which tasks arrive (duration)")
 	flags.Float64Var(&options.urgentShare, "urgent-share", 0.7, "urgent tasks among all tasks (share, 0 to 1)")
 	flags.IntVar(&options.agentQueue, "agent-queue", 2, "tasks that may wait at an agent beyond its slots (tasks)")
-	flags.Float64Var(&options.reserve, "batch-reserve", 0.1, "slots that batch work leaves free (share, 0 to 1)")
+	flags.Float64Var(&options.reserve, "batch-reserve", 0.025, "slots that batch work leaves free (share, 0 to 1)")
 	flags.StringVar(&policies, "policies", "random,least_outstanding,two_choices,credits", "policies (comma-separated names)")
 	flags.StringVar(&scenarios, "scenarios", "all", "scenarios (comma-separated names, or \"all\")")
 	if err := flags.Parse(args); err != nil {
--- a/process/scheduler/scheduler_test.go
+++ b/process/scheduler/scheduler_test.go
@@ -154,14 +154,15 @@
 
 // Guards against batch work that takes the last idle slots, so that an urgent
 // arrival has to wait for a batch task to end.
+// The same holds for aged batch work, which once filled all slots in overload.
 func TestBatchLeavesReserve(t *testing.T) {
-	s := withTargets(Settings{BatchReserve: 0.25}, Target{ID: 1, Slots: 8})
+	s := withTargets(Settings{BatchReserve: 0.25, BatchAging: time.Nanosecond}, Target{ID: 1, Slots: 8})
 	for i := range 20 {
 		task := urgent(i, time.Hour)
 		task.Priority = job.Batch
 		mustAdmit(t, s, start, task)
 	}
-	if n := len(s.Assign(start, newRandom())); n != 6 {
+	if n := len(s.Assign(at(time.Second), newRandom())); n != 6 {
 		t.Errorf("%d batch tasks sent, want 6 of 8 slots", n)
 	}
 	mustAdmit(t, s, start, urgent(100, time.Hour))
--- a/process/scheduler/settings.go
+++ b/process/scheduler/settings.go
@@ -49,7 +49,7 @@
 		Policy:       LeastOutstanding,
 		QueueLimit:   20000,
 		BatchAging:   10 * time.Second,
-		BatchReserve: 0.1,
+		BatchReserve: 0.025,
 		EjectShare:   0.5,
 		EjectSamples: 5,
 		EjectZoneCap: 0.3,
