Add the soak of entry and agent cores, the commands and the demo

Cause: the guarantees need a check from outside, under faults, that can be repeated. It found: - An agent answered a delayed dispatch meant for its earlier incarnation with wrong_incarnation; the entry matched that refusal to the dispatch of the same sequence at the new incarnation and started the task again. The agent now drops such a dispatch. - A fenced entry that sent a running task again was told fenced, which promises no start. Ruled out: reporting a delayed message as a violated guarantee, since the fault model allows it.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	$(GO) tool staticcheck ./...
 
 demo: build
-	bin/azurerouter demo
+	demo/run.sh
 
 bench: build
 	bin/azurerouter bench
--- /dev/null
+++ b/cmd/azurerouter/main.go
@@ -0,0 +1,77 @@
+// Command azurerouter is the one binary of the system: its daemons, the tools
+// of operators and the stand-ins for trying it out.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+)
+
+// Exit codes of every command.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// command is one subcommand. run returns the exit code.
+type command struct {
+	name    string
+	summary string
+	run     func(args []string, stdout, stderr io.Writer) int
+}
+
+var commands = []command{
+	{"entry", "run an entry process", runEntry},
+	{"agent", "run the process beside one target", runAgent},
+	{"check", "check a folder of configuration files", runCheck},
+	{"publish", "publish a folder of configuration files", runPublish},
+	{"submit", "submit a job or single request from a file", runSubmit},
+	{"status", "show the state of several processes on one screen", runStatus},
+	{"ready", "ask a process whether it is ready", runReady},
+	{"starts", "read the starts that target stand-ins recorded", runStarts},
+	{"dump", "print the state of one process", runDump},
+	{"keys", "write keys and certificates for a deployment", runKeys},
+	{"load", "send a bounded load and print response times", runLoad},
+	{"bench", "compare policies in virtual time", runBench},
+	{"soak", "run entries and agents in virtual time under faults", runSoak},
+	{"standin log", "run a stand-in of the platform's log service", runStandinLog},
+	{"standin target", "run a stand-in of a target", runStandinTarget},
+}
+
+func main() {
+	os.Exit(dispatch(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// dispatch runs the command that the arguments name.
+func dispatch(args []string, stdout, stderr io.Writer) int {
+	if len(args) == 0 {
+		usage(stderr)
+		return exitUsage
+	}
+	if args[0] == "-h" || args[0] == "-help" || args[0] == "--help" || args[0] == "help" {
+		usage(stdout)
+		return exitOK
+	}
+	for words := 1; words <= 2 && words <= len(args); words++ {
+		name := args[0]
+		if words == 2 {
+			name += " " + args[1]
+		}
+		for _, c := range commands {
+			if c.name == name {
+				return c.run(args[words:], stdout, stderr)
+			}
+		}
+	}
+	fmt.Fprintf(stderr, "azurerouter: unknown command %q; azurerouter -h lists the commands\n", args[0])
+	return exitUsage
+}
+
+func usage(w io.Writer) {
+	fmt.Fprintln(w, "usage: azurerouter COMMAND [flags]; every command explains its flags with -h")
+	for _, c := range commands {
+		fmt.Fprintf(w, "  %-16s %s\n", c.name, c.summary)
+	}
+}
--- a/process/agent/core.go
+++ b/process/agent/core.go
@@ -7,6 +7,8 @@
 package agent
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,6 +68,7 @@
 	Started    uint64                     `json:"started"`
 	NotStarted map[wire.NotStarted]uint64 `json:"not_started"`
 	Rejoined   uint64                     `json:"rejoined"`
+	Stray      uint64                     `json:"stray"`
 }
 
 type taskRef struct {
@@ -142,8 +145,11 @@
 }
 
 func (c *Core) dispatch(now time.Time, entry wire.Incarnation, m *wire.Dispatch) {
-	if m.Entry != entry {
-		c.env.Violated("G3", "dispatch", entry.String(), "dispatch names another entry than its connection")
+	if m.Entry != entry || m.Agent != c.options.Incarnation {
+		// A delayed message of, or for, an earlier incarnation. It is not
+		// answered: the entry would take a refusal for one of the dispatch
+		// that has the same sequence at this incarnation.
+		c.noteStray()
 		return
 	}
 	c.guard.Release(now, entry, m.Released)
@@ -165,6 +171,12 @@
 	c.fill(now)
 }
 
+func (c *Core) noteStray() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counters.Stray++
+}
+
 // refusal returns the agent's own reason to refuse a new task, if any.
 func (c *Core) refusal() wire.NotStarted {
 	switch {
@@ -274,6 +286,10 @@
 }
 
 func (c *Core) cancel(now time.Time, entry wire.Incarnation, m *wire.Cancel) {
+	if m.Entry != entry {
+		c.noteStray()
+		return
+	}
 	stop, ended := c.guard.Cancel(now, entry, m.Seqs)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -346,7 +362,7 @@
 		return
 	}
 	c.leaving = true
-	for entry := range c.links {
+	for _, entry := range slices.Sorted(maps.Keys(c.links)) {
 		c.send(entry, &wire.Leaving{})
 	}
 }
@@ -365,8 +381,8 @@
 	c.guard.Expire(now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for entry, l := range c.links {
-		if now.Sub(l.lastSent) >= HeartbeatInterval {
+	for _, entry := range slices.Sorted(maps.Keys(c.links)) {
+		if now.Sub(c.links[entry].lastSent) >= HeartbeatInterval {
 			c.send(entry, &wire.Heartbeat{Load: c.load(), ConfigOffset: c.config.Offset()})
 		}
 	}
@@ -402,7 +418,7 @@
 	for reason, count := range c.counters.NotStarted {
 		dump.Counters.NotStarted[reason] = count
 	}
-	for entry := range c.links {
+	for _, entry := range slices.Sorted(maps.Keys(c.links)) {
 		dump.Entries = append(dump.Entries, entry.String())
 	}
 	return dump
--- a/process/agent/daemon.go
+++ b/process/agent/daemon.go
@@ -63,7 +63,7 @@
 
 // AddTo adds the actors of the process to a run group. stop ends with the first
 // signal to shut down, for which the agent drains.
-func (d *Daemon) AddTo(g *run.Group, stop <-chan struct{}) {
+func (d *Daemon) AddTo(g *run.Group, stop <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	g.Add(func() error { return d.tick(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return d.dialEntries(ctx) }, func(error) { cancel() })
@@ -71,6 +71,7 @@
 	g.Add(observe.Admin(d.settings.AdminAddr, d.observer, func() any { return d.core.Dump() }, d.ready))
 	d.observer.Log.Info().Str("incarnation", d.self.String()).Str("service", d.settings.Service).
 		Str("zone", d.settings.Zone).Msg("agent started")
+	return nil
 }
 
 func (d *Daemon) ready() error {
--- a/process/entry/agents.go
+++ b/process/entry/agents.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,14 +50,21 @@
 	return c.agents[id]
 }
 
-func (c *Core) allAgents() map[wire.Incarnation]*agentLink {
+// allAgents lists the agents in the order of their incarnations, so that a run
+// in virtual time can be repeated.
+func (c *Core) allAgents() []*agentLink {
 	c.agentsMu.RLock()
 	defer c.agentsMu.RUnlock()
-	all := make(map[wire.Incarnation]*agentLink, len(c.agents))
-	for id, link := range c.agents {
-		all[id] = link
+	return c.agentOrder
+}
+
+// orderAgents replaces agentOrder, whose readers hold no lock.
+func (c *Core) orderAgents() {
+	order := make([]*agentLink, 0, len(c.agents))
+	for _, id := range slices.Sorted(maps.Keys(c.agents)) {
+		order = append(order, c.agents[id])
 	}
-	return all
+	c.agentOrder = order
 }
 
 // AgentConnected takes a new connection of an agent. What was sent on an earlier
@@ -70,6 +79,7 @@
 		link = &agentLink{hello: hello, high: c.retired[id],
 			outstanding: make(map[uint64]*sentTask), unreleased: make(map[uint64]struct{})}
 		c.agents[id] = link
+		c.orderAgents()
 	}
 	c.agentsMu.Unlock()
 	resume, again := link.connect(now, hello)
@@ -97,15 +107,8 @@
 	l.lastHeard, l.lastSent = now, now
 	l.configOffset = hello.ConfigOffset
 	l.released = nil
-	resume := &wire.Resume{High: l.high}
-	for seq := range l.unreleased {
-		resume.Unreleased = append(resume.Unreleased, seq)
-	}
-	var again []*sentTask
-	for _, sent := range l.outstanding {
-		again = append(again, sent)
-	}
-	return resume, again
+	resume := &wire.Resume{High: l.high, Unreleased: slices.Sorted(maps.Keys(l.unreleased))}
+	return resume, l.outstandingInOrder()
 }
 
 // AgentDisconnected takes the end of the connection. Outstanding tasks wait for
@@ -209,7 +212,8 @@
 // checkAgents ends what silent agents hold: after AgentSilence nothing more is
 // sent, after AgentLease outstanding tasks are unknown.
 func (c *Core) checkAgents(now time.Time) {
-	for id, link := range c.allAgents() {
+	for _, link := range c.allAgents() {
+		id := link.hello.Incarnation
 		silence, connected, serving := link.state(now)
 		if serving && silence >= AgentSilence {
 			c.stopServing(now, id, link)
@@ -239,6 +243,7 @@
 	defer link.mu.Unlock()
 	if !link.connected {
 		delete(c.agents, id)
+		c.orderAgents()
 		c.retired[id] = link.high
 	}
 }
@@ -252,14 +257,19 @@
 func (l *agentLink) giveUp() []*sentTask {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var lost []*sentTask
-	for seq, sent := range l.outstanding {
-		delete(l.outstanding, seq)
-		lost = append(lost, sent)
-	}
+	lost := l.outstandingInOrder()
+	clear(l.outstanding)
 	return lost
 }
 
+func (l *agentLink) outstandingInOrder() []*sentTask {
+	tasks := make([]*sentTask, 0, len(l.outstanding))
+	for _, seq := range slices.Sorted(maps.Keys(l.outstanding)) {
+		tasks = append(tasks, l.outstanding[seq])
+	}
+	return tasks
+}
+
 // record assigns sequences. It reports false if the agent cannot be sent to, and
 // then assigns none.
 func (l *agentLink) record(batch []*sentTask) bool {
@@ -347,9 +357,9 @@
 // flushAgents sends cancellations, and heartbeats that carry releases, that are
 // due.
 func (c *Core) flushAgents(now time.Time) {
-	for id, link := range c.allAgents() {
+	for _, link := range c.allAgents() {
 		for _, m := range link.due(now, c.self, c.peers.configOffset()) {
-			c.env.SendAgent(id, m)
+			c.env.SendAgent(link.hello.Incarnation, m)
 		}
 	}
 }
@@ -383,9 +393,9 @@
 		m.Files = append(m.Files, wire.ConfigFile{Name: file.Name, Version: file.Version, Content: file.Content})
 	}
 	c.peers.setConfig(m)
-	for id, link := range c.allAgents() {
+	for _, link := range c.allAgents() {
 		if link.behind(offset) {
-			c.env.SendAgent(id, m)
+			c.env.SendAgent(link.hello.Incarnation, m)
 		}
 	}
 	c.pushConfigToEntries(m)
--- a/process/entry/core.go
+++ b/process/entry/core.go
@@ -6,7 +6,9 @@
 package entry
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -75,10 +77,12 @@
 	servicesMu sync.RWMutex
 	services   map[string]*service
 	limits     config.Limits
+	window     dedupeWindow
 	configured bool
 
-	agentsMu sync.RWMutex
-	agents   map[wire.Incarnation]*agentLink
+	agentsMu   sync.RWMutex
+	agents     map[wire.Incarnation]*agentLink
+	agentOrder []*agentLink
 	// retired holds the last sequence used with agents that are gone.
 	retired map[wire.Incarnation]uint64
 
@@ -134,11 +138,14 @@
 // Configure puts a configuration in force. Services that are no longer named
 // take no new work; what they hold goes on.
 func (c *Core) Configure(cfg config.Config) {
+	now := c.env.Now()
 	c.servicesMu.Lock()
 	c.limits = cfg.Limits
+	c.window.set(now, cfg.Limits.DedupeWindow)
 	c.configured = true
 	var created []*service
-	for name, settings := range cfg.Services {
+	for _, name := range slices.Sorted(maps.Keys(cfg.Services)) {
+		settings := cfg.Services[name]
 		svc, ok := c.services[name]
 		if !ok {
 			svc = &service{name: name, scheduler: scheduler.New(schedulerSettings(settings)), random: c.drawRandom()}
@@ -171,8 +178,8 @@
 	c.servicesMu.RLock()
 	defer c.servicesMu.RUnlock()
 	all := make([]*service, 0, len(c.services))
-	for _, svc := range c.services {
-		all = append(all, svc)
+	for _, name := range slices.Sorted(maps.Keys(c.services)) {
+		all = append(all, c.services[name])
 	}
 	return all
 }
--- a/process/entry/jobs.go
+++ b/process/entry/jobs.go
@@ -35,7 +35,9 @@
 	// done lists jobs in the order in which they left the phases claiming
 	// and running, for retention.
 	done []doneRef
-	// active counts the jobs in the phases claiming and running.
+	// order lists the jobs in the phases claiming and running, oldest first,
+	// and may hold some that have left them.
+	order  []job.KeyHash
 	active int
 }
 
@@ -86,6 +88,7 @@
 // add enters a job that is claiming or running.
 func (s *shard) add(hash job.KeyHash, e *entryJob) {
 	s.jobs[hash] = e
+	s.order = append(s.order, hash)
 	s.active++
 }
 
@@ -199,15 +202,13 @@
 func (c *Core) expireShard(now time.Time, s *shard) {
 	var after []func()
 	s.mu.Lock()
-	if s.active > 0 {
-		for hash, e := range s.jobs {
-			switch e.phase {
-			case claiming:
-				after = append(after, c.expireClaiming(now, s, hash, e)...)
-			case running:
-				after = append(after, c.expireRunning(now, s, hash, e)...)
-			}
+	for _, hash := range s.activeInOrder() {
+		e := s.jobs[hash]
+		if e.phase == claiming {
+			after = append(after, c.expireClaiming(now, s, hash, e)...)
+			continue
 		}
+		after = append(after, c.expireRunning(now, s, hash, e)...)
 	}
 	after = append(after, c.expireDone(now, s)...)
 	s.mu.Unlock()
@@ -216,6 +217,21 @@
 	}
 }
 
+// activeInOrder drops what has left the active phases from order and returns it.
+func (s *shard) activeInOrder() []job.KeyHash {
+	kept := s.order[:0]
+	seen := make(map[job.KeyHash]bool, len(s.order))
+	for _, hash := range s.order {
+		e, ok := s.jobs[hash]
+		if ok && !seen[hash] && (e.phase == claiming || e.phase == running) {
+			seen[hash] = true
+			kept = append(kept, hash)
+		}
+	}
+	s.order = kept
+	return kept
+}
+
 // expireClaiming refuses a submission whose claim was not decided in time. The
 // job goes first to idle, so that a claim that takes effect later starts
 // nothing; only then is the caller told.
--- a/process/entry/peers.go
+++ b/process/entry/peers.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,6 +51,24 @@
 	p.recoveries = make(map[recoveryKey]*recovery)
 }
 
+func (p *peerState) queriesInOrder() []*query {
+	queries := make([]*query, 0, len(p.queries))
+	for _, id := range slices.Sorted(maps.Keys(p.queries)) {
+		queries = append(queries, p.queries[id])
+	}
+	return queries
+}
+
+func (p *peerState) connectedEntries() []wire.Incarnation {
+	var ids []wire.Incarnation
+	for _, id := range slices.Sorted(maps.Keys(p.entries)) {
+		if p.entries[id].connected {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 func (p *peerState) pendingQueries() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -158,7 +178,7 @@
 	var out []outgoing
 	p := &c.peers
 	p.mu.Lock()
-	for _, q := range p.queries {
+	for _, q := range p.queriesInOrder() {
 		link, ok := p.entries[q.owner]
 		if !ok || !link.connected || q.generation == link.generation {
 			continue
@@ -258,8 +278,8 @@
 	var due []wire.Incarnation
 	p := &c.peers
 	p.mu.Lock()
-	for id, link := range p.entries {
-		if link.connected && now.Sub(link.lastSent) >= HeartbeatInterval {
+	for _, id := range p.connectedEntries() {
+		if link := p.entries[id]; now.Sub(link.lastSent) >= HeartbeatInterval {
 			link.lastSent = now
 			due = append(due, id)
 		}
@@ -276,9 +296,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var expired []*query
-	for id, q := range p.queries {
+	for _, q := range p.queriesInOrder() {
 		if !now.Before(q.waiter.deadline.Add(deadlineGrace)) {
-			delete(p.queries, id)
+			delete(p.queries, q.id)
 			expired = append(expired, q)
 		}
 	}
@@ -290,26 +310,21 @@
 	p := &c.peers
 	p.mu.Lock()
 	p.members = m
-	var entries []wire.Incarnation
-	for id, link := range p.entries {
-		if link.connected {
-			entries = append(entries, id)
-		}
-	}
+	entries := p.connectedEntries()
 	p.mu.Unlock()
 	for _, id := range entries {
 		c.env.SendEntry(id, m)
 	}
-	for id := range c.allAgents() {
-		c.env.SendAgent(id, m)
+	for _, link := range c.allAgents() {
+		c.env.SendAgent(link.hello.Incarnation, m)
 	}
 }
 
 func (c *Core) pushConfigToEntries(m *wire.Config) {
 	var behind []wire.Incarnation
 	c.peers.mu.Lock()
-	for id, link := range c.peers.entries {
-		if link.connected && link.configOffset < m.Offset {
+	for _, id := range c.peers.connectedEntries() {
+		if link := c.peers.entries[id]; link.configOffset < m.Offset {
 			link.configOffset = m.Offset
 			behind = append(behind, id)
 		}
--- a/process/entry/recovery.go
+++ b/process/entry/recovery.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/azurerouter/azurerouter/connection/wire"
@@ -51,7 +53,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var orphans []*query
-	for _, q := range p.queries {
+	for _, q := range p.queriesInOrder() {
 		heard := c.started
 		if link, ok := p.entries[q.owner]; ok {
 			heard = link.lastHeard
@@ -84,12 +86,12 @@
 // fenceOwner asks every agent of the service: one message per agent and dead
 // entry, not per job.
 func (c *Core) fenceOwner(key recoveryKey) {
-	for id, link := range c.allAgents() {
+	for _, link := range c.allAgents() {
 		link.mu.Lock()
 		ask := link.connected && link.hello.Service == key.service
 		link.mu.Unlock()
 		if ask {
-			c.askFence(id, key)
+			c.askFence(link.hello.Incarnation, key)
 		}
 	}
 }
@@ -114,6 +116,7 @@
 		}
 	}
 	c.peers.mu.Unlock()
+	slices.SortFunc(keys, func(a, b recoveryKey) int { return cmp.Compare(a.owner, b.owner) })
 	for _, key := range keys {
 		c.askFence(agent, key)
 	}
--- a/process/fencing/dump.go
+++ b/process/fencing/dump.go
@@ -11,7 +11,6 @@
 	Entry string `json:"entry"`
 	// SilentMS is the time since the last message, in milliseconds.
 	SilentMS int64  `json:"silent_ms"`
-	Lapsed   bool   `json:"lapsed"`
 	Fenced   bool   `json:"fenced"`
 	High     uint64 `json:"high"`
 	Open     int    `json:"open"`
@@ -22,10 +21,10 @@
 // Dump returns the state of every sender that is not forgotten.
 func (g *Guard) Dump(now time.Time) []SenderDump {
 	var dumps []SenderDump
-	for entry, s := range g.snapshot() {
+	for _, s := range g.snapshot() {
 		s.mu.Lock()
-		dumps = append(dumps, SenderDump{Entry: entry.String(), SilentMS: wire.Milliseconds(now.Sub(s.lastHeard)),
-			Lapsed: s.lapsed, Fenced: s.fenced, High: s.high, Open: len(s.starts),
+		dumps = append(dumps, SenderDump{Entry: s.entry.String(), SilentMS: wire.Milliseconds(now.Sub(s.lastHeard)),
+			Fenced: s.fenced, High: s.high, Open: len(s.starts),
 			Missing: len(s.missing), Archived: len(s.archive)})
 		s.mu.Unlock()
 	}
--- a/process/fencing/guard.go
+++ b/process/fencing/guard.go
@@ -9,6 +9,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,8 +61,9 @@
 	// retired holds the high-water marks of senders that went silent. An entry
 	// that comes back after a long partition goes on from there.
 	retired map[wire.Incarnation]uint64
-	// fenced is kept for the life of the agent: one number per dead entry.
-	fenced map[wire.Incarnation]struct{}
+	// fenced holds, for the life of the agent, the high-water marks of the
+	// entries that are refused for good.
+	fenced map[wire.Incarnation]uint64
 
 	heldBytes atomic.Int64
 	started   startedSet
@@ -72,7 +75,7 @@
 	return &Guard{self: self, limits: limits, violated: violated,
 		senders: make(map[wire.Incarnation]*sender),
 		retired: make(map[wire.Incarnation]uint64),
-		fenced:  make(map[wire.Incarnation]struct{}),
+		fenced:  make(map[wire.Incarnation]uint64),
 		started: startedSet{tasks: make(map[taskID]int)},
 	}
 }
@@ -86,14 +89,13 @@
 	}
 	s, ok := g.senders[entry]
 	if !ok {
-		s = newSender(g.retired[entry])
+		s = newSender(entry, g.retired[entry])
 		delete(g.retired, entry)
 		g.senders[entry] = s
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastHeard = now
-	s.lapsed = false
 }
 
 // Heard renews the lease of an entry and reports whether it still held. A lapsed
@@ -107,7 +109,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.leaseHolds(now, g.limits.Lease) {
-		s.lapsed = true
 		return false
 	}
 	s.lastHeard = now
@@ -131,24 +132,21 @@
 	}
 	s := g.lookup(entry)
 	if s == nil {
-		// Without a connection there is no lease; this also covers fenced
-		// senders, whose state is dropped.
-		if g.Fenced(entry) {
-			return refused(task, wire.NotStartedFenced)
-		}
-		return refused(task, wire.NotStartedLease)
+		return refused(task, g.refusalOfAbsent(entry, task.Seq))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.fenced {
-		return refused(task, wire.NotStartedFenced)
-	}
+	// What is known of the sequence comes before the fence: a fenced entry that
+	// sends a dispatch again must not be told that it was not started.
 	if s.settled(task.Seq) {
 		return refused(task, wire.NotStartedDuplicate)
 	}
 	if earlier, ok := s.starts[task.Seq]; ok {
 		return earlier.offer()
 	}
+	if s.fenced {
+		return refused(task, wire.NotStartedFenced)
+	}
 	switch {
 	case !s.leaseHolds(now, g.limits.Lease):
 		refuse = wire.NotStartedLease
@@ -160,6 +158,24 @@
 	return s.record(now, task, refuse, g.limits)
 }
 
+// refusalOfAbsent returns the reason for a sender of which at most a high-water
+// mark is left.
+func (g *Guard) refusalOfAbsent(entry wire.Incarnation, seq uint64) wire.NotStarted {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	high, fenced := g.fenced[entry]
+	if !fenced {
+		high = g.retired[entry]
+	}
+	switch {
+	case seq <= high:
+		return wire.NotStartedDuplicate
+	case fenced:
+		return wire.NotStartedFenced
+	}
+	return wire.NotStartedLease
+}
+
 // Begin is called immediately before the target is called. It returns the
 // reason if the task must not start after all; the reason is then the task's
 // end and holds for good.
@@ -272,16 +288,17 @@
 	defer g.mu.Unlock()
 	s, ok := g.senders[entry]
 	if !ok {
-		g.fenced[entry] = struct{}{}
+		g.fenced[entry] = max(g.fenced[entry], g.retired[entry])
+		delete(g.retired, entry)
 		return false, nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.fenced && !s.lapsed && now.Sub(s.lastHeard) < silent {
+	if !s.fenced && now.Sub(s.lastHeard) < silent {
 		return true, nil
 	}
 	s.fence(now)
-	g.fenced[entry] = struct{}{}
+	g.fenced[entry] = s.high
 	return false, s.heldTasks()
 }
 
@@ -297,7 +314,7 @@
 // silent for SenderExpiry left open, and reduces those that hold nothing more
 // to one number.
 func (g *Guard) Expire(now time.Time) {
-	for entry, s := range g.snapshot() {
+	for _, s := range g.snapshot() {
 		s.mu.Lock()
 		silent := now.Sub(s.lastHeard) > g.limits.SenderExpiry
 		if silent && !s.fenced {
@@ -306,14 +323,14 @@
 		g.drop(s.expire(now, g.limits.ResultRetention))
 		s.mu.Unlock()
 		if silent {
-			g.reduce(now, entry, s)
+			g.reduce(now, s)
 		}
 	}
 	g.evictReleased()
 }
 
 // reduce keeps only the high-water mark of a sender that holds nothing.
-func (g *Guard) reduce(now time.Time, entry wire.Incarnation, s *sender) {
+func (g *Guard) reduce(now time.Time, s *sender) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s.mu.Lock()
@@ -321,9 +338,11 @@
 	if len(s.starts) > 0 || len(s.archive) > 0 || now.Sub(s.lastHeard) <= g.limits.SenderExpiry {
 		return
 	}
-	delete(g.senders, entry)
-	if !s.fenced {
-		g.retired[entry] = s.high
+	delete(g.senders, s.entry)
+	if s.fenced {
+		g.fenced[s.entry] = s.high
+	} else {
+		g.retired[s.entry] = s.high
 	}
 }
 
@@ -347,12 +366,14 @@
 	}
 }
 
-func (g *Guard) snapshot() map[wire.Incarnation]*sender {
+// snapshot lists the senders in a fixed order, so that a run in virtual time can
+// be repeated.
+func (g *Guard) snapshot() []*sender {
 	g.mu.RLock()
 	defer g.mu.RUnlock()
-	senders := make(map[wire.Incarnation]*sender, len(g.senders))
-	for entry, s := range g.senders {
-		senders[entry] = s
+	senders := make([]*sender, 0, len(g.senders))
+	for _, entry := range slices.Sorted(maps.Keys(g.senders)) {
+		senders = append(senders, g.senders[entry])
 	}
 	return senders
 }
--- a/process/fencing/sender.go
+++ b/process/fencing/sender.go
@@ -1,6 +1,8 @@
 package fencing
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,11 +12,10 @@
 
 // sender is what an agent remembers of one entry incarnation.
 type sender struct {
+	entry     wire.Incarnation
 	mu        sync.Mutex
 	lastHeard time.Time
-	// lapsed is set when the lease ended, until a new connection.
-	lapsed bool
-	fenced bool
+	fenced    bool
 	// A sequence up to high is settled, and never starts anything again,
 	// unless it is in starts or in missing. Sequences above high are new.
 	high uint64
@@ -28,8 +29,8 @@
 	archive []*start
 }
 
-func newSender(high uint64) *sender {
-	return &sender{high: high, starts: make(map[uint64]*start), missing: make(map[uint64]struct{})}
+func newSender(entry wire.Incarnation, high uint64) *sender {
+	return &sender{entry: entry, high: high, starts: make(map[uint64]*start), missing: make(map[uint64]struct{})}
 }
 
 type startState uint8
@@ -52,8 +53,10 @@
 	answer    wire.TaskAnswer
 }
 
+// leaseHolds stays false once it is: lastHeard is renewed while the lease holds,
+// or by a new connection.
 func (s *sender) leaseHolds(now time.Time, lease time.Duration) bool {
-	return !s.lapsed && now.Sub(s.lastHeard) <= lease
+	return now.Sub(s.lastHeard) <= lease
 }
 
 func (s *sender) settled(seq uint64) bool {
@@ -168,7 +171,7 @@
 			delete(s.missing, seq)
 		}
 	}
-	for seq := range s.starts {
+	for _, seq := range slices.Sorted(maps.Keys(s.starts)) {
 		if _, ok := open[seq]; !ok && seq <= high {
 			s.release(now, seq)
 		}
@@ -190,7 +193,7 @@
 // the sequences used so far.
 func (s *sender) retire(now time.Time) {
 	clear(s.missing)
-	for seq := range s.starts {
+	for _, seq := range slices.Sorted(maps.Keys(s.starts)) {
 		s.release(now, seq)
 	}
 }
@@ -210,9 +213,9 @@
 	for _, start := range s.archive {
 		tasks = append(tasks, start.held())
 	}
-	for _, start := range s.starts {
-		if start.ran {
-			tasks = append(tasks, start.held())
+	for _, seq := range slices.Sorted(maps.Keys(s.starts)) {
+		if s.starts[seq].ran {
+			tasks = append(tasks, s.starts[seq].held())
 		}
 	}
 	return tasks
@@ -221,7 +224,8 @@
 // expire settles what ended unneeded and returns the results that are past
 // their retention.
 func (s *sender) expire(now time.Time, retention time.Duration) []*start {
-	for seq, start := range s.starts {
+	for _, seq := range slices.Sorted(maps.Keys(s.starts)) {
+		start := s.starts[seq]
 		unneeded := start.released || s.fenced && now.Sub(start.endedAt) > retention
 		if start.state == ended && unneeded {
 			s.settle(now, seq, start)
