version/config: check verdicts under races, fuzz the decoders, document settings

Cause: verdicts must be the same for every reader, and Merge must give a usable configuration for any bytes. A file that ends in a comment without a newline now parses; the example failed on it. Ruled out: a bound on faults per file, because a file of withdrawals has no fault.

--- a/version/config/build.go
+++ b/version/config/build.go
@@ -28,10 +28,13 @@
 
 // entries returns the names of the services or teams, sorted.
 func (m *merger) entries(section string) []string {
+	node := m.set.get(section)
+	if node == nil {
+		return nil
+	}
 	var names []string
-	for path := range m.set {
-		name, ok := strings.CutPrefix(path, section+".")
-		if ok && !strings.Contains(name, ".") {
+	for name, member := range node.members {
+		if member.setting != nil {
 			names = append(names, name)
 		}
 	}
@@ -43,7 +46,7 @@
 func fill[T any](m *merger, target *T, fields []numberField[T], name string) {
 	for _, f := range fields {
 		path, value := pathFor(f.Field, name), f.Default
-		if s, ok := m.set[path]; ok {
+		if s, ok := m.set.value(path); ok {
 			value = s.number
 		}
 		f.set(target, value)
@@ -54,7 +57,8 @@
 func pathFor(f Field, name string) string { return strings.Replace(f.Path, anyName, name, 1) }
 
 func (m *merger) addValue(path, text, unit string) {
-	m.values = append(m.values, Value{Path: path, Text: text, Unit: unit, File: m.set[path].file})
+	s, _ := m.set.value(path)
+	m.values = append(m.values, Value{Path: path, Text: text, Unit: unit, File: s.file})
 }
 
 // serviceTeams returns the teams that may submit to a service. A name of a team
@@ -62,7 +66,7 @@
 // stays a list that admits none.
 func (m *merger) serviceTeams(service string, teams map[string]Team) []string {
 	path := pathFor(serviceTeamsField, service)
-	s, ok := m.set[path]
+	s, ok := m.set.value(path)
 	if !ok {
 		m.addValue(path, "every team", "")
 		return nil
--- /dev/null
+++ b/version/config/example_test.go
@@ -0,0 +1,41 @@
+package config_test
+
+import (
+	"fmt"
+
+	"github.com/azurerouter/azurerouter/version/config"
+)
+
+// A later file adjusts an earlier one.
+func ExampleMerge() {
+	merged, faults := config.Merge([]config.File{
+		{Name: "10-base.json", Content: []byte(`{"services": {"card": {"queue_limit": 500}}}`)},
+		{Name: "20-peak.json", Content: []byte(`{"services": {"card": {"queue_limit": 900, "max_backlg": 2}}} // peak season`)},
+	})
+	fmt.Println(merged.Config.Services["card"].QueueLimit, merged.Source["services.card.queue_limit"])
+	fmt.Println(faults[0].File, faults[0].Line, faults[0].Field, faults[0].Message)
+	// Output:
+	// 900 20-peak.json
+	// 20-peak.json 1 services.card.max_backlg unknown field, nearest known name is "max_backlog"
+}
+
+// Two operators change the same file against the same version.
+func ExampleState_Apply() {
+	state := config.NewState()
+	for i, operator := range []string{"anna", "ben"} {
+		record, err := config.EncodeChange(config.Change{
+			ID:   operator,
+			Base: map[string]uint64{"10-base.json": 0},
+			Put:  map[string][]byte{"10-base.json": []byte("{}")},
+		})
+		if err != nil {
+			fmt.Println(err)
+			return
+		}
+		verdict, err := state.Apply(uint64(i+1), 1, record)
+		fmt.Println(verdict.ID, verdict.Accepted, verdict.Conflict, err)
+	}
+	// Output:
+	// anna true  <nil>
+	// ben false 10-base.json <nil>
+}
--- /dev/null
+++ b/version/config/fuzz_test.go
@@ -0,0 +1,92 @@
+package config
+
+import (
+	"reflect"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/tailscale/hujson"
+)
+
+// FuzzMerge guards against a file that stops a reader: Merge must return a
+// usable configuration for any bytes, with every value in its range, and must
+// report a file that does not parse.
+func FuzzMerge(f *testing.F) {
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		files := []File{{Name: "20.json", Content: second}, {Name: "10.json", Content: first}}
+		merged, faults := Merge(files)
+		if again, _ := Merge(files); !reflect.DeepEqual(merged, again) {
+			t.Fatalf("second merge differs: %+v and %+v", merged, again)
+		}
+		if _, err := hujson.Parse(append(first, '\n')); err != nil && len(faults) == 0 {
+			t.Fatalf("no fault for a file that does not parse: %v", err)
+		}
+		if len(Check(files)) < len(faults) {
+			t.Fatal("Check reports less than Merge")
+		}
+		for _, v := range merged.Values() {
+			checkValue(t, merged, v)
+		}
+	})
+}
+
+func checkValue(t *testing.T, merged Merged, v Value) {
+	field := fieldAt(v.Path)
+	if field == nil || v.File != merged.Source[v.Path] {
+		t.Fatalf("value %+v has no field or another source", v)
+	}
+	if n, err := strconv.ParseInt(v.Text, 10, 64); !field.List() && (err != nil || n < field.Min || n > field.Max) {
+		t.Fatalf("%s = %s, expected %s", v.Path, v.Text, field.Expected())
+	}
+}
+
+// fieldAt returns the setting of a path, in which the second part may be a name.
+func fieldAt(path string) *Field {
+	parts := strings.Split(path, ".")
+	for _, field := range Fields() {
+		pattern := strings.Split(field.Path, ".")
+		if len(pattern) == len(parts) && pattern[1] == anyName {
+			pattern[1] = parts[1]
+		}
+		if strings.Join(pattern, ".") == path {
+			return &field
+		}
+	}
+	return nil
+}
+
+// FuzzApply guards against a record that stops a reader, and against one that
+// is judged in another way by a reader that starts late.
+func FuzzApply(f *testing.F) {
+	first, err := EncodeChange(Change{ID: "f", Base: map[string]uint64{"a.json": 0}, Put: map[string][]byte{"a.json": []byte("{}")}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	early := NewState()
+	early.Apply(1, 1, first)
+	snapshot, err := early.EncodeSnapshot()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		reader, late := NewState(), NewState()
+		reader.Apply(1, 1, first)
+		verdict, err := reader.Apply(2, 1, data)
+		late.Apply(2, 2, data)
+		if reader.Offset() != 2 {
+			t.Fatalf("offset %d after record 2", reader.Offset())
+		}
+		// A record that is itself a snapshot closes the gap, whatever it holds.
+		if late.Offset() == 0 {
+			late.Apply(3, 2, snapshot)
+			judged := late.Deferred()
+			if len(judged) != 2 || judged[0].Verdict != verdict || (judged[0].Err == nil) != (err == nil) {
+				t.Fatalf("late reader has %+v, want %+v and %v", judged, verdict, err)
+			}
+		}
+		if !NewState().Restore(late.Offset(), late.Files()) {
+			t.Fatal("files of a state cannot be restored")
+		}
+	})
+}
--- a/version/config/merge.go
+++ b/version/config/merge.go
@@ -24,7 +24,7 @@
 
 // merger collects the settings of all files by dotted path.
 type merger struct {
-	set    map[string]setting
+	set    tree
 	faults []Fault
 	values []Value
 	file   *parsedFile
@@ -35,7 +35,7 @@
 // file that does not parse, an unknown field and a value out of range are
 // ignored and reported, and the rest takes effect.
 func Merge(files []File) (Merged, []Fault) {
-	m := &merger{set: map[string]setting{}}
+	m := &merger{}
 	for _, f := range sortedByName(files) {
 		if !f.Deleted() {
 			m.addFile(f)
@@ -43,9 +43,7 @@
 	}
 	merged := Merged{Config: m.build(), Source: map[string]string{}}
 	merged.values = m.values
-	for path, s := range m.set {
-		merged.Source[path] = s.file
-	}
+	m.set.sources("", merged.Source)
 	return merged, sortedFaults(m.faults)
 }
 
@@ -127,9 +125,9 @@
 			fmt.Sprintf("1 to %d letters, digits, '_' or '-', starting with a letter or digit", MaxNameBytes))
 		return
 	}
-	_, known := m.set[path]
+	_, known := m.set.value(path)
 	if _, isObject := member.Value.Value.(*hujson.Object); isObject && !known {
-		m.set[path] = setting{file: m.file.name, line: m.file.line(member.Name.StartOffset)}
+		m.set.put(path, setting{file: m.file.name, line: m.file.line(member.Name.StartOffset)})
 	}
 	m.add(path, node, member.Value)
 }
@@ -150,7 +148,7 @@
 			return
 		}
 		s.list = list
-		m.set[path] = s
+		m.set.put(path, s)
 		return
 	}
 	n, ok := number(v)
@@ -163,7 +161,7 @@
 		m.fault(v, path, fmt.Sprintf("%d is out of range", n), field.Expected())
 	default:
 		s.number = n
-		m.set[path] = s
+		m.set.put(path, s)
 	}
 }
 
@@ -193,14 +191,7 @@
 
 // withdraw removes the settings at and below a path.
 func (m *merger) withdraw(path string, v hujson.Value) {
-	found := false
-	for key := range m.set {
-		if key == path || strings.HasPrefix(key, path+".") {
-			delete(m.set, key)
-			found = true
-		}
-	}
-	if !found {
+	if !m.set.remove(path) {
 		m.fault(v, path, "null withdraws nothing", "a value that an earlier file sets")
 	}
 }
--- a/version/config/parse.go
+++ b/version/config/parse.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"sort"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -15,14 +16,26 @@
 
 // parsedFile is the syntax tree of one file.
 type parsedFile struct {
-	name    string
-	content []byte
-	root    hujson.Value
+	name string
+	root hujson.Value
+	// lineStarts holds the offset of the first byte of each line. Counting
+	// newlines for each fault would be quadratic in the size of the file.
+	lineStarts []int
+}
+
+func newParsedFile(f File) *parsedFile {
+	p := &parsedFile{name: f.Name, lineStarts: []int{0}}
+	for i, c := range f.Content {
+		if c == '\n' {
+			p.lineStarts = append(p.lineStarts, i+1)
+		}
+	}
+	return p
 }
 
 // line returns the line of a byte offset, counted from 1.
 func (p *parsedFile) line(offset int) int {
-	return 1 + bytes.Count(p.content[:min(offset, len(p.content))], []byte("\n"))
+	return sort.SearchInts(p.lineStarts, offset+1)
 }
 
 func parseFile(f File) (*parsedFile, *Fault) {
@@ -30,12 +43,14 @@
 		return nil, &Fault{File: f.Name, Message: fmt.Sprintf("file of %d bytes is too large", len(f.Content)),
 			Expected: fmt.Sprintf("at most %d bytes", MaxFileBytes)}
 	}
-	p := &parsedFile{name: f.Name, content: f.Content}
+	p := newParsedFile(f)
 	if offset, ok := tooDeep(f.Content); ok {
 		return nil, &Fault{File: f.Name, Line: p.line(offset), Message: "values are nested too deeply",
 			Expected: fmt.Sprintf("at most %d levels", maxDepth)}
 	}
-	value, err := hujson.Parse(f.Content)
+	// The parser refuses a line comment that the end of the file cuts off, which
+	// is what an editor that adds no last newline leaves behind.
+	value, err := hujson.Parse(append(bytes.Clone(f.Content), '\n'))
 	if err != nil {
 		return nil, syntaxFault(f.Name, err)
 	}
--- /dev/null
+++ b/version/config/state_test.go
@@ -0,0 +1,57 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+)
+
+// TestDeletionMarkExpires guards against marks of deleted files that pile up for
+// ever, and against readers that drop a mark at different offsets.
+func TestDeletionMarkExpires(t *testing.T) {
+	create, _ := EncodeChange(Change{ID: "c", Base: map[string]uint64{"a.json": 0}, Put: map[string][]byte{"a.json": []byte("{}")}})
+	remove, _ := EncodeChange(Change{ID: "d", Base: map[string]uint64{"a.json": 1}, Delete: []string{"a.json"}})
+	early := NewState()
+	early.Apply(1, 1, create)
+	early.Apply(2, 1, remove)
+	for early.Offset() < deletionRecords {
+		early.Apply(early.Next(), 1, nil)
+	}
+	peer := NewState()
+	if !peer.Restore(early.Offset(), early.Files()) {
+		t.Fatal("state not restored")
+	}
+	for i, want := range []bool{false, false, true} {
+		for name, s := range map[string]*State{"early": early, "peer": peer} {
+			if verdict, err := s.Apply(s.Next(), 1, create); err != nil || verdict.Accepted != want {
+				t.Errorf("%s reader, repetition %d: %+v, %v, want accepted %t", name, i, verdict, err, want)
+			}
+		}
+	}
+}
+
+// TestEncoderBounds guards against records that the log or a reader could not
+// take.
+func TestEncoderBounds(t *testing.T) {
+	big := Change{ID: "p", Base: map[string]uint64{"a.json": 0}, Put: map[string][]byte{"a.json": make([]byte, MaxFileBytes+1)}}
+	if _, err := EncodeChange(big); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("change with a large file: %v", err)
+	}
+	var files []File
+	for i := range MaxRecordBytes/MaxFileBytes + 1 {
+		files = append(files, File{Name: fmt.Sprintf("%d.json", i), Version: 1, Content: bytes.Repeat([]byte("x"), MaxFileBytes)})
+	}
+	s := NewState()
+	s.Restore(1, files)
+	if _, err := s.EncodeSnapshot(); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("snapshot of large files: %v", err)
+	}
+	if faults := Check(files); len(faults) == 0 || faults[0].File != "" {
+		t.Errorf("no fault for a folder of %d bytes", len(files)*MaxFileBytes)
+	}
+	if merged, faults := Merge([]File{{Name: "a.json", Content: make([]byte, MaxFileBytes+1)}}); len(faults) != 1 || len(merged.Source) > 0 {
+		t.Errorf("faults of a large file: %v", faults)
+	}
+}
