version/config: report the end of a file as its last line

Cause: the newline added for the parser moved an unexpected end one line past the file. Change: the line of a syntax fault is bounded by the lines of the file. Ruled out: adding the newline only where it is missing; a one-line file would then still be reported with line 2. Conclusion: the expected output of the test is unchanged.

--- a/version/config/parse.go
+++ b/version/config/parse.go
@@ -52,7 +52,9 @@
 	// is what an editor that adds no last newline leaves behind.
 	value, err := hujson.Parse(append(bytes.Clone(f.Content), '\n'))
 	if err != nil {
-		return nil, syntaxFault(f.Name, err)
+		fault := syntaxFault(f.Name, err)
+		fault.Line = min(fault.Line, len(p.lineStarts))
+		return nil, fault
 	}
 	p.root = value
 	return p, nil
