--- a/process/observe/admin.go
+++ b/process/observe/admin.go
@@ -68,10 +68,10 @@
 	if err != nil {
 		return errors.Wrap(err, "admin")
 	}
-	a.bound <- listener.Addr().String()
-	a.observer.Log.Info().Str("addr", listener.Addr().String()).Msg("admin listening")
 	signal.Notify(a.signals, syscall.SIGUSR1)
 	defer signal.Stop(a.signals)
+	a.bound <- listener.Addr().String()
+	a.observer.Log.Info().Str("addr", listener.Addr().String()).Msg("admin listening")
 	go a.dumpOnSignal()
 	err = a.server.Serve(listener)
 	if errors.Is(err, http.ErrServerClosed) {
--- a/process/observe/dump.go
+++ b/process/observe/dump.go
@@ -15,11 +15,16 @@
 	MaxDumpBytes = 1 << 20
 	// dumpTimeout bounds the wait for a dump function that waits for a lock.
 	dumpTimeout = 2 * time.Second
+	// maxStateBytes and maxTextBytes leave room for each other within
+	// MaxDumpBytes: the texts are those of at most 20 violations, and JSON
+	// escapes make a text up to six times as long.
+	maxStateBytes = MaxDumpBytes / 2
+	maxTextBytes  = 1 << 10
 )
 
 var (
 	errDumpRunning = errors.New("another dump is being taken")
-	errDumpTimeout = errors.Newf("no dump within %v", dumpTimeout)
+	errDumpTimeout = errors.New("the process took too long to describe its state")
 )
 
 // Dump is what /dump answers.
@@ -41,11 +46,12 @@
 	observer *Observer
 	state    func() any
 	ready    func() error
+	timeout  time.Duration
 	running  chan struct{}
 }
 
 func newDumper(o *Observer, state func() any, ready func() error) *dumper {
-	return &dumper{observer: o, state: state, ready: ready, running: make(chan struct{}, 1)}
+	return &dumper{observer: o, state: state, ready: ready, timeout: dumpTimeout, running: make(chan struct{}, 1)}
 }
 
 type dumpResult struct {
@@ -66,7 +72,7 @@
 		data, err := d.encode()
 		done <- dumpResult{data, err}
 	}()
-	timer := time.NewTimer(dumpTimeout)
+	timer := time.NewTimer(d.timeout)
 	defer timer.Stop()
 	select {
 	case result := <-done:
@@ -84,24 +90,27 @@
 	}
 	dump := Dump{Process: d.observer.name, Time: now, UptimeSeconds: now.Sub(d.observer.started).Seconds(), Ready: "yes"}
 	if err := d.ready(); err != nil {
-		dump.Ready = err.Error()
+		dump.Ready = shorten(err.Error())
 	}
 	dump.LastViolations, dump.Violations = d.observer.Violations()
 	for i := range dump.LastViolations {
 		dump.LastViolations[i].Detail = shorten(dump.LastViolations[i].Detail)
 	}
-	dump.State, dump.OmittedMembers = boundState(state, MaxDumpBytes/2)
-	return json.Marshal(dump)
+	dump.State, dump.OmittedMembers = boundState(state, maxStateBytes)
+	data, err := json.Marshal(dump)
+	if len(data) > MaxDumpBytes {
+		// The names of very many omitted members can exceed the limit.
+		dump.State, dump.OmittedMembers = omitState(state)
+		return json.Marshal(dump)
+	}
+	return data, err
 }
 
-// maxDetailBytes keeps the violations of a dump far below its limit.
-const maxDetailBytes = 1 << 10
-
-func shorten(detail string) string {
-	if len(detail) <= maxDetailBytes {
-		return detail
+func shorten(text string) string {
+	if len(text) <= maxTextBytes {
+		return text
 	}
-	return fmt.Sprintf("%s... (%d bytes)", detail[:maxDetailBytes], len(detail))
+	return fmt.Sprintf("%s... (%d bytes)", text[:maxTextBytes], len(text))
 }
 
 // boundState leaves out the largest members of an object until the rest fits
@@ -113,7 +122,7 @@
 	}
 	var members map[string]json.RawMessage
 	if err := json.Unmarshal(state, &members); err != nil {
-		return json.RawMessage("null"), map[string]int{"state": len(state)}
+		return omitState(state)
 	}
 	names := make([]string, 0, len(members))
 	for name := range members {
@@ -132,7 +141,11 @@
 	}
 	bounded, err := json.Marshal(members)
 	if err != nil {
-		return json.RawMessage("null"), map[string]int{"state": len(state)}
+		return omitState(state)
 	}
 	return bounded, omitted
 }
+
+func omitState(state []byte) (json.RawMessage, map[string]int) {
+	return json.RawMessage("null"), map[string]int{"state": len(state)}
+}
