--- /dev/null
+++ b/cmd/azurerouter/status.go
@@ -0,0 +1,185 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+	"unicode"
+
+	"github.com/azurerouter/azurerouter/process/observe"
+)
+
+const (
+	// statusReaders bounds the dumps that are fetched at once.
+	statusReaders = 16
+	defaultRows   = 40
+	// maxSummaryBytes keeps a row of the screen on one line.
+	maxSummaryBytes = 100
+	// shownViolations is the number of the latest violations on the screen.
+	shownViolations = 5
+)
+
+// processStatus is one row of the screen.
+type processStatus struct {
+	addr string
+	dump observe.Dump
+	err  error
+}
+
+// rank orders rows so that what needs attention is on the screen.
+func (s processStatus) rank() int {
+	switch {
+	case s.err != nil:
+		return 0
+	case len(s.dump.Violations) > 0:
+		return 1
+	case s.dump.Ready != observe.ReadyYes:
+		return 2
+	}
+	return 3
+}
+
+// runStatus shows the state of several processes on one screen. The exit code
+// is exitFailed if one of them does not answer.
+func runStatus(args []string, stdout, stderr io.Writer) int {
+	flags := flag.NewFlagSet("status", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	var addrs addressList
+	flags.Var(&addrs, "admin", "admin addresses of the processes, separated by commas; may be repeated")
+	rows := flags.Int("rows", defaultRows, "most processes to show")
+	if err := flags.Parse(args); err != nil {
+		return exitUsage
+	}
+	if len(addrs) == 0 || flags.NArg() != 0 {
+		fmt.Fprintln(stderr, "status: -admin ADDR[,ADDR...] is required")
+		return exitUsage
+	}
+	statuses := readStatuses(context.Background(), addrs)
+	sort.SliceStable(statuses, func(i, j int) bool { return statuses[i].rank() < statuses[j].rank() })
+	if err := printStatuses(stdout, statuses, *rows); err != nil {
+		fmt.Fprintf(stderr, "status: %v\n", err)
+		return exitFailed
+	}
+	if statuses[0].err != nil {
+		return exitFailed
+	}
+	return exitOK
+}
+
+func readStatuses(ctx context.Context, addrs []string) []processStatus {
+	statuses := make([]processStatus, len(addrs))
+	permits := make(chan struct{}, statusReaders)
+	var readers sync.WaitGroup
+	for i, addr := range addrs {
+		permits <- struct{}{}
+		readers.Go(func() {
+			defer func() { <-permits }()
+			dump, err := readDump(ctx, addr)
+			statuses[i] = processStatus{addr: addr, dump: dump, err: err}
+		})
+	}
+	readers.Wait()
+	return statuses
+}
+
+func printStatuses(w io.Writer, statuses []processStatus, rows int) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "ADMIN\tPROCESS\tREADY\tUPTIME\tVIOLATIONS\tSTATE")
+	for _, s := range statuses[:min(rows, len(statuses))] {
+		if s.err != nil {
+			fmt.Fprintf(table, "%s\t-\tno answer\t-\t-\t%s\n", s.addr, oneLine(s.err.Error()))
+			continue
+		}
+		uptime := time.Duration(s.dump.UptimeSeconds * float64(time.Second)).Round(time.Second)
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\n", s.addr, oneLine(s.dump.Process), oneLine(s.dump.Ready), uptime,
+			violationCounts(s.dump.Violations), summarize(s.dump.State))
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	printTotals(w, statuses, rows)
+	return nil
+}
+
+func printTotals(w io.Writer, statuses []processStatus, rows int) {
+	silent, notReady, violations := 0, 0, []observe.Violation(nil)
+	for _, s := range statuses {
+		switch {
+		case s.err != nil:
+			silent++
+		case s.dump.Ready != observe.ReadyYes:
+			notReady++
+		}
+		violations = append(violations, s.dump.LastViolations...)
+	}
+	if len(statuses) > rows {
+		fmt.Fprintf(w, "%d more processes are not shown\n", len(statuses)-rows)
+	}
+	fmt.Fprintf(w, "%d processes, %d without an answer, %d not ready\n", len(statuses), silent, notReady)
+	sort.SliceStable(violations, func(i, j int) bool { return violations[i].Time.After(violations[j].Time) })
+	for _, v := range violations[:min(shownViolations, len(violations))] {
+		fmt.Fprintf(w, "%s violated at %s, step %s, peer %q: %s\n", v.Guarantee, v.Time.Format(time.RFC3339), v.Step,
+			v.Peer, oneLine(v.Detail))
+	}
+}
+
+func violationCounts(counts map[string]uint64) string {
+	if len(counts) == 0 {
+		return "none"
+	}
+	parts := make([]string, 0, len(counts))
+	for guarantee, n := range counts {
+		parts = append(parts, fmt.Sprintf("%s:%d", guarantee, n))
+	}
+	sort.Strings(parts)
+	return strings.Join(parts, " ")
+}
+
+// summarize shows the scalar members of a state and the lengths of the others.
+func summarize(state json.RawMessage) string {
+	var members map[string]json.RawMessage
+	if json.Unmarshal(state, &members) != nil {
+		return oneLine(string(state))
+	}
+	parts := make([]string, 0, len(members))
+	for name, value := range members {
+		parts = append(parts, name+"="+summarizeMember(value))
+	}
+	sort.Strings(parts)
+	return oneLine(strings.Join(parts, " "))
+}
+
+func summarizeMember(value json.RawMessage) string {
+	var list []json.RawMessage
+	if value = bytes.TrimSpace(value); json.Unmarshal(value, &list) == nil && list != nil {
+		return fmt.Sprintf("[%d]", len(list))
+	}
+	var object map[string]json.RawMessage
+	if json.Unmarshal(value, &object) == nil && object != nil {
+		return fmt.Sprintf("{%d}", len(object))
+	}
+	return string(value)
+}
+
+// oneLine also replaces control characters, because texts of other processes
+// reach the operator's terminal.
+func oneLine(text string) string {
+	text = strings.Join(strings.Fields(text), " ")
+	if len(text) > maxSummaryBytes {
+		text = text[:maxSummaryBytes] + "..."
+	}
+	return strings.Map(func(r rune) rune {
+		if !unicode.IsPrint(r) {
+			return unicode.ReplacementChar
+		}
+		return r
+	}, text)
+}
--- /dev/null
+++ b/cmd/azurerouter/status_test.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/azurerouter/azurerouter/process/observe"
+)
+
+// announcedAddr takes the admin address from the log of a process.
+type announcedAddr chan string
+
+func (a announcedAddr) Write(line []byte) (int, error) {
+	var entry struct{ Message, Addr string }
+	if json.Unmarshal(line, &entry) == nil && entry.Message == "admin listening" {
+		a <- entry.Addr
+	}
+	return len(line), nil
+}
+
+// startProcess runs the admin server of a process and returns its address.
+func startProcess(t *testing.T, name string, ready error) (string, *observe.Observer) {
+	t.Helper()
+	addr := make(announcedAddr, 1)
+	observer := observe.New(name, addr)
+	state := func() any { return map[string]any{"queue": 7, "agents": []int{1, 2, 3}} }
+	execute, interrupt := observe.Admin("127.0.0.1:0", observer, state, func() error { return ready })
+	ended := make(chan error, 1)
+	go func() { ended <- execute() }()
+	t.Cleanup(func() {
+		interrupt(nil)
+		<-ended
+		observer.Close()
+	})
+	return <-addr, observer
+}
+
+// silentAddr returns an address at which nothing listens.
+func silentAddr(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// Guards against a screen that looks healthy although a process is dead, is
+// not ready or has violated a guarantee.
+func TestStatusShowsWhatNeedsAttention(t *testing.T) {
+	good, _ := startProcess(t, "entry-1", nil)
+	waiting, _ := startProcess(t, "entry-2", errors.New("no\x1b[2J configuration"))
+	violated, observer := startProcess(t, "entry-3", nil)
+	observer.Violated("G5", "dispatch", "agent-9", "started twice")
+	silent := silentAddr(t)
+
+	var stdout, stderr bytes.Buffer
+	code := runStatus([]string{"-admin", good + "," + waiting, "-admin", violated + "," + silent}, &stdout, &stderr)
+	if code != exitFailed {
+		t.Errorf("exit code %d: %s", code, stderr.String())
+	}
+	lines := strings.Split(stdout.String(), "\n")
+	want := [][]string{{silent, "no answer"}, {violated, "G5:1"}, {waiting, "configuration"},
+		{good, "entry-1", "yes", "none", "agents=[3] queue=7"}, {"4 processes, 1 without an answer, 1 not ready"},
+		{"G5 violated", "started twice"}}
+	for i, parts := range want {
+		for _, part := range parts {
+			if !strings.Contains(lines[i+1], part) {
+				t.Errorf("line %d lacks %q: %s", i+1, part, lines[i+1])
+			}
+		}
+	}
+	if strings.Contains(stdout.String(), "\x1b") {
+		t.Error("a control character of another process reached the screen")
+	}
+	if code := runStatus([]string{"-admin", good}, &stdout, &stderr); code != exitOK {
+		t.Errorf("healthy process: exit code %d: %s", code, stderr.String())
+	}
+}
+
+// Guards against a dump command that reports success without a dump.
+func TestDumpPrintsStateOrFails(t *testing.T) {
+	addr, _ := startProcess(t, "entry-1", nil)
+	var stdout, stderr bytes.Buffer
+	if code := runDump([]string{addr}, &stdout, &stderr); code != exitOK {
+		t.Errorf("exit code %d: %s", code, stderr.String())
+	}
+	var dump observe.Dump
+	if err := json.Unmarshal(stdout.Bytes(), &dump); err != nil || dump.Process != "entry-1" {
+		t.Errorf("dump %+v, error %v", dump, err)
+	}
+	if code := runDump([]string{silentAddr(t)}, &stdout, &stderr); code != exitFailed {
+		t.Errorf("silent process: exit code %d", code)
+	}
+}
--- a/process/observe/dump.go
+++ b/process/observe/dump.go
@@ -27,6 +27,10 @@
 	errDumpTimeout = errors.New("the process took too long to describe its state")
 )
 
+// ReadyYes is the value of Dump.Ready in a process that is ready. Any other value
+// says why it is not.
+const ReadyYes = "yes"
+
 // Dump is what /dump answers.
 type Dump struct {
 	Process        string            `json:"process"`
@@ -88,7 +92,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode state")
 	}
-	dump := Dump{Process: d.observer.name, Time: now, UptimeSeconds: now.Sub(d.observer.started).Seconds(), Ready: "yes"}
+	dump := Dump{Process: d.observer.name, Time: now, UptimeSeconds: now.Sub(d.observer.started).Seconds(), Ready: ReadyYes}
 	if err := d.ready(); err != nil {
 		dump.Ready = shorten(err.Error())
 	}
