scheduler: start no task that is about to time out while others wait

Change: a task that has waited and has less than the mean run time left is handed to Expire if other tasks wait for the slot.

--- a/process/scheduler/choose.go
+++ b/process/scheduler/choose.go
@@ -51,7 +51,7 @@
 			break
 		}
 		task := r.s.queue.head(c)
-		if !task.Deadline.After(r.now) {
+		if r.hopeless(task) {
 			r.s.queue.remove(task.ID)
 			r.s.queue.expired = append(r.s.queue.expired, task)
 			continue
@@ -69,6 +69,17 @@
 	return Task{}, nil
 }
 
+// hopeless reports whether the deadline has passed or, while other tasks wait
+// for the slot, leaves less than the mean run time to a task that has waited.
+func (r *round) hopeless(task Task) bool {
+	remaining := task.Deadline.Sub(r.now)
+	if remaining <= 0 {
+		return true
+	}
+	mean := r.s.runTime.value
+	return remaining < mean && r.now.Sub(task.Enqueued) > mean && r.s.queue.len() > r.idle
+}
+
 func (r *round) start(task Task, t *target) {
 	r.s.queue.remove(task.ID)
 	t.start(task)
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -197,7 +197,8 @@
 // Cancel removes a waiting task. It reports false if the task does not wait.
 func (s *Scheduler) Cancel(id TaskID) bool { return s.queue.remove(id) }
 
-// Expire removes and returns the waiting tasks whose deadline has passed.
+// Expire removes and returns the waiting tasks whose deadline has passed, or was
+// too close when their turn came while others waited.
 func (s *Scheduler) Expire(now time.Time) []Task { return s.queue.expire(now) }
 
 // Assign returns everything that may be sent now. The tasks leave the queue.
--- a/process/scheduler/scheduler_test.go
+++ b/process/scheduler/scheduler_test.go
@@ -196,3 +196,25 @@
 	expectCode(t, s.Admit(start, []Task{urgent(9, 3500*time.Millisecond)}), refusal.Overloaded)
 	mustAdmit(t, s, start, urgent(10, 5*time.Second))
 }
+
+// Guards against slots spent in overload on tasks that are about to time out,
+// and against the same rule dropping a task whose caller chose a short deadline.
+func TestHopelessTasksYieldOnlyWhenOthersWait(t *testing.T) {
+	s := withTargets(Settings{}, Target{ID: 1, Slots: 1})
+	mustAdmit(t, s, start, urgent(0, time.Hour))
+	s.Assign(start, newRandom())
+	mustAdmit(t, s, start, urgent(1, 4*time.Second))
+	mustAdmit(t, s, start, urgent(2, time.Hour))
+	s.Finish(start, 1, TaskID{Index: 0}, EndOK, time.Second)
+	assigned := s.Assign(at(3500*time.Millisecond), newRandom())
+	if len(assigned) != 1 || assigned[0].Task.ID.Index != 2 {
+		t.Fatalf("assigned %v, want task 2", assigned)
+	}
+	s.Finish(at(4*time.Second), 1, TaskID{Index: 2}, EndOK, time.Second)
+	short := urgent(3, 4500*time.Millisecond)
+	short.Enqueued = at(4 * time.Second)
+	mustAdmit(t, s, short.Enqueued, short)
+	if n := len(s.Assign(short.Enqueued, newRandom())); n != 1 {
+		t.Errorf("a task with a short deadline was not sent to an idle target")
+	}
+}
