scheduler: use failing targets beyond the ejection limit last

Change: a target that fails but may not be ejected gets tasks only if no other target has room, and one probe at a time. One target of a zone may always be ejected, since 30 % of the 2 or 3 targets that a zone has at both users is none.

--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -30,6 +30,7 @@
 		{Name: "wrong sizes", Load: 0.8, wrongSizes: true},
 		{Name: "burst", Load: 0.8, rate: burst},
 		{Name: "fails all", Load: 0.8, faults: oneTarget(func(a *agent, on bool) { a.failing = on })},
+		{Name: "zone fails", Load: 0.6, faults: zoneFails},
 		{Name: "hangs", Load: 0.8, faults: oneTarget(func(a *agent, on bool) { a.hanging = on })},
 		{Name: "zone lost", Load: 0.6, faults: loseZone},
 		{Name: "restarts", Load: 0.8, faults: restartAll},
@@ -64,6 +65,17 @@
 	}
 }
 
+// zoneFails makes all targets of zone c fail everything, more than the limit on
+// ejections covers.
+func zoneFails(c *cluster) {
+	for _, a := range c.agents {
+		if a.zone == 2 {
+			c.at(c.cfg.Duration/3, func() { a.failing = true })
+			c.at(2*c.cfg.Duration/3, func() { a.failing = false })
+		}
+	}
+}
+
 // loseZone loses the agents of zone c and brings them back.
 func loseZone(c *cluster) {
 	for _, a := range c.agents {
--- a/process/scheduler/choose.go
+++ b/process/scheduler/choose.go
@@ -162,18 +162,24 @@
 // choose returns the target for a task by the policy of the service, or nil.
 func (r *round) choose(task Task) *target {
 	candidates := make([]*target, 0, len(r.open))
-	var avoided *target
+	var avoided, last *target
 	for _, t := range r.open {
 		switch {
 		case !t.fits(task.Needs):
+		case t.lastResort(r.now):
+			last = t
 		case t.ID == task.Avoid:
 			avoided = t
 		default:
 			candidates = append(candidates, t)
 		}
 	}
-	if len(candidates) == 0 {
+	switch {
+	case len(candidates) > 0:
+	case avoided != nil:
 		return avoided
+	default:
+		return last
 	}
 	first := candidates[r.random.IntN(len(candidates))]
 	switch r.s.settings.Policy {
--- a/process/scheduler/ejection.go
+++ b/process/scheduler/ejection.go
@@ -21,6 +21,9 @@
 type health struct {
 	state           healthState
 	samples, failed float64
+	// capped marks an ejected target that stays in use as a last resort because
+	// the limit of its availability zone is reached.
+	capped bool
 	// probeAt is when an ejected target may get its next probe.
 	probeAt time.Time
 	backoff time.Duration
@@ -31,7 +34,10 @@
 func (h *health) allowance(now time.Time) int {
 	switch h.state {
 	case ejected:
-		if now.Before(h.probeAt) {
+		switch {
+		case h.capped:
+			return math.MaxInt
+		case now.Before(h.probeAt):
 			return 0
 		}
 		return 1
@@ -51,6 +57,13 @@
 
 func (h *health) clear() { h.samples, h.failed = 0, 0 }
 
+// lastResort reports whether other targets go first: the target is ejected in
+// all but capacity, and no probe is due.
+func (t *target) lastResort(now time.Time) bool {
+	h := &t.health
+	return h.state == ejected && h.capped && (now.Before(h.probeAt) || len(t.running) > 0)
+}
+
 // judge takes one answer of a target into account.
 func (s *Scheduler) judge(now time.Time, t *target, ok bool) {
 	h := &t.health
@@ -61,12 +74,21 @@
 	case readmitting:
 		s.judgeStep(now, t, ok)
 	default:
-		if h.samples >= float64(s.settings.EjectSamples)*0.9 && h.failed >= s.settings.EjectShare*h.samples && s.mayEject(t) {
+		if h.samples >= float64(s.settings.EjectSamples)*0.9 && h.failed >= s.settings.EjectShare*h.samples {
 			s.eject(now, t, s.settings.ProbeAfter)
 		}
 	}
 }
 
+// eject stops using a target but for probes.
+func (s *Scheduler) eject(now time.Time, t *target, backoff time.Duration) {
+	t.health.capped = !s.mayEject(t)
+	t.health.state = ejected
+	t.health.backoff = min(backoff, s.settings.ProbeMax)
+	t.health.probeAt = now.Add(t.health.backoff)
+	t.health.clear()
+}
+
 // mayEject applies the limit per availability zone. Targets that are dead or
 // gone are not counted.
 func (s *Scheduler) mayEject(t *target) bool {
@@ -76,20 +98,13 @@
 			continue
 		}
 		live++
-		if other.health.state != healthy {
+		if other != t && other.health.state != healthy && !other.health.capped {
 			out++
 		}
 	}
 	return len(s.order) > 1 && out < max(1, int(s.settings.EjectZoneCap*float64(live)))
 }
 
-func (s *Scheduler) eject(now time.Time, t *target, backoff time.Duration) {
-	t.health.state = ejected
-	t.health.backoff = min(backoff, s.settings.ProbeMax)
-	t.health.probeAt = now.Add(t.health.backoff)
-	t.health.clear()
-}
-
 func (s *Scheduler) judgeProbe(now time.Time, t *target, ok bool) {
 	if now.Before(t.health.probeAt) {
 		return // The answer is to a task sent before the ejection.
@@ -98,7 +113,7 @@
 		s.eject(now, t, 2*t.health.backoff)
 		return
 	}
-	t.health.state = readmitting
+	t.health.state, t.health.capped = readmitting, false
 	t.health.step, t.health.stepOK = 2, 0
 }
 
