scheduler: let tasks wait before they take a target of last resort

Cause: with a failing zone at 60 % load, 631 tasks failed although the healthy targets had capacity for all: batch work fills the healthy slots, and urgent tasks took the failing target instead of waiting some ms for a slot. Change: an urgent task takes a last resort after 1 s of waiting, a batch task after the aging time.

--- a/process/scheduler/choose.go
+++ b/process/scheduler/choose.go
@@ -16,6 +16,11 @@
 // that fits on no target beside the tasks that run there.
 const holdAfter = time.Second
 
+// lastResortAfter is the waiting time of an urgent task after which it is sent
+// to a target of last resort. Healthy targets free a slot much sooner unless
+// they are overloaded.
+const lastResortAfter = time.Second
+
 // round is one pass of Assign.
 type round struct {
 	s       *Scheduler
@@ -36,7 +41,9 @@
 		r.slots += t.Slots
 		if room := t.room(now, &s.settings); room > 0 {
 			r.open = append(r.open, t)
-			r.idle += room
+			if !t.lastResort(now) {
+				r.idle += room
+			}
 		}
 	}
 	return r
@@ -82,9 +89,11 @@
 
 func (r *round) start(task Task, t *target) {
 	r.s.queue.remove(task.ID)
+	if !t.lastResort(r.now) {
+		r.idle--
+	}
 	t.start(task)
 	r.s.running[task.ID] = t
-	r.idle--
 	if t.room(r.now, &r.s.settings) <= 0 {
 		r.close(t)
 	}
@@ -167,7 +176,9 @@
 		switch {
 		case !t.fits(task.Needs):
 		case t.lastResort(r.now):
-			last = t
+			if r.takesLastResort(task) {
+				last = t
+			}
 		case t.ID == task.Avoid:
 			avoided = t
 		default:
@@ -195,6 +206,16 @@
 	return best
 }
 
+// takesLastResort reports whether a task has waited so long that a target which
+// fails most tasks is better than none.
+func (r *round) takesLastResort(task Task) bool {
+	patience := lastResortAfter
+	if task.Priority == job.Batch {
+		patience = r.s.settings.BatchAging
+	}
+	return r.now.Sub(task.Enqueued) >= patience
+}
+
 // lessLoaded compares the shares of busy slots and prefers a in a tie.
 func lessLoaded(a, b *target) *target {
 	if b.outstanding()*a.Slots < a.outstanding()*b.Slots {
