bench: add a scenario in which inputs fail on every target

Cause: ejection by the share of failed answers was compared only with faults of targets, not of the work. Change: scenario "bad inputs": 60 % of the tasks fail everywhere for a third of the run.

--- a/bench/agent.go
+++ b/bench/agent.go
@@ -77,7 +77,7 @@
 		run *= swapFactor
 	}
 	end := scheduler.EndOK
-	if a.failing {
+	if a.failing || arrival.poison < a.c.poisoned {
 		run, end = failAfter, scheduler.EndFailed
 	}
 	if left := arrival.deadline - a.c.now; a.hanging || run > left {
--- a/bench/arrivals.go
+++ b/bench/arrivals.go
@@ -30,6 +30,9 @@
 	job      int
 	// declared and actual are memory needs in MB.
 	declared, actual int
+	// poison is a number from 0 to 1; tasks below the current share of failing
+	// inputs fail on every target.
+	poison float64
 }
 
 // generate returns Poisson arrivals for the load, a share of the slots. rate
@@ -53,6 +56,7 @@
 		for range tasks {
 			a := arrival{at: now, run: drawRun(random), deadline: now + deadline, priority: priority, job: number}
 			a.declared, a.actual = drawMemory(random, cfg.WrongSizes)
+			a.poison = random.Float64()
 			all = append(all, a)
 		}
 	}
--- a/bench/cluster.go
+++ b/bench/cluster.go
@@ -90,9 +90,11 @@
 	messages     [messageKinds]int
 	wasted       int
 	starts       int
-	retries      int
-	doubleEnds   int
-	busy         []sample
+	// poisoned is the share of tasks that now fail on every target.
+	poisoned   float64
+	retries    int
+	doubleEnds int
+	busy       []sample
 }
 
 func newCluster(cfg Config) *cluster {
--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -31,6 +31,7 @@
 		{Name: "burst", Load: 0.8, rate: burst},
 		{Name: "fails all", Load: 0.8, faults: oneTarget(func(a *agent, on bool) { a.failing = on })},
 		{Name: "zone fails", Load: 0.6, faults: zoneFails},
+		{Name: "bad inputs", Load: 0.8, faults: badInputs},
 		{Name: "hangs", Load: 0.8, faults: oneTarget(func(a *agent, on bool) { a.hanging = on })},
 		{Name: "zone lost", Load: 0.6, faults: loseZone},
 		{Name: "restarts", Load: 0.8, faults: restartAll},
@@ -76,6 +77,12 @@
 	}
 }
 
+// badInputs makes 60 % of all tasks fail on every target.
+func badInputs(c *cluster) {
+	c.at(c.cfg.Duration/3, func() { c.poisoned = 0.6 })
+	c.at(2*c.cfg.Duration/3, func() { c.poisoned = 0 })
+}
+
 // loseZone loses the agents of zone c and brings them back.
 func loseZone(c *cluster) {
 	for _, a := range c.agents {
