scheduler: compare failed shares between targets before an ejection

Cause: with 60 % of all inputs failing everywhere, every target passed the limit of 50 %, one per zone was ejected, the others became a last resort, and 6,167 of 31,698 tasks were refused for lack of capacity. Ruled out: a higher limit, which only moves the point; a fixed margin of 0.3 over the others alone, since a trace showed ejections by chance after 5 to 19 answers (share 0.51, others 0.13, while the inputs turned bad). Change: the failed share must also exceed that of the other targets by 0.3 and by three standard deviations.

--- a/process/scheduler/ejection.go
+++ b/process/scheduler/ejection.go
@@ -17,6 +17,18 @@
 // the last 20 answers count.
 const sampleDecay = 0.95
 
+// ejectMargin is how far the failed share of a target must exceed the mean of
+// the other targets. Work that fails everywhere is no fault of a target.
+// ejectDeviations is the least margin in standard deviations of the difference,
+// so that no target is ejected by chance after few answers.
+const (
+	ejectMargin     = 0.3
+	ejectDeviations = 3
+)
+
+// sampleSlack allows for the decay of the first few answers.
+const sampleSlack = 0.9
+
 // health judges a target by the share of failed answers among recent ones.
 type health struct {
 	state           healthState
@@ -74,12 +86,38 @@
 	case readmitting:
 		s.judgeStep(now, t, ok)
 	default:
-		if h.samples >= float64(s.settings.EjectSamples)*0.9 && h.failed >= s.settings.EjectShare*h.samples {
+		if s.isBad(t) {
 			s.eject(now, t, s.settings.ProbeAfter)
 		}
 	}
 }
 
+// isBad compares the failed share of a target with the limit and with that of
+// the other targets in use.
+func (s *Scheduler) isBad(t *target) bool {
+	h := &t.health
+	if h.samples < float64(s.settings.EjectSamples)*sampleSlack || h.failed < s.settings.EjectShare*h.samples {
+		return false
+	}
+	share, mean := h.failed/h.samples, s.failedShareBeside(t)
+	deviation := math.Sqrt((share*(1-share) + mean*(1-mean)) / h.samples)
+	return share >= mean+max(ejectMargin, ejectDeviations*deviation)
+}
+
+// failedShareBeside returns the failed share of all targets but one. It is 0 as
+// long as the others have not answered: a target that fails at once is judged
+// before the first task elsewhere ends.
+func (s *Scheduler) failedShareBeside(t *target) float64 {
+	failed, samples := 0.0, 0.0
+	for _, other := range s.order {
+		if other != t {
+			failed += other.health.failed
+			samples += other.health.samples
+		}
+	}
+	return failed / max(1, samples)
+}
+
 // eject stops using a target but for probes.
 func (s *Scheduler) eject(now time.Time, t *target, backoff time.Duration) {
 	t.health.capped = !s.mayEject(t)
--- a/process/scheduler/ejection_test.go
+++ b/process/scheduler/ejection_test.go
@@ -181,3 +181,21 @@
 		t.Errorf("%d retries long after the successes, want 10", n)
 	}
 }
+
+// Guards against work that fails on every target taking targets out of use.
+func TestBadInputsEjectNothing(t *testing.T) {
+	s := withTargets(Settings{Policy: Random}, zoneOf("a", 1, 10)...)
+	count := 0
+	for range 2000 {
+		runOne(t, s, start, func(wire.Incarnation) End {
+			count++
+			if count%5 < 3 {
+				return EndFailed
+			}
+			return EndOK
+		})
+		if n := states(s)["healthy"]; n < 10 {
+			t.Fatalf("%d of 10 targets in use", n)
+		}
+	}
+}
