scheduler: keep a task that was set aside cancellable

Cause: a model test under random calls found a task that Cancel reported as not waiting and that Expire returned afterwards, so the entry would have ended it twice: Assign moved such tasks to a list that Cancel did not know. Ruled out: searching that list, which is slow when many tasks expire at once. Change: a task that is set aside stays in the index and in the heap of deadlines, due at once. Conclusion: one place holds every waiting task.

--- a/process/scheduler/choose.go
+++ b/process/scheduler/choose.go
@@ -59,8 +59,7 @@
 		}
 		task := r.s.queue.head(c)
 		if r.hopeless(task) {
-			r.s.queue.remove(task.ID)
-			r.s.queue.expired = append(r.s.queue.expired, task)
+			r.s.queue.setAside(task.ID)
 			continue
 		}
 		t := r.choose(task)
--- a/process/scheduler/queue.go
+++ b/process/scheduler/queue.go
@@ -22,13 +22,15 @@
 	elements  map[TaskID]*item
 	deadlines deadlineHeap
 	waiting   map[job.Priority]int
-	// expired holds tasks that were found past their deadline outside Expire.
-	expired []Task
 }
 
+// item is a task in the queue. A task that was set aside is in no class any more
+// and is due at once.
 type item struct {
 	task    Task
 	element *list.Element
+	aside   bool
+	due     time.Time
 	heapAt  int
 }
 
@@ -54,7 +56,7 @@
 		q.classes[c] = tasks
 		q.ordered = append(q.ordered, c)
 	}
-	it := &item{task: task}
+	it := &item{task: task, due: task.Deadline}
 	after := tasks.Back()
 	for after != nil && after.Value.(*item).task.Enqueued.After(task.Enqueued) {
 		after = after.Prev()
@@ -74,16 +76,30 @@
 	if !waiting {
 		return false
 	}
+	if !it.aside {
+		q.leaveClass(it)
+	}
+	heap.Remove(&q.deadlines, it.heapAt)
+	delete(q.elements, id)
+	return true
+}
+
+// setAside keeps a task from being sent until Expire returns it.
+func (q *queue) setAside(id TaskID) {
+	it := q.elements[id]
+	q.leaveClass(it)
+	it.aside, it.due = true, time.Time{}
+	heap.Fix(&q.deadlines, it.heapAt)
+}
+
+func (q *queue) leaveClass(it *item) {
 	c := classOf(it.task)
 	tasks := q.classes[c]
 	tasks.Remove(it.element)
-	heap.Remove(&q.deadlines, it.heapAt)
-	delete(q.elements, id)
 	q.waiting[c.priority]--
 	if tasks.Len() == 0 {
 		q.dropClass(c)
 	}
-	return true
 }
 
 func (q *queue) dropClass(c class) {
@@ -99,9 +115,8 @@
 func (q *queue) head(c class) Task { return q.classes[c].Front().Value.(*item).task }
 
 func (q *queue) expire(now time.Time) []Task {
-	expired := q.expired
-	q.expired = nil
-	for len(q.deadlines) > 0 && !q.deadlines[0].task.Deadline.After(now) {
+	var expired []Task
+	for len(q.deadlines) > 0 && !q.deadlines[0].due.After(now) {
 		task := q.deadlines[0].task
 		expired = append(expired, task)
 		q.remove(task.ID)
@@ -113,7 +128,7 @@
 type deadlineHeap []*item
 
 func (h deadlineHeap) Len() int           { return len(h) }
-func (h deadlineHeap) Less(i, j int) bool { return h[i].task.Deadline.Before(h[j].task.Deadline) }
+func (h deadlineHeap) Less(i, j int) bool { return h[i].due.Before(h[j].due) }
 func (h deadlineHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
 	h[i].heapAt, h[j].heapAt = i, j
