scheduler: count few answers of other targets as weak evidence

Change: the share of the others is estimated with one failure and one success added, and the margin is 3.5 standard deviations.

--- a/process/scheduler/ejection.go
+++ b/process/scheduler/ejection.go
@@ -23,7 +23,7 @@
 // so that no target is ejected by chance after few answers.
 const (
 	ejectMargin     = 0.3
-	ejectDeviations = 3
+	ejectDeviations = 3.5
 )
 
 // sampleSlack allows for the decay of the first few answers.
@@ -104,18 +104,18 @@
 	return share >= mean+max(ejectMargin, ejectDeviations*deviation)
 }
 
-// failedShareBeside returns the failed share of all targets but one. It is 0 as
-// long as the others have not answered: a target that fails at once is judged
-// before the first task elsewhere ends.
+// failedShareBeside estimates the failed share of all targets but one. One
+// failure and one success are added, so that few answers prove little; a target
+// that fails at once is still judged before the first task elsewhere ends.
 func (s *Scheduler) failedShareBeside(t *target) float64 {
-	failed, samples := 0.0, 0.0
+	failed, samples := 1.0, 2.0
 	for _, other := range s.order {
 		if other != t {
 			failed += other.health.failed
 			samples += other.health.samples
 		}
 	}
-	return failed / max(1, samples)
+	return failed / samples
 }
 
 // eject stops using a target but for probes.
