bench: measure retry amplification and a target that refuses everything

Cause: the retry budget and the ejection rule were untested against refusals. Change: experiment "retries" (dispatches per task at 120 % load, with and without the budget, mean and largest 10 s) and scenario "refuses all".

--- a/bench/agent.go
+++ b/bench/agent.go
@@ -19,7 +19,8 @@
 	waiting []*dispatch
 	// slow multiplies run times; failing ends every task after failAfter;
 	// hanging ends tasks only at their deadline.
-	slow             float64
+	// refuse is the share of dispatches that the target refuses as not started.
+	slow, refuse     float64
 	failing, hanging bool
 	memory           int
 	lastSent         [entries]time.Duration
@@ -30,11 +31,12 @@
 
 // dispatch is a task on its way to, at, or back from an agent.
 type dispatch struct {
-	entry *entry
-	task  int
-	agent wire.Incarnation
-	end   scheduler.End
-	took  time.Duration
+	entry   *entry
+	task    int
+	attempt int
+	agent   wire.Incarnation
+	end     scheduler.End
+	took    time.Duration
 }
 
 const (
@@ -56,7 +58,7 @@
 			a.granted[d.entry.number]--
 		}
 		switch {
-		case d.agent != a.id || a.leaving:
+		case d.agent != a.id || a.leaving || a.refuse > a.c.random.Float64():
 			a.answer(d, scheduler.EndNotStarted)
 		case len(a.running) < slots:
 			a.start(d)
--- a/bench/cluster.go
+++ b/bench/cluster.go
@@ -76,10 +76,14 @@
 	notStarted
 )
 
+// startCount counts dispatches, and those that are the first of their task.
+type startCount struct{ all, first int }
+
 // cluster is one run.
 type cluster struct {
 	sim
 	cfg          Config
+	random       *rand.Rand
 	arrivals     []arrival
 	results      []result
 	response     []time.Duration
@@ -93,12 +97,14 @@
 	// poisoned is the share of tasks that now fail on every target.
 	poisoned   float64
 	retries    int
+	startsIn   map[time.Duration]*startCount
 	doubleEnds int
 	busy       []sample
 }
 
 func newCluster(cfg Config) *cluster {
-	c := &cluster{cfg: cfg}
+	c := &cluster{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, 3))}
+	c.startsIn = map[time.Duration]*startCount{}
 	rate := cfg.Rate
 	if rate == nil {
 		rate = func(time.Duration) float64 { return 1 }
@@ -169,6 +175,19 @@
 	c.at(max(due, c.now+time.Millisecond), func() { c.heartbeats(e, a) })
 }
 
+// started counts a dispatch.
+func (c *cluster) started(attempt int) {
+	c.starts++
+	span := c.now / startSpan
+	if c.startsIn[span] == nil {
+		c.startsIn[span] = &startCount{}
+	}
+	c.startsIn[span].all++
+	if attempt == 0 {
+		c.startsIn[span].first++
+	}
+}
+
 func (c *cluster) count(kind messageKind) {
 	if c.now >= warmUp && c.now < c.cfg.Duration {
 		c.messages[kind]++
--- a/bench/entry.go
+++ b/bench/entry.go
@@ -66,11 +66,11 @@
 		if perAgent[id] == nil {
 			order = append(order, id)
 		}
-		d := &dispatch{entry: e, task: assignment.Task.ID.Index, agent: id}
+		d := &dispatch{entry: e, task: assignment.Task.ID.Index, attempt: assignment.Task.Attempt, agent: id}
 		perAgent[id] = append(perAgent[id], d)
 		e.outstanding[id][d] = true
 		e.waiting--
-		e.c.starts++
+		e.c.started(assignment.Task.Attempt)
 	}
 	for _, id := range order {
 		a, tasks, demand := e.agents[id], perAgent[id], e.waiting
@@ -123,7 +123,7 @@
 
 func (e *entry) retry(task scheduler.Task, d *dispatch) {
 	task.Enqueued = epoch.Add(e.c.arrivals[d.task].at)
-	task.Avoid = d.agent
+	task.Avoid, task.Attempt = d.agent, d.attempt+1
 	if !e.scheduler.Retry(e.c.clock(), task) {
 		e.c.end(d.task, notStarted)
 		return
--- a/bench/report.go
+++ b/bench/report.go
@@ -32,6 +32,8 @@
 	// StartsPerTask is the number of dispatches per task that was dispatched
 	// at least once.
 	StartsPerTask float64
+	// PeakStarts is the largest value of StartsPerTask in any 10 s of the run.
+	PeakStarts float64
 }
 
 var resultNames = map[result]string{answered: "ok", failed: "failed", refused: "refused", expired: "expired",
@@ -82,9 +84,23 @@
 	r.Unused = float64(c.wasted) / float64(total)
 	r.Heartbeats = float64(c.messages[heartbeatMessage]) / float64(total)
 	r.StartsPerTask = float64(c.starts) / float64(c.starts-c.retries)
+	r.PeakStarts = c.peakStarts()
 	return r
 }
 
+// startSpan is the time over which peaks of dispatches are counted.
+const startSpan = 10 * time.Second
+
+func (c *cluster) peakStarts() float64 {
+	peak := 0.0
+	for _, n := range c.startsIn {
+		if n.first > 0 {
+			peak = max(peak, float64(n.all)/float64(n.first))
+		}
+	}
+	return peak
+}
+
 func ratio(got, want []time.Duration, q float64) float64 {
 	return float64(quantile(got, q)) / float64(quantile(want, q))
 }
--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -30,6 +30,12 @@
 		{Name: "wrong sizes", Load: 0.8, wrongSizes: true},
 		{Name: "burst", Load: 0.8, rate: burst},
 		{Name: "fails all", Load: 0.8, faults: oneTarget(func(a *agent, on bool) { a.failing = on })},
+		{Name: "refuses all", Load: 0.8, faults: oneTarget(func(a *agent, on bool) {
+			a.refuse = 0
+			if on {
+				a.refuse = 1
+			}
+		})},
 		{Name: "zone fails", Load: 0.6, faults: zoneFails},
 		{Name: "bad inputs", Load: 0.8, faults: badInputs},
 		{Name: "hangs", Load: 0.8, faults: oneTarget(func(a *agent, on bool) { a.hanging = on })},
--- a/cmd/azurerouter/bench.go
+++ b/cmd/azurerouter/bench.go
@@ -29,6 +29,7 @@
 	urgentShare float64
 	agentQueue  int
 	reserve     float64
+	experiment  string
 	policies    []string
 	scenarios   []string
 }
@@ -40,6 +41,7 @@
 	var policies, scenarios string
 	flags := flag.NewFlagSet("bench", flag.ContinueOnError)
 	flags.SetOutput(stderr)
+	flags.StringVar(&options.experiment, "experiment", "policies", "what to measure (\"policies\" or \"retries\")")
 	flags.Uint64Var(&options.seed, "seed", 1, "seed of arrivals and choices (integer)")
 	flags.DurationVar(&options.duration, "duration", 5*time.Minute, "virtual time in which tasks arrive (duration)")
 	flags.Float64Var(&options.urgentShare, "urgent-share", 0.7, "urgent tasks among all tasks (share, 0 to 1)")
@@ -55,13 +57,23 @@
 	}
 	options.policies = strings.Split(policies, ",")
 	options.scenarios = strings.Split(scenarios, ",")
-	if err := bench.WriteTable(stdout, options.rows()); err != nil {
+	if err := options.write(stdout); err != nil {
 		fmt.Fprintln(stderr, "bench:", err)
 		return benchFailed
 	}
 	return benchOK
 }
 
+func (o benchOptions) write(w io.Writer) error {
+	switch o.experiment {
+	case "policies":
+		return bench.WriteTable(w, o.rows())
+	case "retries":
+		return bench.WriteRetries(w, o.config(scheduler.Policy(o.policies[0])))
+	}
+	return fmt.Errorf("unknown experiment %q", o.experiment)
+}
+
 // rows runs every selected scenario under every selected policy.
 func (o benchOptions) rows() []bench.Row {
 	var rows []bench.Row
