scheduler: count refusals of a target towards its ejection

Cause: a target that refuses everything as not started is always idle, so it attracted work until the retry budget was used up: 7,297 of 31,698 tasks ended not_started under least outstanding. Ruled out: a larger retry budget, which only multiplies the messages. Change: EndNotStarted counts like a failed answer; EndBusy still does not.

--- a/process/scheduler/ejection_test.go
+++ b/process/scheduler/ejection_test.go
@@ -100,6 +100,23 @@
 	}
 }
 
+// Guards against a target that refuses everything: it is always idle, so it
+// attracted all work and used up the retry budget.
+func TestRefusingTargetIsEjected(t *testing.T) {
+	s := withTargets(Settings{}, zoneOf("a", 1, 4)...)
+	for range 100 {
+		runOne(t, s, start, func(id wire.Incarnation) End {
+			if id == 1 {
+				return EndNotStarted
+			}
+			return EndOK
+		})
+	}
+	if n := states(s)["ejected"]; n != 1 {
+		t.Errorf("%d targets ejected, want 1", n)
+	}
+}
+
 // Guards against a zone that loses all capacity to ejection because all of its
 // targets fail, and against its dead targets raising the limit.
 func TestEjectionIsLimitedPerZone(t *testing.T) {
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -50,7 +50,9 @@
 // End says how an assignment ended.
 type End uint8
 
-// Values of End. EndFailed and EndTimeout count against the target.
+// Values of End. EndFailed, EndTimeout and EndNotStarted count against the
+// target: one that refuses everything is always idle and would attract all work.
+// EndBusy does not, since it shows that the target works.
 const (
 	EndOK End = iota
 	EndFailed
@@ -172,7 +174,7 @@
 		s.budget.success(now)
 		s.runTime.add(took)
 		s.judge(now, t, true)
-	case EndFailed, EndTimeout:
+	case EndFailed, EndTimeout, EndNotStarted:
 		s.judge(now, t, false)
 	case EndBusy:
 		t.foreign = max(t.foreign, t.Slots-len(t.running))
