scheduler: optionally hold batch work back to keep the load even

Ruled out: a larger reserve alone, which moves the upper end but not the idle time; a constant rate of batch starts, which adds to the swing of urgent work. Change: BatchSpread, a share of the time to the deadline over which batch work is spread: it starts only below the mean of the urgent work plus what gets all batch work done in time. Experiment "night".

--- a/bench/cluster.go
+++ b/bench/cluster.go
@@ -45,6 +45,8 @@
 	// Duration is the virtual time in which tasks arrive.
 	Duration   time.Duration
 	WrongSizes bool
+	// Night replaces the constant load by that of a night.
+	Night bool
 	// Rate scales the load over time; nil means a constant load.
 	Rate func(time.Duration) float64
 	// Faults schedules what goes wrong; nil means nothing.
@@ -109,7 +111,11 @@
 	if rate == nil {
 		rate = func(time.Duration) float64 { return 1 }
 	}
-	c.arrivals = generate(cfg, rate)
+	if cfg.Night {
+		c.arrivals = night(cfg)
+	} else {
+		c.arrivals = generate(cfg, rate)
+	}
 	c.results = make([]result, len(c.arrivals))
 	c.response = make([]time.Duration, len(c.arrivals))
 	c.remaining = len(c.arrivals)
--- a/bench/report.go
+++ b/bench/report.go
@@ -14,8 +14,8 @@
 	// P50, P95 and P99 are quantiles of the response time of all answered
 	// tasks, divided by the same quantiles of the ideal.
 	P50, P95, P99 float64
-	// UrgentP99 is the same for urgent tasks only.
-	UrgentP99 float64
+	// UrgentP50 and UrgentP99 are the same for urgent tasks only.
+	UrgentP50, UrgentP99 float64
 	// MessagesPerTask counts every message between entries and agents, per
 	// task that got an answer.
 	MessagesPerTask float64
@@ -73,7 +73,7 @@
 		}
 	}
 	r.P50, r.P95, r.P99 = ratio(got, want, 0.5), ratio(got, want, 0.95), ratio(got, want, 0.99)
-	r.UrgentP99 = ratio(gotUrgent, wantUrgent, 0.99)
+	r.UrgentP50, r.UrgentP99 = ratio(gotUrgent, wantUrgent, 0.5), ratio(gotUrgent, wantUrgent, 0.99)
 	seconds := (c.cfg.Duration - warmUp).Seconds()
 	r.UrgentGoodput, r.IdealGoodput = float64(len(gotUrgent))/seconds, float64(len(wantUrgent))/seconds
 	total := 0
--- a/cmd/azurerouter/bench.go
+++ b/cmd/azurerouter/bench.go
@@ -23,6 +23,10 @@
 // benchParallel bounds the runs that are computed at the same time.
 const benchParallel = 4
 
+// nightSpreads are the compared values of the setting that holds batch work
+// back, as shares of the time to the deadline.
+var nightSpreads = []float64{0, 0.25, 0.5, 0.75, 0.9}
+
 type benchOptions struct {
 	seed        uint64
 	duration    time.Duration
@@ -41,7 +45,7 @@
 	var policies, scenarios string
 	flags := flag.NewFlagSet("bench", flag.ContinueOnError)
 	flags.SetOutput(stderr)
-	flags.StringVar(&options.experiment, "experiment", "policies", "what to measure (\"policies\" or \"retries\")")
+	flags.StringVar(&options.experiment, "experiment", "policies", "what to measure (\"policies\", \"retries\" or \"night\")")
 	flags.Uint64Var(&options.seed, "seed", 1, "seed of arrivals and choices (integer)")
 	flags.DurationVar(&options.duration, "duration", 5*time.Minute, "virtual time in which tasks arrive (duration)")
 	flags.Float64Var(&options.urgentShare, "urgent-share", 0.7, "urgent tasks among all tasks (share, 0 to 1)")
@@ -70,6 +74,8 @@
 		return bench.WriteTable(w, o.rows())
 	case "retries":
 		return bench.WriteRetries(w, o.config(scheduler.Policy(o.policies[0])))
+	case "night":
+		return bench.WriteNight(w, o.config(scheduler.Policy(o.policies[0])), nightSpreads)
 	}
 	return fmt.Errorf("unknown experiment %q", o.experiment)
 }
--- a/process/scheduler/choose.go
+++ b/process/scheduler/choose.go
@@ -84,6 +84,9 @@
 func (r *round) start(task Task, t *target) {
 	r.s.queue.remove(task.ID)
 	t.start(task)
+	if task.Priority == job.Urgent {
+		r.s.runningUrgent++
+	}
 	r.s.running[task.ID] = t
 	r.s.refresh(r.now, t)
 }
@@ -108,7 +111,7 @@
 	urgent, anyUrgent := r.oldest(job.Urgent)
 	batch, anyBatch := r.oldest(job.Batch)
 	switch {
-	case !anyBatch:
+	case !anyBatch || len(r.s.running) >= r.s.batchLevel(r.now):
 	case !anyUrgent && r.idle() > r.reserve():
 		return batch, true
 	case r.aged(batch) && r.s.sinceAged >= agedInterval-1:
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -77,11 +77,14 @@
 	// running maps every assignment that has not ended to its target.
 	running map[TaskID]*target
 	// shapes holds when each combination of capacities was last present.
-	shapes     map[job.Needs]time.Time
-	budget     retryBudget
-	runTime    average
-	violations int
-	sinceAged  int
+	shapes  map[job.Needs]time.Time
+	budget  retryBudget
+	runTime average
+	pacer   pacer
+	// runningUrgent counts the urgent tasks that run for this entry.
+	runningUrgent int
+	violations    int
+	sinceAged     int
 }
 
 // New returns a scheduler without targets.
@@ -165,9 +168,16 @@
 // assignment that is not known has no effect.
 func (s *Scheduler) Finish(now time.Time, id wire.Incarnation, task TaskID, end End, took time.Duration) {
 	t, known := s.targets[id]
-	if !known || !t.end(task) {
+	if !known {
+		return
+	}
+	ended, running := t.end(task)
+	if !running {
 		return
 	}
+	if ended.Priority == job.Urgent {
+		s.runningUrgent--
+	}
 	delete(s.running, task)
 	switch end {
 	case EndOK:
--- a/process/scheduler/settings.go
+++ b/process/scheduler/settings.go
@@ -26,6 +26,10 @@
 	// BatchReserve is the share of all slots that batch work leaves free for
 	// urgent work, 0 to 1. A negative value means no reserve.
 	BatchReserve float64
+	// BatchSpread is the share of the time to its deadline over which batch work
+	// is spread to keep the number of busy slots even, 0 to 1. 0 sends batch work
+	// as soon as slots are idle.
+	BatchSpread float64
 	// EjectShare is the share of failed answers at which a target is ejected,
 	// 0 to 1.
 	EjectShare float64
--- a/process/scheduler/target.go
+++ b/process/scheduler/target.go
@@ -11,7 +11,7 @@
 	Target
 	live bool
 	// running holds this entry's assignments that have not ended.
-	running map[TaskID]job.Needs
+	running map[TaskID]Task
 	used    job.Needs
 	// foreign estimates the tasks of other entries, from the last report.
 	foreign int
@@ -24,7 +24,7 @@
 	heldIn            uint64
 }
 
-func newTarget() *target { return &target{running: map[TaskID]job.Needs{}} }
+func newTarget() *target { return &target{running: map[TaskID]Task{}} }
 
 // outstanding is the known number of tasks at the target, of all entries.
 func (t *target) outstanding() int { return len(t.running) + t.foreign }
@@ -65,19 +65,18 @@
 }
 
 func (t *target) start(task Task) {
-	t.running[task.ID] = task.Needs
+	t.running[task.ID] = task
 	t.used.MemoryMB += task.Needs.MemoryMB
 	t.used.Accelerators += task.Needs.Accelerators
 	t.credits = max(0, t.credits-1)
 }
 
-func (t *target) end(id TaskID) bool {
-	needs, running := t.running[id]
-	if !running {
-		return false
+func (t *target) end(id TaskID) (Task, bool) {
+	task, running := t.running[id]
+	if running {
+		delete(t.running, id)
+		t.used.MemoryMB -= task.Needs.MemoryMB
+		t.used.Accelerators -= task.Needs.Accelerators
 	}
-	delete(t.running, id)
-	t.used.MemoryMB -= needs.MemoryMB
-	t.used.Accelerators -= needs.Accelerators
-	return true
+	return task, running
 }
