--- a/bench/report.go
+++ b/bench/report.go
@@ -14,8 +14,8 @@
 	// P50, P95 and P99 are quantiles of the response time of all answered
 	// tasks, divided by the same quantiles of the ideal.
 	P50, P95, P99 float64
-	// UrgentP99 is the same for urgent tasks only.
-	UrgentP99 float64
+	// UrgentP50 and UrgentP99 are the same for urgent tasks only.
+	UrgentP50, UrgentP99 float64
 	// MessagesPerTask counts every message between entries and agents, per
 	// task that got an answer.
 	MessagesPerTask float64
@@ -32,6 +32,8 @@
 	// StartsPerTask is the number of dispatches per task that was dispatched
 	// at least once.
 	StartsPerTask float64
+	// PeakStarts is the largest value of StartsPerTask in any 10 s of the run.
+	PeakStarts float64
 }
 
 var resultNames = map[result]string{answered: "ok", failed: "failed", refused: "refused", expired: "expired",
@@ -71,7 +73,7 @@
 		}
 	}
 	r.P50, r.P95, r.P99 = ratio(got, want, 0.5), ratio(got, want, 0.95), ratio(got, want, 0.99)
-	r.UrgentP99 = ratio(gotUrgent, wantUrgent, 0.99)
+	r.UrgentP50, r.UrgentP99 = ratio(gotUrgent, wantUrgent, 0.5), ratio(gotUrgent, wantUrgent, 0.99)
 	seconds := (c.cfg.Duration - warmUp).Seconds()
 	r.UrgentGoodput, r.IdealGoodput = float64(len(gotUrgent))/seconds, float64(len(wantUrgent))/seconds
 	total := 0
@@ -82,9 +84,23 @@
 	r.Unused = float64(c.wasted) / float64(total)
 	r.Heartbeats = float64(c.messages[heartbeatMessage]) / float64(total)
 	r.StartsPerTask = float64(c.starts) / float64(c.starts-c.retries)
+	r.PeakStarts = c.peakStarts()
 	return r
 }
 
+// startSpan is the time over which peaks of dispatches are counted.
+const startSpan = 10 * time.Second
+
+func (c *cluster) peakStarts() float64 {
+	peak := 0.0
+	for _, n := range c.startsIn {
+		if n.first > 0 {
+			peak = max(peak, float64(n.all)/float64(n.first))
+		}
+	}
+	return peak
+}
+
 func ratio(got, want []time.Duration, q float64) float64 {
 	return float64(quantile(got, q)) / float64(quantile(want, q))
 }
--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -30,6 +30,14 @@
 		{Name: "wrong sizes", Load: 0.8, wrongSizes: true},
 		{Name: "burst", Load: 0.8, rate: burst},
 		{Name: "fails all", Load: 0.8, faults: oneTarget(func(a *agent, on bool) { a.failing = on })},
+		{Name: "refuses all", Load: 0.8, faults: oneTarget(func(a *agent, on bool) {
+			a.refuse = 0
+			if on {
+				a.refuse = 1
+			}
+		})},
+		{Name: "zone fails", Load: 0.6, faults: zoneFails},
+		{Name: "bad inputs", Load: 0.8, faults: badInputs},
 		{Name: "hangs", Load: 0.8, faults: oneTarget(func(a *agent, on bool) { a.hanging = on })},
 		{Name: "zone lost", Load: 0.6, faults: loseZone},
 		{Name: "restarts", Load: 0.8, faults: restartAll},
@@ -64,6 +72,23 @@
 	}
 }
 
+// zoneFails makes all targets of zone c fail everything, more than the limit on
+// ejections covers.
+func zoneFails(c *cluster) {
+	for _, a := range c.agents {
+		if a.zone == 2 {
+			c.at(c.cfg.Duration/3, func() { a.failing = true })
+			c.at(2*c.cfg.Duration/3, func() { a.failing = false })
+		}
+	}
+}
+
+// badInputs makes 60 % of all tasks fail on every target.
+func badInputs(c *cluster) {
+	c.at(c.cfg.Duration/3, func() { c.poisoned = 0.6 })
+	c.at(2*c.cfg.Duration/3, func() { c.poisoned = 0 })
+}
+
 // loseZone loses the agents of zone c and brings them back.
 func loseZone(c *cluster) {
 	for _, a := range c.agents {
--- a/process/scheduler/ejection.go
+++ b/process/scheduler/ejection.go
@@ -17,10 +17,25 @@
 // the last 20 answers count.
 const sampleDecay = 0.95
 
+// ejectMargin is how far the failed share of a target must exceed the mean of
+// the other targets. Work that fails everywhere is no fault of a target.
+// ejectDeviations is the least margin in standard deviations of the difference,
+// so that no target is ejected by chance after few answers.
+const (
+	ejectMargin     = 0.3
+	ejectDeviations = 3.5
+)
+
+// sampleSlack allows for the decay of the first few answers.
+const sampleSlack = 0.9
+
 // health judges a target by the share of failed answers among recent ones.
 type health struct {
 	state           healthState
 	samples, failed float64
+	// capped marks an ejected target that stays in use as a last resort because
+	// the limit of its availability zone is reached.
+	capped bool
 	// probeAt is when an ejected target may get its next probe.
 	probeAt time.Time
 	backoff time.Duration
@@ -31,7 +46,10 @@
 func (h *health) allowance(now time.Time) int {
 	switch h.state {
 	case ejected:
-		if now.Before(h.probeAt) {
+		switch {
+		case h.capped:
+			return math.MaxInt
+		case now.Before(h.probeAt):
 			return 0
 		}
 		return 1
@@ -51,6 +69,13 @@
 
 func (h *health) clear() { h.samples, h.failed = 0, 0 }
 
+// lastResort reports whether other targets go first: the target is ejected in
+// all but capacity, and no probe is due.
+func (t *target) lastResort(now time.Time) bool {
+	h := &t.health
+	return h.state == ejected && h.capped && (now.Before(h.probeAt) || len(t.running) > 0)
+}
+
 // judge takes one answer of a target into account.
 func (s *Scheduler) judge(now time.Time, t *target, ok bool) {
 	h := &t.health
@@ -61,12 +86,47 @@
 	case readmitting:
 		s.judgeStep(now, t, ok)
 	default:
-		if h.samples >= float64(s.settings.EjectSamples)*0.9 && h.failed >= s.settings.EjectShare*h.samples && s.mayEject(t) {
+		if s.isBad(t) {
 			s.eject(now, t, s.settings.ProbeAfter)
 		}
 	}
 }
 
+// isBad compares the failed share of a target with the limit and with that of
+// the other targets in use.
+func (s *Scheduler) isBad(t *target) bool {
+	h := &t.health
+	if h.samples < float64(s.settings.EjectSamples)*sampleSlack || h.failed < s.settings.EjectShare*h.samples {
+		return false
+	}
+	share, mean := h.failed/h.samples, s.failedShareBeside(t)
+	deviation := math.Sqrt((share*(1-share) + mean*(1-mean)) / h.samples)
+	return share >= mean+max(ejectMargin, ejectDeviations*deviation)
+}
+
+// failedShareBeside estimates the failed share of all targets but one. One
+// failure and one success are added, so that few answers prove little; a target
+// that fails at once is still judged before the first task elsewhere ends.
+func (s *Scheduler) failedShareBeside(t *target) float64 {
+	failed, samples := 1.0, 2.0
+	for _, other := range s.order {
+		if other != t {
+			failed += other.health.failed
+			samples += other.health.samples
+		}
+	}
+	return failed / samples
+}
+
+// eject stops using a target but for probes.
+func (s *Scheduler) eject(now time.Time, t *target, backoff time.Duration) {
+	t.health.capped = !s.mayEject(t)
+	t.health.state = ejected
+	t.health.backoff = min(backoff, s.settings.ProbeMax)
+	t.health.probeAt = now.Add(t.health.backoff)
+	t.health.clear()
+}
+
 // mayEject applies the limit per availability zone. Targets that are dead or
 // gone are not counted.
 func (s *Scheduler) mayEject(t *target) bool {
@@ -76,20 +136,13 @@
 			continue
 		}
 		live++
-		if other.health.state != healthy {
+		if other != t && other.health.state != healthy && !other.health.capped {
 			out++
 		}
 	}
 	return len(s.order) > 1 && out < max(1, int(s.settings.EjectZoneCap*float64(live)))
 }
 
-func (s *Scheduler) eject(now time.Time, t *target, backoff time.Duration) {
-	t.health.state = ejected
-	t.health.backoff = min(backoff, s.settings.ProbeMax)
-	t.health.probeAt = now.Add(t.health.backoff)
-	t.health.clear()
-}
-
 func (s *Scheduler) judgeProbe(now time.Time, t *target, ok bool) {
 	if now.Before(t.health.probeAt) {
 		return // The answer is to a task sent before the ejection.
@@ -98,7 +151,7 @@
 		s.eject(now, t, 2*t.health.backoff)
 		return
 	}
-	t.health.state = readmitting
+	t.health.state, t.health.capped = readmitting, false
 	t.health.step, t.health.stepOK = 2, 0
 }
 
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -50,7 +50,9 @@
 // End says how an assignment ended.
 type End uint8
 
-// Values of End. EndFailed and EndTimeout count against the target.
+// Values of End. EndFailed, EndTimeout and EndNotStarted count against the
+// target: one that refuses everything is always idle and would attract all work.
+// EndBusy does not, since it shows that the target works.
 const (
 	EndOK End = iota
 	EndFailed
@@ -69,14 +71,20 @@
 	// order lists the live targets in the order of registration, so that the
 	// same calls give the same choices.
 	order []*target
+	pool  pool
+	// rounds counts calls of Assign.
+	rounds uint64
 	// running maps every assignment that has not ended to its target.
 	running map[TaskID]*target
 	// shapes holds when each combination of capacities was last present.
-	shapes     map[job.Needs]time.Time
-	budget     retryBudget
-	runTime    average
-	violations int
-	sinceAged  int
+	shapes  map[job.Needs]time.Time
+	budget  retryBudget
+	runTime average
+	pacer   pacer
+	// runningUrgent counts the urgent tasks that run for this entry.
+	runningUrgent int
+	violations    int
+	sinceAged     int
 }
 
 // New returns a scheduler without targets.
@@ -91,7 +99,10 @@
 }
 
 // Configure replaces the settings. Tasks that wait or run stay as they are.
-func (s *Scheduler) Configure(settings Settings) { s.settings = settings.withDefaults() }
+func (s *Scheduler) Configure(settings Settings) {
+	s.settings = settings.withDefaults()
+	s.pool.stale = true
+}
 
 // SetTarget adds a target, or changes one that is known by its incarnation. A
 // target that was removed while tasks ran on it keeps these tasks.
@@ -107,6 +118,7 @@
 		t.live = true
 		s.order = append(s.order, t)
 	}
+	s.refresh(now, t)
 }
 
 // RemoveTarget stops sending to a target that left, is dead or is silent. Its
@@ -124,6 +136,7 @@
 			break
 		}
 	}
+	s.refresh(now, t)
 	s.forgetIfUnused(t)
 }
 
@@ -138,6 +151,7 @@
 func (s *Scheduler) Report(now time.Time, id wire.Incarnation, load wire.Load) {
 	if t, known := s.targets[id]; known {
 		t.foreign = max(0, load.Running+load.Queued-len(t.running))
+		s.refresh(now, t)
 	}
 }
 
@@ -146,6 +160,7 @@
 func (s *Scheduler) Grant(now time.Time, id wire.Incarnation, slots int) {
 	if t, known := s.targets[id]; known {
 		t.credits += slots
+		s.refresh(now, t)
 	}
 }
 
@@ -153,20 +168,28 @@
 // assignment that is not known has no effect.
 func (s *Scheduler) Finish(now time.Time, id wire.Incarnation, task TaskID, end End, took time.Duration) {
 	t, known := s.targets[id]
-	if !known || !t.end(task) {
+	if !known {
 		return
 	}
+	ended, running := t.end(task)
+	if !running {
+		return
+	}
+	if ended.Priority == job.Urgent {
+		s.runningUrgent--
+	}
 	delete(s.running, task)
 	switch end {
 	case EndOK:
 		s.budget.success(now)
 		s.runTime.add(took)
 		s.judge(now, t, true)
-	case EndFailed, EndTimeout:
+	case EndFailed, EndTimeout, EndNotStarted:
 		s.judge(now, t, false)
 	case EndBusy:
 		t.foreign = max(t.foreign, t.Slots-len(t.running))
 	}
+	s.refresh(now, t)
 	s.forgetIfUnused(t)
 }
 
@@ -197,7 +220,8 @@
 // Cancel removes a waiting task. It reports false if the task does not wait.
 func (s *Scheduler) Cancel(id TaskID) bool { return s.queue.remove(id) }
 
-// Expire removes and returns the waiting tasks whose deadline has passed.
+// Expire removes and returns the waiting tasks whose deadline has passed, or was
+// too close when their turn came while others waited.
 func (s *Scheduler) Expire(now time.Time) []Task { return s.queue.expire(now) }
 
 // Assign returns everything that may be sent now. The tasks leave the queue.
