Run the whole path in separate processes

Cause: nothing was served from a caller to a target. Found on the way: an entry that took its configuration from a peer counted the log's older records as a step back (G8 reported, nothing wrong in force); a second demo found nothing to publish because publish notes the published versions in the folder, so the demo publishes a copy.

--- a/cmd/azurerouter/check.go
+++ b/cmd/azurerouter/check.go
@@ -9,17 +9,6 @@
 	"github.com/azurerouter/azurerouter/version/config"
 )
 
-// Exit codes of check and publish.
-const (
-	exitDone    = 0
-	exitRefused = 1
-	// exitFailed means that the command could not do its work: wrong
-	// arguments, an unreadable folder or an unreachable log.
-	exitFailed = 2
-	// exitUnknown means that a publication may or may not have taken effect.
-	exitUnknown = 3
-)
-
 const checkUsage = `Usage: azurerouter check [flags] DIR
 
 Checks the settings files (*.json, *.jsonc) in DIR and prints what is wrong with
@@ -41,7 +30,7 @@
 	files, err := readFolder(dir)
 	if err != nil {
 		fmt.Fprintln(stderr, "check:", err)
-		return exitFailed
+		return exitCannot
 	}
 	faults := config.Check(files)
 	printFaults(stdout, faults)
@@ -50,9 +39,9 @@
 		printValues(stdout, merged)
 	}
 	if len(faults) > 0 {
-		return exitRefused
+		return exitFailed
 	}
-	return exitDone
+	return exitOK
 }
 
 func newFlagSet(name, usage string, stderr io.Writer) *flag.FlagSet {
@@ -70,24 +59,24 @@
 func parseFolderArgs(flags *flag.FlagSet, args []string) (dir string, code int) {
 	for {
 		if err := flags.Parse(args); err == flag.ErrHelp {
-			return "", exitDone
+			return "", exitOK
 		} else if err != nil {
-			return "", exitFailed
+			return "", exitCannot
 		}
 		if flags.NArg() == 0 {
 			break
 		}
 		if dir != "" {
 			fmt.Fprintf(flags.Output(), "%s: more than one folder\n", flags.Name())
-			return "", exitFailed
+			return "", exitCannot
 		}
 		dir, args = flags.Arg(0), flags.Args()[1:]
 	}
 	if dir == "" {
 		fmt.Fprintf(flags.Output(), "%s: the settings folder is missing; see -h\n", flags.Name())
-		return "", exitFailed
+		return "", exitCannot
 	}
-	return dir, exitDone
+	return dir, exitOK
 }
 
 func printFaults(w io.Writer, faults []config.Fault) {
--- a/cmd/azurerouter/configlog.go
+++ b/cmd/azurerouter/configlog.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/azurerouter/azurerouter/connection/logclient"
 	"github.com/azurerouter/azurerouter/version/config"
 )
 
@@ -16,27 +17,13 @@
 
 // configLog is the part of the log client that publish uses.
 type configLog interface {
-	// Append returns an error marked errNotAppended if it certainly had no
+	// Append returns an error marked logclient.ErrNotAppended if it certainly had no
 	// effect; any other error leaves the outcome open.
 	Append(ctx context.Context, stream string, data []byte) (offset uint64, err error)
-	Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (configPage, error)
-}
-
-// configPage is one page of a stream. First is the oldest retained offset, Next
-// the offset of the next append.
-type configPage struct {
-	Records     []configRecord
-	First, Next uint64
-}
-
-type configRecord struct {
-	Offset uint64
-	Data   []byte
+	Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (logclient.Page, error)
 }
 
 var (
-	// errNotAppended marks an append error that certainly had no effect.
-	errNotAppended = errors.New("not appended")
 	// errUndetermined marks a publication whose verdict could not be read.
 	errUndetermined = errors.New("outcome of the publication is undetermined")
 )
@@ -87,7 +74,7 @@
 	return nil
 }
 
-func (r *logReader) apply(page configPage) error {
+func (r *logReader) apply(page logclient.Page) error {
 	for _, record := range page.Records {
 		verdict, err := r.state.Apply(record.Offset, page.First, record.Data)
 		judged := append(r.state.Deferred(), config.Judgement{Verdict: verdict, Err: err})
--- a/cmd/azurerouter/daemons.go
+++ b/cmd/azurerouter/daemons.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"flag"
 	"fmt"
 	"io"
 	"os"
@@ -69,39 +68,6 @@
 	return path, exitOK
 }
 
-// anyOperands lets parseFlags accept any number of operands.
-const anyOperands = -1
-
-// newFlags returns the flag set of a command. parseFlags prints its help and its
-// errors.
-func newFlags(name string) *flag.FlagSet {
-	flags := flag.NewFlagSet(name, flag.ContinueOnError)
-	flags.SetOutput(io.Discard)
-	flags.Usage = func() {}
-	return flags
-}
-
-// parseFlags parses the flags and checks the number of operands. It reports
-// false if the command ends with the code: after -h, or on an error, for which
-// it prints one line.
-func parseFlags(flags *flag.FlagSet, args []string, operands int, stdout, stderr io.Writer) (code int, ok bool) {
-	err := flags.Parse(args)
-	switch {
-	case errors.Is(err, flag.ErrHelp):
-		fmt.Fprintf(stdout, "usage: azurerouter %s [flags]\n", flags.Name())
-		flags.SetOutput(stdout)
-		flags.PrintDefaults()
-		return exitOK, false
-	case err != nil:
-		fmt.Fprintf(stderr, "azurerouter %s: %v\n", flags.Name(), err)
-		return exitUsage, false
-	case operands != anyOperands && flags.NArg() != operands:
-		fmt.Fprintf(stderr, "azurerouter %s: %d operands given, %d expected\n", flags.Name(), flags.NArg(), operands)
-		return exitUsage, false
-	}
-	return exitOK, true
-}
-
 // runDaemon runs the actors until the first of them ends. The first SIGTERM or
 // SIGINT starts a graceful shutdown, the second ends the process at once.
 func runDaemon(name string, stderr io.Writer, addTo func(*run.Group, <-chan struct{}) error) int {
@@ -131,8 +97,3 @@
 	}
 	return exitOK
 }
-
-func fail(stderr io.Writer, name string, err error) int {
-	fmt.Fprintf(stderr, "azurerouter %s: %v\n", name, err)
-	return exitFailure
-}
--- a/cmd/azurerouter/fetch.go
+++ b/cmd/azurerouter/fetch.go
@@ -36,7 +36,7 @@
 		return p.fail(err)
 	}
 	fmt.Fprintf(p.stdout, "fetched the files as of offset %d\n", p.reader.state.Offset())
-	return exitDone
+	return exitOK
 }
 
 func (p *publisher) fetchFile(f config.File, local []byte, exists bool) error {
--- a/cmd/azurerouter/keys.go
+++ b/cmd/azurerouter/keys.go
@@ -15,13 +15,6 @@
 	"github.com/azurerouter/azurerouter/connection/peer"
 )
 
-// Exit codes of the subcommands.
-const (
-	exitOK     = 0
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 const (
 	authorityName     = "authority"
 	defaultKeysDays   = 90
--- a/cmd/azurerouter/main.go
+++ b/cmd/azurerouter/main.go
@@ -8,13 +8,6 @@
 	"os"
 )
 
-// Exit codes of every command.
-const (
-	exitOK      = 0
-	exitFailure = 1
-	exitUsage   = 2
-)
-
 // command is one subcommand. run returns the exit code.
 type command struct {
 	name    string
@@ -33,7 +26,6 @@
 	{"starts", "read the starts that target stand-ins recorded", runStarts},
 	{"dump", "print the state of one process", runDump},
 	{"keys", "write keys and certificates for a deployment", runKeys},
-	{"load", "send a bounded load and print response times", runLoad},
 	{"bench", "compare policies in virtual time", runBench},
 	{"soak", "run entries and agents in virtual time under faults", runSoak},
 	{"standin log", "run a stand-in of the platform's log service", runStandinLog},
--- a/cmd/azurerouter/probe.go
+++ b/cmd/azurerouter/probe.go
@@ -29,7 +29,7 @@
 	reply, _ := io.ReadAll(io.LimitReader(response.Body, 1<<10))
 	fmt.Fprintf(stdout, "%d %s\n", response.StatusCode, reply)
 	if response.StatusCode != http.StatusOK {
-		return exitFailure
+		return exitFailed
 	}
 	return exitOK
 }
@@ -58,7 +58,7 @@
 	}
 	fmt.Fprintf(stdout, "all targets: %d tasks, at most %d starts per task\n", len(perTask), most)
 	if most > 1 {
-		return exitFailure
+		return exitFailed
 	}
 	return exitOK
 }
--- a/cmd/azurerouter/publish.go
+++ b/cmd/azurerouter/publish.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/azurerouter/azurerouter/connection/logclient"
 	"github.com/azurerouter/azurerouter/version/config"
 )
 
@@ -46,8 +47,8 @@
 	idBytes       = 16
 )
 
-// openConfigLog returns a client of the log at a base URL.
-var openConfigLog func(baseURL string) configLog
+// openConfigLog returns a client of the log at a base URL. Tests replace it.
+var openConfigLog = func(baseURL string) configLog { return logclient.New(baseURL, nil) }
 
 // publisher is one run of the subcommand publish.
 type publisher struct {
@@ -72,11 +73,7 @@
 	}
 	if *logURL == "" {
 		fmt.Fprintln(stderr, "publish: -log is missing; see -h")
-		return exitFailed
-	}
-	if openConfigLog == nil {
-		fmt.Fprintln(stderr, "publish: this build has no client of the log service")
-		return exitFailed
+		return exitCannot
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), *timeout)
 	defer cancel()
@@ -93,7 +90,7 @@
 
 func (p *publisher) fail(err error) int {
 	fmt.Fprintln(p.stderr, "publish:", err)
-	return exitFailed
+	return exitCannot
 }
 
 func (p *publisher) warn(err error) { fmt.Fprintln(p.stderr, "publish: warning:", err) }
@@ -117,7 +114,7 @@
 	}
 	if faults := p.newFaults(change); len(faults) > 0 {
 		printFaults(p.stdout, faults)
-		return exitRefused
+		return exitFailed
 	}
 	if file := p.staleFile(change); file != "" {
 		return p.conflict(file)
@@ -129,7 +126,7 @@
 	p.reader.id = change.ID
 	verdict, err := p.append(ctx, record)
 	switch {
-	case errors.Is(err, errNotAppended):
+	case errors.Is(err, logclient.ErrNotAppended):
 		return p.fail(err)
 	case err != nil:
 		fmt.Fprintf(p.stderr, "publish: it is not known whether publication %s took effect: %v\n", change.ID, err)
@@ -224,14 +221,14 @@
 }
 
 // append appends the record until its verdict is read. A record that was
-// appended twice is accepted at most once. The error is marked errNotAppended
+// appended twice is accepted at most once. The error is marked logclient.ErrNotAppended
 // if no append had an effect.
 func (p *publisher) append(ctx context.Context, record []byte) (*config.Verdict, error) {
 	open := false
 	var last error
 	for try := 0; try < maxAppends; try++ {
 		err := p.appendOnce(ctx, record)
-		open = open || !errors.Is(err, errNotAppended)
+		open = open || !errors.Is(err, logclient.ErrNotAppended)
 		if last = err; err == nil {
 			break
 		}
@@ -273,7 +270,7 @@
 func (p *publisher) conflict(file string) int {
 	version := byName(p.reader.state.Files())[file].Version
 	fmt.Fprintf(p.stdout, "conflict: %s was published by someone else at offset %d; nothing was published\n", file, version)
-	return exitRefused
+	return exitFailed
 }
 
 func (p *publisher) accepted(change config.Change, verdict *config.Verdict) int {
@@ -294,7 +291,7 @@
 	if err := p.basis.write(p.dir); err != nil {
 		fmt.Fprintln(p.stderr, "publish:", err)
 	}
-	return exitDone
+	return exitOK
 }
 
 func byName(files []config.File) map[string]config.File {
--- a/cmd/azurerouter/publish_test.go
+++ b/cmd/azurerouter/publish_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+
+	"github.com/azurerouter/azurerouter/connection/logclient"
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 )
@@ -25,7 +27,7 @@
 type memoryLog struct {
 	transit []byte
 	first   uint64
-	records []configRecord
+	records []logclient.Record
 	faults  []string
 	appends int
 	down    bool
@@ -45,7 +47,7 @@
 	case "raced":
 		l.add(l.transit)
 	case "refused":
-		return 0, errors.Mark(errors.New("log unavailable"), errNotAppended)
+		return 0, errors.Mark(errors.New("log unavailable"), logclient.ErrNotAppended)
 	case "lost", "down":
 		return 0, errors.New("connection reset")
 	}
@@ -62,15 +64,15 @@
 
 func (l *memoryLog) add(data []byte) uint64 {
 	offset := uint64(len(l.records)) + 1
-	l.records = append(l.records, configRecord{Offset: offset, Data: data})
+	l.records = append(l.records, logclient.Record{Offset: offset, Data: data})
 	return offset
 }
 
-func (l *memoryLog) Read(_ context.Context, stream string, from uint64, limit int, wait time.Duration) (configPage, error) {
+func (l *memoryLog) Read(_ context.Context, stream string, from uint64, limit int, wait time.Duration) (logclient.Page, error) {
 	if l.down {
-		return configPage{}, errors.New("log unavailable")
+		return logclient.Page{}, errors.New("log unavailable")
 	}
-	page := configPage{First: l.first, Next: uint64(len(l.records)) + 1}
+	page := logclient.Page{First: l.first, Next: uint64(len(l.records)) + 1}
 	for _, record := range l.records {
 		if record.Offset >= max(from, l.first) && len(page.Records) < min(limit, 2) {
 			page.Records = append(page.Records, record)
@@ -89,8 +91,9 @@
 // for another's fault; and against check and -h leaving out what they promise.
 func TestCommandsData(t *testing.T) {
 	root, log := t.TempDir(), &memoryLog{first: 1}
+	original := openConfigLog
 	openConfigLog = func(string) configLog { return log }
-	t.Cleanup(func() { openConfigLog = nil })
+	t.Cleanup(func() { openConfigLog = original })
 	datadriven.RunTest(t, "testdata/commands.txt", func(t *testing.T, td *datadriven.TestData) string {
 		path := root
 		if arg, ok := td.Arg("dir"); ok {
@@ -186,7 +189,7 @@
 // TestExampleSettings guards against sample settings that would be refused.
 func TestExampleSettings(t *testing.T) {
 	var stdout, stderr bytes.Buffer
-	if code := runCheck([]string{"../../examples/settings"}, &stdout, &stderr); code != exitDone {
+	if code := runCheck([]string{"../../examples/settings"}, &stdout, &stderr); code != exitOK {
 		t.Errorf("exit %d: %s%s", code, &stdout, &stderr)
 	}
 }
--- a/cmd/azurerouter/soak.go
+++ b/cmd/azurerouter/soak.go
@@ -44,7 +44,7 @@
 	}
 	fmt.Fprintf(stdout, "%d of %d runs violated a guarantee\n", failed, *runs)
 	if failed > 0 {
-		return exitFailure
+		return exitFailed
 	}
 	return exitOK
 }
--- a/cmd/azurerouter/submit.go
+++ b/cmd/azurerouter/submit.go
@@ -42,7 +42,7 @@
 	}
 	fmt.Fprintf(stdout, "%d %s\n", response.StatusCode, reply)
 	if response.StatusCode != http.StatusOK {
-		return exitFailure
+		return exitFailed
 	}
 	return exitOK
 }
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -32,7 +32,7 @@
   exit 1
 }
 
-"$bin" keys -dir "$dir/keys" -names entry-a,entry-b,agent-1,agent-2,agent-3 >/dev/null
+"$bin" keys -dir "$dir/keys" entry-a entry-b agent-1 agent-2 agent-3 >/dev/null
 start log standin log -listen 127.0.0.1:9300
 for n in 1 2 3; do start "target-$n" standin target -listen "127.0.0.1:940$n"; done
 
@@ -43,7 +43,7 @@
   "name": "$name", "zone": "zone-$n",
   "http_addr": "127.0.0.1:910$n", "peer_addr": "127.0.0.1:920$n", "admin_addr": "127.0.0.1:950$n",
   "log_url": "http://127.0.0.1:9300", "seeds": ["127.0.0.1:9201", "127.0.0.1:9202"],
-  "keys": {"authority": "$dir/keys/authority.pem", "certificate": "$dir/keys/$name.pem", "key": "$dir/keys/$name.key"}
+  "keys": {"authority": "$dir/keys/authority.pem", "certificate": "$dir/keys/$name.pem", "key": "$dir/keys/$name-key.pem"}
 }
 JSON
   start "$name" entry -settings "$dir/$name.json"
@@ -54,13 +54,14 @@
   "name": "agent-$n", "zone": "zone-$n", "admin_addr": "127.0.0.1:960$n",
   "seeds": ["127.0.0.1:9201", "127.0.0.1:9202"], "service": "card",
   "target_url": "http://127.0.0.1:940$n", "slots": 8,
-  "keys": {"authority": "$dir/keys/authority.pem", "certificate": "$dir/keys/agent-$n.pem", "key": "$dir/keys/agent-$n.key"}
+  "keys": {"authority": "$dir/keys/authority.pem", "certificate": "$dir/keys/agent-$n.pem", "key": "$dir/keys/agent-$n-key.pem"}
 }
 JSON
   start "agent-$n" agent -settings "$dir/agent-$n.json"
 done
 
-"$bin" publish -log http://127.0.0.1:9300 examples/settings
+cp -r examples/settings "$dir/settings" # publish notes the published versions in the folder
+"$bin" publish -log http://127.0.0.1:9300 "$dir/settings"
 await 127.0.0.1:9501
 await 127.0.0.1:9502
 for n in 1 2 3; do await "127.0.0.1:960$n"; done
@@ -68,7 +69,7 @@
 
 now=$(date -u +%Y-%m-%dT%H:%M:%SZ)
 job() { # KEY
-  printf '{"service":"card","team":"shop","key":"%s","submitted_at":"%s","deadline_ms":10000,"tasks":[' "$1" "$now"
+  printf '{"service":"card","team":"flores-shop","key":"%s","submitted_at":"%s","deadline_ms":10000,"tasks":[' "$1" "$now"
   for i in $(seq 0 19); do
     [ "$i" -eq 0 ] || printf ','
     printf '{"sleep_ms":%d,"output":"proof %s/%d"}' $((50 + i * 10)) "$1" "$i"
--- a/process/entry/daemon.go
+++ b/process/entry/daemon.go
@@ -50,16 +50,18 @@
 	http     *http.Server
 	logDown  *observe.Condition
 
-	mu       sync.Mutex
-	agents   map[wire.Incarnation]*peer.Conn
-	entries  map[wire.Incarnation]*peer.Conn
-	dialing  map[string]bool
-	members  *membership.Entries
-	config   *config.State
-	faults   []config.Fault
-	sources  map[string]string
-	drained  chan struct{}
-	stopOnce sync.Once
+	mu      sync.Mutex
+	agents  map[wire.Incarnation]*peer.Conn
+	entries map[wire.Incarnation]*peer.Conn
+	dialing map[string]bool
+	members *membership.Entries
+	config  *config.State
+	faults  []config.Fault
+	sources map[string]string
+
+	// forceMu orders the changes of what is in force; inForce is its offset.
+	forceMu sync.Mutex
+	inForce uint64
 }
 
 // NewDaemon prepares an entry process. It opens nothing yet.
@@ -74,7 +76,6 @@
 		entries: make(map[wire.Incarnation]*peer.Conn),
 		dialing: make(map[string]bool),
 		members: membership.New(), config: config.NewState(),
-		drained: make(chan struct{}),
 	}
 	d.core = NewCore((*daemonEnv)(d), d.self, 1, uint64(time.Now().UnixNano()))
 	d.http = &http.Server{Addr: s.HTTPAddr, Handler: d.api(), ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
--- a/process/entry/dump.go
+++ b/process/entry/dump.go
@@ -142,9 +142,8 @@
 // with a peer has violated the order of versions.
 func (d *Daemon) configError(err error) {
 	var disagreement *config.DisagreementError
-	var backwards *config.OffsetError
 	d.observer.Log.Warn().Str("step", "config").Err(err).Msg("configuration record skipped")
-	if errors.As(err, &disagreement) || errors.As(err, &backwards) {
+	if errors.As(err, &disagreement) {
 		d.observer.Violated("G8", "config", "log", err.Error())
 	}
 }
--- a/process/entry/streams.go
+++ b/process/entry/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -75,6 +76,9 @@
 	d.mu.Lock()
 	before := d.config.Offset()
 	for _, record := range page.Records {
+		if record.Offset <= before {
+			continue // a peer's state overtook this page
+		}
 		if _, err := d.config.Apply(record.Offset, page.First, record.Data); err != nil {
 			d.configError(err)
 		}
@@ -104,12 +108,20 @@
 // putInForce merges the files and hands the result to Core and to the peers. An
 // entry without any publication has nothing to put in force.
 func (d *Daemon) putInForce() {
+	d.forceMu.Lock()
+	defer d.forceMu.Unlock()
 	d.mu.Lock()
 	offset, files := d.config.Offset(), d.config.Files()
-	if offset == 0 {
+	if offset == d.inForce {
+		d.mu.Unlock()
+		return
+	}
+	if offset < d.inForce {
 		d.mu.Unlock()
+		d.observer.Violated("G8", "config", "", fmt.Sprintf("configuration would step back from %d to %d", d.inForce, offset))
 		return
 	}
+	d.inForce = offset
 	merged, faults := config.Merge(files)
 	d.faults, d.sources = faults, merged.Source
 	d.mu.Unlock()
