--- /dev/null
+++ b/connection/logclient/client_test.go
@@ -0,0 +1,124 @@
+package logclient
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Guards against an append error that claims "no effect" wrongly, which would
+// let a claim be refused as not run while it is in the log.
+func TestAppendErrors(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		switch code, _ := strconv.Atoi(string(body)); code {
+		case 0:
+			panic(http.ErrAbortHandler)
+		case http.StatusCreated:
+			w.WriteHeader(code)
+			fmt.Fprint(w, `{"offset":7}`)
+		case http.StatusTemporaryRedirect:
+			http.Redirect(w, r, "/elsewhere", code)
+		default:
+			w.WriteHeader(code)
+		}
+	}))
+	defer server.Close()
+	refusing, _ := net.Listen("tcp", "127.0.0.1:0")
+	refusing.Close()
+	cases := []struct {
+		url, data   string
+		offset      uint64
+		notAppended bool
+	}{
+		{server.URL, "201", 7, false},
+		{server.URL, "200", 0, false},
+		{server.URL, "307", 0, false},
+		{server.URL, "500", 0, false},
+		{server.URL, "503", 0, true},
+		{server.URL, "504", 0, false},
+		{server.URL, "abort", 0, false},
+		{server.URL, "", 0, true},
+		{"http://" + refusing.Addr().String(), "201", 0, true},
+	}
+	for _, c := range cases {
+		offset, err := New(c.url, nil).Append(context.Background(), "claims", []byte(c.data))
+		if offset != c.offset || (err == nil) != (offset > 0) || errors.Is(err, ErrNotAppended) != c.notAppended {
+			t.Errorf("append %q: offset %d, error %v, want not appended %v", c.data, offset, err, c.notAppended)
+		}
+	}
+}
+
+// Guards against a second append by the HTTP client: 307 and 308 ask for the
+// request to be sent again.
+func TestAppendIsNotSentTwice(t *testing.T) {
+	posts := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		posts++
+		http.Redirect(w, r, "/again", http.StatusPermanentRedirect)
+	}))
+	defer server.Close()
+	if _, err := New(server.URL, nil).Append(context.Background(), "claims", []byte("x")); err == nil || posts != 1 {
+		t.Errorf("%d requests, error %v", posts, err)
+	}
+}
+
+// Guards against a reader that never gets past large records.
+func TestReadHalvesPagesThatAreTooLarge(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		count, _ := strconv.Atoi(r.URL.Query().Get("max"))
+		if count > 2 {
+			io.WriteString(w, strings.Repeat(" ", MaxPageBytes+1))
+			return
+		}
+		fmt.Fprint(w, `{"first":1,"next":9,"records":[{"offset":3,"time":"2026-01-02T03:04:05.000000006Z","data":"YQ=="}]}`)
+	}))
+	defer server.Close()
+	page, err := New(server.URL, nil).Read(context.Background(), "claims", 3, 10, 0)
+	if err != nil || len(page.Records) != 1 || page.Next != 9 || string(page.Records[0].Data) != "a" {
+		t.Errorf("page %+v, error %v", page, err)
+	}
+	if want := time.Date(2026, 1, 2, 3, 4, 5, 6, time.UTC); err == nil && !page.Records[0].Time.Equal(want) {
+		t.Errorf("time %v, want %v", page.Records[0].Time, want)
+	}
+}
+
+// FuzzDecodePage guards against responses that make the decoder panic or hand
+// a gap or a range error on to readers.
+func FuzzDecodePage(f *testing.F) {
+	f.Fuzz(func(t *testing.T, body []byte, from uint64) {
+		page, err := decodePage(body, from)
+		if err != nil {
+			if !errors.Is(err, ErrMalformed) {
+				t.Errorf("error without mark: %v", err)
+			}
+			return
+		}
+		if page.First == 0 || page.Next < page.First {
+			t.Errorf("range %d to %d", page.First, page.Next)
+		}
+		for i, r := range page.Records {
+			if r.Offset != max(from, page.First)+uint64(i) || r.Offset >= page.Next {
+				t.Errorf("record %d of page from %d has offset %d", i, from, r.Offset)
+			}
+		}
+	})
+}
+
+// FuzzDecodeAppend guards against offset 0, which stands for no offset.
+func FuzzDecodeAppend(f *testing.F) {
+	f.Fuzz(func(t *testing.T, body []byte) {
+		if offset, err := decodeAppend(body); (offset == 0) != (err != nil) {
+			t.Errorf("offset %d, error %v", offset, err)
+		}
+	})
+}
--- /dev/null
+++ b/connection/target/client_test.go
@@ -0,0 +1,269 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/azurerouter/azurerouter/request/job"
+)
+
+// closingServer speaks HTTP/1.1 and closes kept-alive connections at a chosen
+// moment of the second request. It counts the starts of each task.
+type closingServer struct {
+	listener net.Listener
+	// misbehave handles a request on a connection that was used before. The
+	// connection is closed afterwards.
+	misbehave func(conn net.Conn, r *bufio.Reader, start func(task string))
+
+	mu     sync.Mutex
+	starts map[string]int
+}
+
+func newClosingServer(t *testing.T, misbehave func(net.Conn, *bufio.Reader, func(string))) *closingServer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	s := &closingServer{listener: listener, misbehave: misbehave, starts: make(map[string]int)}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn)
+		}
+	}()
+	return s
+}
+
+func (s *closingServer) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	if request, err := http.ReadRequest(reader); err == nil {
+		io.Copy(io.Discard, request.Body)
+		s.start(request.Header.Get(HeaderTask))
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnull")
+		s.misbehave(conn, reader, s.start)
+	}
+}
+
+func (s *closingServer) start(task string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.starts[task]++
+}
+
+func readTask(r *bufio.Reader) (string, error) {
+	request, err := http.ReadRequest(r)
+	if err != nil {
+		return "", err
+	}
+	io.Copy(io.Discard, request.Body)
+	return request.Header.Get(HeaderTask), nil
+}
+
+// closingMoments are the moments at which net/http may send a request again.
+var closingMoments = map[string]func(net.Conn, *bufio.Reader, func(string)){
+	"idle": func(net.Conn, *bufio.Reader, func(string)) {},
+	"after the first byte": func(_ net.Conn, r *bufio.Reader, start func(string)) {
+		r.Peek(1)
+	},
+	"after the start": func(_ net.Conn, r *bufio.Reader, start func(string)) {
+		if task, err := readTask(r); err == nil {
+			start(task)
+		}
+	},
+	"reset after the start": func(conn net.Conn, r *bufio.Reader, start func(string)) {
+		if task, err := readTask(r); err == nil {
+			start(task)
+			conn.(*net.TCPConn).SetLinger(0)
+		}
+	},
+	"within the response": func(conn net.Conn, r *bufio.Reader, start func(string)) {
+		if task, err := readTask(r); err == nil {
+			start(task)
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnu")
+		}
+	},
+	"with 408": func(conn net.Conn, r *bufio.Reader, start func(string)) {
+		if task, err := readTask(r); err == nil {
+			start(task)
+			fmt.Fprint(conn, "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n")
+		}
+	},
+	"with a redirect": func(conn net.Conn, r *bufio.Reader, start func(string)) {
+		if task, err := readTask(r); err == nil {
+			start(task)
+			fmt.Fprint(conn, "HTTP/1.1 307 Temporary Redirect\r\nLocation: /v1/tasks\r\nContent-Length: 0\r\n\r\n")
+		}
+	},
+}
+
+// Guards against a second start of a task through the retries of net/http when
+// a kept-alive connection is closed, and against a promise that a task was not
+// started although it was.
+func TestNoTaskIsSentTwice(t *testing.T) {
+	const tasks = 200
+	for name, misbehave := range closingMoments {
+		t.Run(name, func(t *testing.T) {
+			server := newClosingServer(t, misbehave)
+			client := New("http://"+server.listener.Addr().String(), 1)
+			defer client.Close()
+			notStarted := make(map[string]bool)
+			for i := range tasks {
+				call := Call{Index: i, Budget: 10 * time.Second, Input: []byte(`{}`)}
+				result := client.Run(context.Background(), call)
+				notStarted[fmt.Sprintf("%s/%d", call.Key, i)] = result.NotStarted
+			}
+			server.mu.Lock()
+			defer server.mu.Unlock()
+			for task, starts := range server.starts {
+				if starts > 1 || notStarted[task] {
+					t.Errorf("task %s: %d starts, reported as not started: %v", task, starts, notStarted[task])
+				}
+			}
+		})
+	}
+}
+
+// brokenConn fails every write after the first without writing anything.
+type brokenConn struct {
+	net.Conn
+	writes int
+}
+
+func (c *brokenConn) Write(p []byte) (int, error) {
+	if c.writes++; c.writes > 1 {
+		return 0, errors.New("broken pipe")
+	}
+	return c.Conn.Write(p)
+}
+
+// Guards against losing the knowledge that nothing was sent, which would turn
+// a harmless retry elsewhere into a job with an unknown outcome.
+func TestNothingWrittenIsNotStarted(t *testing.T) {
+	served := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		served++
+		fmt.Fprint(w, "1")
+	}))
+	defer server.Close()
+	client := newClient(server.URL, 1, func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, network, addr)
+		return &brokenConn{Conn: conn}, err
+	})
+	call := Call{Budget: 10 * time.Second, Input: []byte(`{}`)}
+	if first := client.Run(context.Background(), call); first.Outcome != job.OK {
+		t.Fatalf("first call: %+v", first)
+	}
+	second := client.Run(context.Background(), call)
+	if second.Outcome != job.NotStarted || !second.NotStarted || served != 1 {
+		t.Errorf("second call: %+v after %d requests at the server", second, served)
+	}
+}
+
+// slowConn lets a write return only after the connection has been closed.
+type slowConn struct {
+	net.Conn
+	written, closed chan struct{}
+	once            sync.Once
+}
+
+func (c *slowConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	close(c.written)
+	<-c.closed
+	return n, err
+}
+
+func (c *slowConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// Guards against the promise of no start for a cancelled call whose bytes are
+// just being written.
+func TestCancelDuringWriteMakesNoPromise(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	written := make(chan struct{})
+	client := newClient(server.URL, 1, func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, network, addr)
+		return &slowConn{Conn: conn, written: written, closed: make(chan struct{})}, err
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-written
+		cancel()
+	}()
+	result := client.Run(ctx, Call{Budget: time.Minute})
+	if result.Outcome != job.Cancelled || result.NotStarted {
+		t.Errorf("result %+v, want cancelled without a promise", result)
+	}
+}
+
+// Guards against outcomes that the agent would report wrongly to the entry.
+func TestOutcomes(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		switch string(body) {
+		case "1":
+			fmt.Fprint(w, `{"a":1}`)
+		case "2":
+			w.Header().Set(HeaderNotStarted, "true")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case "3":
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case "4":
+			fmt.Fprint(w, `{"a":`)
+		case "5":
+			w.Write(make([]byte, MaxOutputBytes+1))
+		case "6":
+			panic(http.ErrAbortHandler)
+		case "7":
+			<-r.Context().Done()
+		case "null":
+			fmt.Fprintf(w, `"%s %s"`, r.Header.Get(HeaderTask), r.Header.Get(HeaderAttempt))
+		}
+	}))
+	defer server.Close()
+	refusing, _ := net.Listen("tcp", "127.0.0.1:0")
+	refusing.Close()
+	cases := []struct {
+		url, input string
+		budget     time.Duration
+		want       job.Outcome
+		notStarted bool
+		output     string
+	}{
+		{server.URL, "1", time.Minute, job.OK, false, `{"a":1}`},
+		{server.URL, "", time.Minute, job.OK, false, `"00000000000000000000000000000000/3 2"`},
+		{server.URL, "2", time.Minute, job.NotStarted, true, ""},
+		{server.URL, "3", time.Minute, job.Failed, false, ""},
+		{server.URL, "4", time.Minute, job.Failed, false, ""},
+		{server.URL, "5", time.Minute, job.Failed, false, ""},
+		{server.URL, "6", time.Minute, job.Unknown, false, ""},
+		{server.URL, "7", 50 * time.Millisecond, job.Timeout, false, ""},
+		{server.URL, "1", 0, job.Timeout, true, ""},
+		{"http://" + refusing.Addr().String(), "1", time.Minute, job.NotStarted, true, ""},
+	}
+	for _, c := range cases {
+		client := New(c.url, 2)
+		r := client.Run(context.Background(), Call{Index: 3, Attempt: 2, Budget: c.budget, Input: []byte(c.input)})
+		if r.Outcome != c.want || r.NotStarted != c.notStarted || string(r.Output) != c.output {
+			t.Errorf("input %q: %+v, want %s, not started %v", c.input, r, c.want, c.notStarted)
+		}
+		client.Close()
+	}
+}
