Add the commands of the stand-ins

Cause: tests of whole processes start the stand-ins with the same binary. Change: runStandinLog and runStandinTarget listen on loopback by default, print their address, and end on SIGTERM or SIGINT after at most 2 s for running requests. Ruled out: a fixed port only; port 0 takes a free one. Conclusion: main.go can call both.

--- /dev/null
+++ b/cmd/azurerouter/standin.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/oklog/run"
+
+	"github.com/azurerouter/azurerouter/standin/logservice"
+	"github.com/azurerouter/azurerouter/standin/target"
+)
+
+// Exit codes of the stand-ins.
+const (
+	exitOK    = 0
+	exitError = 1
+	exitUsage = 2
+)
+
+const (
+	standinHeaderTimeout = 10 * time.Second
+	// Longer than the idle timeouts of the clients, so that the client closes
+	// an idle connection first.
+	standinIdleTimeout = 2 * time.Minute
+	// standinStopTimeout is how long running requests may take after SIGTERM.
+	standinStopTimeout = 2 * time.Second
+)
+
+// runStandinLog runs the stand-in of the log service until SIGTERM or SIGINT.
+func runStandinLog(args []string, stdout, stderr io.Writer) int {
+	flags := flag.NewFlagSet("standin log", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	var settings logservice.Settings
+	control := &settings.Control
+	listen := flags.String("listen", "127.0.0.1:9300", "address to listen on, host:port; port 0 takes a free one")
+	retain := flags.Duration("retain", 30*time.Minute, "age beyond which records are trimmed, as a duration; 0 means no limit")
+	flags.IntVar(&control.RetainRecords, "retain-records", 0, "number of records kept per stream; 0 means no limit (default 0)")
+	flags.Float64Var(&control.AppendDelayMS, "append-delay-ms", 0, "delay of every append, in milliseconds (default 0)")
+	flags.Float64Var(&control.SyncMS, "sync-ms", 0, "cost of a synced write, paid by one append after another, in milliseconds (default 0)")
+	flags.Float64Var(&control.AppendsPerSecond, "appends-per-second", 0, "cap of appends over all streams, per second; 0 means no cap (default 0)")
+	flags.Uint64Var(&settings.Seed, "seed", 1, "seed for the choice of lost responses")
+	if code, stop := parseStandinFlags(flags, args); stop {
+		return code
+	}
+	control.RetainMS = float64(*retain) / float64(time.Millisecond)
+	return serveStandin("log service", *listen, logservice.New(settings), stdout, stderr)
+}
+
+// runStandinTarget runs the stand-in of a target until SIGTERM or SIGINT.
+func runStandinTarget(args []string, stdout, stderr io.Writer) int {
+	flags := flag.NewFlagSet("standin target", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	listen := flags.String("listen", "127.0.0.1:9400", "address to listen on, host:port; port 0 takes a free one")
+	slow := flags.Float64("slow-factor", 1, "factor on the run time of every task, without unit")
+	if code, stop := parseStandinFlags(flags, args); stop {
+		return code
+	}
+	t := target.New()
+	t.SetControl(target.Control{SlowFactor: *slow})
+	return serveStandin("target", *listen, t, stdout, stderr)
+}
+
+// parseStandinFlags returns the exit code if the command must stop.
+func parseStandinFlags(flags *flag.FlagSet, args []string) (code int, stop bool) {
+	err := flags.Parse(args)
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		return exitOK, true
+	case err != nil:
+		return exitUsage, true
+	case flags.NArg() > 0:
+		fmt.Fprintf(flags.Output(), "%s takes no arguments, got %q\n", flags.Name(), flags.Args())
+		return exitUsage, true
+	}
+	return 0, false
+}
+
+func serveStandin(name, listen string, handler http.Handler, stdout, stderr io.Writer) int {
+	listener, err := net.Listen("tcp", listen)
+	if err != nil {
+		fmt.Fprintf(stderr, "standin %s: %v\n", name, err)
+		return exitError
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: standinHeaderTimeout, IdleTimeout: standinIdleTimeout}
+	fmt.Fprintf(stdout, "standin %s listening on http://%s\n", name, listener.Addr())
+	var group run.Group
+	group.Add(func() error { return server.Serve(listener) }, func(error) { stopServer(server) })
+	group.Add(run.SignalHandler(context.Background(), syscall.SIGTERM, syscall.SIGINT))
+	if err := group.Run(); !errors.Is(err, run.ErrSignal) {
+		fmt.Fprintf(stderr, "standin %s: %v\n", name, err)
+		return exitError
+	}
+	return exitOK
+}
+
+// stopServer waits for running requests, but not for those that hang.
+func stopServer(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), standinStopTimeout)
+	defer cancel()
+	if server.Shutdown(ctx) != nil {
+		server.Close()
+	}
+}
