--- a/cmd/azurerouter/main.go
+++ b/cmd/azurerouter/main.go
@@ -8,14 +8,14 @@
 	"os"
 )
 
-// command is one subcommand. run returns the exit code.
-type command struct {
+// subcommand is one of the commands below. run returns the exit code.
+type subcommand struct {
 	name    string
 	summary string
 	run     func(args []string, stdout, stderr io.Writer) int
 }
 
-var commands = []command{
+var commands = []subcommand{
 	{"entry", "run an entry process", runEntry},
 	{"agent", "run the process beside one target", runAgent},
 	{"check", "check a folder of configuration files", runCheck},
--- a/cmd/azurerouter/standin.go
+++ b/cmd/azurerouter/standin.go
@@ -17,13 +17,6 @@
 	"github.com/azurerouter/azurerouter/standin/target"
 )
 
-// Exit codes of the stand-ins.
-const (
-	exitOK    = 0
-	exitError = 1
-	exitUsage = 2
-)
-
 const (
 	standinHeaderTimeout = 10 * time.Second
 	// Longer than the idle timeouts of the clients, so that the client closes
@@ -86,7 +79,7 @@
 	listener, err := net.Listen("tcp", listen)
 	if err != nil {
 		fmt.Fprintf(stderr, "standin %s: %v\n", name, err)
-		return exitError
+		return exitFailed
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: standinHeaderTimeout, IdleTimeout: standinIdleTimeout}
 	fmt.Fprintf(stdout, "standin %s listening on http://%s\n", name, listener.Addr())
@@ -95,7 +88,7 @@
 	group.Add(run.SignalHandler(context.Background(), syscall.SIGTERM, syscall.SIGINT))
 	if err := group.Run(); !errors.Is(err, run.ErrSignal) {
 		fmt.Fprintf(stderr, "standin %s: %v\n", name, err)
-		return exitError
+		return exitFailed
 	}
 	return exitOK
 }
--- a/process/claims/claims.go
+++ b/process/claims/claims.go
@@ -55,7 +55,6 @@
 	pending   []Claim
 	waiting   map[job.KeyHash]bool
 	inflight  *record
-	unknown   bool
 	notBefore time.Time
 }
 
--- a/soak/oracle.go
+++ b/soak/oracle.go
@@ -33,7 +33,6 @@
 	keyed      bool
 	budget     time.Duration
 	calls      []*call
-	complete   []byte // the complete answer, if one was given
 }
 
 // call is one submission of it to one entry.
