Report the state of entries and agents as metrics

Cause: names of metrics existed without values. Change: one report a second from the state of the cores; counters per service.

--- a/process/agent/core.go
+++ b/process/agent/core.go
@@ -15,6 +15,7 @@
 	"github.com/azurerouter/azurerouter/connection/target"
 	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/fencing"
+	"github.com/azurerouter/azurerouter/request/job"
 	"github.com/azurerouter/azurerouter/version/config"
 )
 
@@ -67,6 +68,7 @@
 type Counters struct {
 	Started    uint64                     `json:"started"`
 	NotStarted map[wire.NotStarted]uint64 `json:"not_started"`
+	Ended      map[job.Outcome]uint64     `json:"ended"`
 	Rejoined   uint64                     `json:"rejoined"`
 	Stray      uint64                     `json:"stray"`
 }
@@ -93,7 +95,7 @@
 		links:      make(map[wire.Incarnation]*link),
 		recoverers: make(map[wire.Incarnation][]wire.Incarnation),
 		config:     config.NewState(),
-		counters:   Counters{NotStarted: make(map[wire.NotStarted]uint64)},
+		counters:   Counters{NotStarted: make(map[wire.NotStarted]uint64), Ended: make(map[job.Outcome]uint64)},
 	}
 	c.guard = fencing.New(options.Incarnation, options.Limits, func(guarantee, detail string) {
 		env.Violated(guarantee, "start", "", detail)
@@ -245,6 +247,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.running, ref)
+	if !result.NotStarted {
+		c.counters.Ended[result.Outcome]++
+	}
 	if fenced {
 		for _, recoverer := range c.recoverers[ref.entry] {
 			c.send(recoverer, &wire.Fenced{Entry: ref.entry, Tasks: []wire.HeldTask{held}})
@@ -402,6 +407,7 @@
 	Queued       int                  `json:"queued"`
 	ConfigOffset uint64               `json:"config_offset"`
 	Entries      []string             `json:"entries"`
+	ResultBytes  int64                `json:"result_bytes"`
 	Counters     Counters             `json:"counters"`
 	Senders      []fencing.SenderDump `json:"senders"`
 }
@@ -413,11 +419,9 @@
 	defer c.mu.Unlock()
 	dump := Dump{Incarnation: c.options.Incarnation.String(), Leaving: c.leaving, Slots: c.options.Slots,
 		Running: len(c.running), Queued: len(c.urgent) + len(c.batch), ConfigOffset: c.config.Offset(),
-		Counters: c.counters, Senders: c.guard.Dump(now)}
-	dump.Counters.NotStarted = make(map[wire.NotStarted]uint64, len(c.counters.NotStarted))
-	for reason, count := range c.counters.NotStarted {
-		dump.Counters.NotStarted[reason] = count
-	}
+		ResultBytes: c.guard.HeldBytes(), Counters: c.counters, Senders: c.guard.Dump(now)}
+	dump.Counters.NotStarted = maps.Clone(c.counters.NotStarted)
+	dump.Counters.Ended = maps.Clone(c.counters.Ended)
 	for _, entry := range slices.Sorted(maps.Keys(c.links)) {
 		dump.Entries = append(dump.Entries, entry.String())
 	}
--- a/process/agent/daemon.go
+++ b/process/agent/daemon.go
@@ -18,6 +18,8 @@
 
 const (
 	tickInterval = 50 * time.Millisecond
+	// ticksPerReport sets the interval of metrics to 1 s.
+	ticksPerReport = 20
 	// dialInterval is how often entries without a connection are dialled.
 	dialInterval = 500 * time.Millisecond
 	dialTimeout  = 2 * time.Second
@@ -86,14 +88,38 @@
 func (d *Daemon) tick(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	for {
+	var before Dump
+	for ticks := 0; ; ticks++ {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
 			d.core.Tick()
 		}
+		if ticks%ticksPerReport == 0 {
+			before = d.report(before)
+		}
+	}
+}
+
+// report keeps the metrics that are read from the state of Core.
+func (d *Daemon) report(before Dump) Dump {
+	m := d.observer.Metrics
+	now := d.core.Dump()
+	m.Counter(observe.TasksStarted).Inc(int64(now.Counters.Started - before.Counters.Started))
+	for reason, count := range now.Counters.NotStarted {
+		m.Tagged(map[string]string{observe.TagReason: string(reason)}).Counter(observe.TasksNotStarted).
+			Inc(int64(count - before.Counters.NotStarted[reason]))
+	}
+	for outcome, count := range now.Counters.Ended {
+		m.Tagged(map[string]string{observe.TagOutcome: string(outcome)}).Counter(observe.TasksEnded).
+			Inc(int64(count - before.Counters.Ended[outcome]))
 	}
+	m.Gauge(observe.SlotsUsed).Update(float64(now.Running))
+	m.Gauge(observe.ResultBytesHeld).Update(float64(now.ResultBytes))
+	m.Gauge(observe.ConfigOffset).Update(float64(now.ConfigOffset))
+	m.Gauge(observe.Connections).Update(float64(len(now.Entries)))
+	return now
 }
 
 // drainOn ends the process after a graceful shutdown: no new work, what runs
--- a/process/entry/core.go
+++ b/process/entry/core.go
@@ -103,12 +103,13 @@
 	mu        sync.Mutex
 	scheduler *scheduler.Scheduler
 	random    *rand.Rand
+
+	dispatched atomic.Uint64
+	retried    atomic.Uint64
 }
 
 type counters struct {
 	strayAnswers atomic.Uint64
-	retries      atomic.Uint64
-	dispatched   atomic.Uint64
 	recovered    atomic.Uint64
 }
 
--- a/process/entry/daemon.go
+++ b/process/entry/daemon.go
@@ -122,6 +122,7 @@
 	actor(d.followMembers)
 	actor(d.announce)
 	actor(d.dialEntries)
+	actor(d.report)
 	actor(func(ctx context.Context) error { return d.drainOn(ctx, stop) })
 	g.Add(func() error { return listener.Serve(ctx) }, func(error) { listener.Close() })
 	g.Add(d.http.ListenAndServe, func(error) { d.http.Close() })
@@ -345,7 +346,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
 		defer cancel()
 		offset, err := e.log.Append(ctx, claims.Stream, batch.Data)
-		(*Daemon)(e).noteLog(err)
+		(*Daemon)(e).noteLog(observe.LogAppends, claims.Stream, err)
 		e.core.Appended(batch.Nonce, offset, err)
 	}()
 }
@@ -355,10 +356,15 @@
 	e.observer.Violated(guarantee, step, peer, detail)
 }
 
-func (d *Daemon) noteLog(err error) {
+// noteLog counts an access to the log service and logs when it becomes
+// unavailable and available.
+func (d *Daemon) noteLog(metric, stream string, err error) {
+	result := "ok"
 	if err != nil {
+		result = "error"
 		d.logDown.Begin(err)
-		return
+	} else {
+		d.logDown.End()
 	}
-	d.logDown.End()
+	d.observer.Metrics.Tagged(map[string]string{observe.TagStream: stream, observe.TagResult: result}).Counter(metric).Inc(1)
 }
--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -48,7 +48,7 @@
 	for _, sent := range batch {
 		c.noteSent(sent, agent)
 	}
-	c.counters.dispatched.Add(uint64(len(batch)))
+	svc.dispatched.Add(uint64(len(batch)))
 	c.env.SendAgent(agent, link.message(now, c.self, batch))
 }
 
@@ -207,7 +207,7 @@
 	if !sent.service.scheduler.Retry(now, task) {
 		return false
 	}
-	c.counters.retries.Add(1)
+	sent.service.retried.Add(1)
 	return true
 }
 
--- a/process/entry/dump.go
+++ b/process/entry/dump.go
@@ -28,8 +28,6 @@
 	Queries      int                       `json:"queries"`
 	Recoveries   int                       `json:"recoveries"`
 	StrayAnswers uint64                    `json:"stray_answers"`
-	Dispatched   uint64                    `json:"dispatched"`
-	Retries      uint64                    `json:"retries"`
 	Recovered    uint64                    `json:"recovered"`
 }
 
@@ -66,8 +64,7 @@
 	dump := Dump{Incarnation: c.self.String(), Ready: "yes", FencedOff: c.FencedOff(),
 		ConfigOffset: c.peers.configOffset(), Queries: c.peers.pendingQueries(),
 		Services:     make(map[string]scheduler.Dump),
-		StrayAnswers: c.counters.strayAnswers.Load(), Dispatched: c.counters.dispatched.Load(),
-		Retries: c.counters.retries.Load(), Recovered: c.counters.recovered.Load()}
+		StrayAnswers: c.counters.strayAnswers.Load(), Recovered: c.counters.recovered.Load()}
 	if err := c.Ready(); err != nil {
 		dump.Ready = err.Error()
 	}
--- a/process/entry/streams.go
+++ b/process/entry/streams.go
@@ -10,6 +10,7 @@
 	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/claims"
 	"github.com/azurerouter/azurerouter/process/membership"
+	"github.com/azurerouter/azurerouter/process/observe"
 	"github.com/azurerouter/azurerouter/version/config"
 )
 
@@ -33,7 +34,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		d.noteLog(err)
+		d.noteLog(observe.LogReads, stream, err)
 		if err != nil {
 			sleep(ctx, followRetry)
 			continue
@@ -150,7 +151,7 @@
 	defer cancel()
 	// A lost response does no harm: a second snapshot has no effect.
 	_, err = d.log.Append(ctx, ConfigStream, record)
-	d.noteLog(err)
+	d.noteLog(observe.LogAppends, ConfigStream, err)
 }
 
 func (d *Daemon) followMembers(ctx context.Context) error {
@@ -232,6 +233,6 @@
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	_, err = d.log.Append(ctx, membership.Stream, record)
-	d.noteLog(err)
+	d.noteLog(observe.LogAppends, membership.Stream, err)
 	return err
 }
--- a/process/fencing/dump.go
+++ b/process/fencing/dump.go
@@ -31,6 +31,9 @@
 	return dumps
 }
 
+// HeldBytes returns the size of the outputs kept.
+func (g *Guard) HeldBytes() int64 { return g.heldBytes.Load() }
+
 // Unreleased returns how many results entries that are not fenced still need.
 func (g *Guard) Unreleased() int {
 	count := 0
