Add traces, replay, and a run for every pair of faults

Cause: failures need stated outcomes that can be replayed, and faults come in pairs. Found by the traces: an agent closed the connection of a fenced entry at once, so the refusal that tells the entry was lost and its job waited for the deadline; the job's end and its callers' deadlines came in the wrong order, so a caller was told unknown although nothing had started.

--- a/cmd/azurerouter/main.go
+++ b/cmd/azurerouter/main.go
@@ -28,6 +28,7 @@
 	{"keys", "write keys and certificates for a deployment", runKeys},
 	{"bench", "compare policies in virtual time", runBench},
 	{"soak", "run entries and agents in virtual time under faults", runSoak},
+	{"replay", "run a recorded trace of calls and faults", runReplay},
 	{"standin log", "run a stand-in of the platform's log service", runStandinLog},
 	{"standin target", "run a stand-in of a target", runStandinTarget},
 }
--- a/cmd/azurerouter/soak.go
+++ b/cmd/azurerouter/soak.go
@@ -19,6 +19,7 @@
 	entries := flags.Int("entries", 0, "entry processes; 0 stands for 3 (processes)")
 	agents := flags.Int("agents", 0, "agent processes; 0 stands for 5 (processes)")
 	faults := flags.String("faults", "all", "kinds of faults to inject, comma-separated, or \"all\"")
+	record := flags.String("record", "", "`file` for the calls and faults of the last run as a trace for replay")
 	if code, ok := parseFlags(flags, args, 0, stdout, stderr); !ok {
 		return code
 	}
@@ -30,6 +31,16 @@
 	failed := 0
 	for run := range *runs {
 		options := soak.Options{Seed: *seed + run, Duration: *duration, Faults: kinds, Entries: *entries, Agents: *agents}
+		if run == *runs-1 {
+			trace, err := createRecord(*record)
+			if err != nil {
+				return fail(stderr, "soak", err)
+			}
+			if trace != nil {
+				defer trace.Close()
+				options.Record = trace
+			}
+		}
 		result := soak.Run(options)
 		fmt.Fprintf(stdout, "seed %d: %d events, digest %016x, %d calls, %d starts, answers %v, %d violations\n",
 			options.Seed, result.Events, result.Digest, result.Calls, result.Starts, result.Answers, len(result.Violations))
--- a/process/entry/jobs.go
+++ b/process/entry/jobs.go
@@ -170,7 +170,7 @@
 	}
 	if !e.started() && !cancelledByCaller(answer) {
 		waiters := s.leave(now, hash, e, idle)
-		return waiters, Reply{Refusal: notStartedRefusal(now, e)}
+		return waiters, Reply{Refusal: c.notStartedRefusal(now, e)}
 	}
 	e.answer = answer
 	return s.leave(now, hash, e, answered), Reply{Answer: answer}
@@ -185,7 +185,10 @@
 	return false
 }
 
-func notStartedRefusal(now time.Time, e *entryJob) *refusal.Error {
+func (c *Core) notStartedRefusal(now time.Time, e *entryJob) *refusal.Error {
+	if c.fencedOff.Load() {
+		return refusal.New(refusal.NotReady, "dispatch", "this entry has been fenced and restarts").After(time.Second)
+	}
 	if !now.Before(e.sub.Deadline) {
 		return refusal.New(refusal.Deadline, "dispatch", "no target had room before the deadline")
 	}
@@ -251,7 +254,10 @@
 // expireRunning ends a job after its deadline, and waiters whose own deadline is
 // earlier.
 func (c *Core) expireRunning(now time.Time, s *shard, hash job.KeyHash, e *entryJob) []func() {
-	after := e.expireWaiters(now)
+	var after []func()
+	if now.Before(e.sub.Deadline.Add(deadlineGrace)) {
+		after = e.expireWaiters(now)
+	}
 	if !e.late && !now.Before(e.sub.Deadline) {
 		e.late = true
 		sent := append([]sentRef(nil), e.sent...)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -53,7 +53,7 @@
 
 // faults injects one fault after another. Several may last at the same time.
 func (w *world) faults() {
-	w.inject(w.options.Faults[w.random.IntN(len(w.options.Faults))])
+	w.drawFault()
 	w.after(w.duration(faultIntervalMin, faultIntervalMax), "faults", func() {
 		if w.now.Before(epoch.Add(w.options.Duration)) {
 			w.faults()
@@ -61,11 +61,24 @@
 	})
 }
 
-func (w *world) inject(fault Fault) {
-	w.result.Injected[fault]++
+func (w *world) drawFault() {
+	fault := w.options.Faults[w.random.IntN(len(w.options.Faults))]
 	lasts := w.duration(faultLastsMin, faultLastsMax)
 	e := w.entries[w.random.IntN(len(w.entries))]
 	a := w.agents[w.random.IntN(len(w.agents))]
+	step := Step{Do: string(fault), LastsMS: float64(lasts) / float64(time.Millisecond)}
+	switch fault {
+	case KillEntry, PauseEntry, CutEntry, DrainEntry, CancelWave:
+		step.Process = e.name
+	case KillAgent, PauseAgent, CutAgent, LeaveAgent, BreakConn:
+		step.Process = a.name
+	}
+	w.record(step)
+	w.inject(fault, e, a, lasts)
+}
+
+func (w *world) inject(fault Fault, e *entryNode, a *agentNode, lasts time.Duration) {
+	w.result.Injected[fault]++
 	switch fault {
 	case KillEntry:
 		w.killEntry(e)
--- a/soak/nodes.go
+++ b/soak/nodes.go
@@ -14,6 +14,7 @@
 
 const (
 	serviceName  = "card"
+	teamName     = "shop"
 	targetSlots  = 4
 	agentBacklog = 2
 	entryTick    = 5 * time.Millisecond
--- a/soak/oracle.go
+++ b/soak/oracle.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/azurerouter/azurerouter/connection/target"
@@ -25,14 +26,18 @@
 // submission is one piece of work as the callers see it: sent once or several
 // times, through the same or other entries.
 type submission struct {
+	name       string
 	body       []byte
 	single     bool
 	idempotent bool
 	tasks      int
 	hash       job.KeyHash // zero for an unkeyed request until it starts
 	keyed      bool
-	budget     time.Duration
-	calls      []*call
+	// once is set if the caller states that it sends the key for the first
+	// time, and never sends it again.
+	once   bool
+	budget time.Duration
+	calls  []*call
 }
 
 // call is one submission of it to one entry.
@@ -45,20 +50,21 @@
 	// notRun is set if the reply promised that nothing was run.
 	notRun bool
 	cancel func()
+	// reply describes the end of the call.
+	reply string
 }
 
 // oracle generates the callers' work and checks the guarantees from outside.
 type oracle struct {
 	world       *world
 	submissions []*submission
-	byHash      map[job.KeyHash]*submission
 	starts      map[job.KeyHash]map[int]int
-	// idempotentHashes are unkeyed requests, which may start again.
+	// keyed holds the keys of submissions whose tasks must not start twice.
 	keyed map[job.KeyHash]bool
 }
 
 func newOracle(w *world) *oracle {
-	return &oracle{world: w, byHash: make(map[job.KeyHash]*submission),
+	return &oracle{world: w,
 		starts: make(map[job.KeyHash]map[int]int), keyed: make(map[job.KeyHash]bool)}
 }
 
@@ -68,12 +74,12 @@
 		return
 	}
 	s := w.oracle.newSubmission()
-	w.oracle.call(s)
-	for w.chance(35) {
+	w.oracle.drawCall(s)
+	for !s.once && w.chance(35) {
 		// A caller that believes the submission lost sends it again.
 		w.after(w.duration(0, 8*time.Second), "resubmit", func() {
 			if s.keyed {
-				w.oracle.call(s)
+				w.oracle.drawCall(s)
 			}
 		})
 	}
@@ -82,7 +88,7 @@
 
 func (o *oracle) newSubmission() *submission {
 	w := o.world
-	s := &submission{single: w.chance(50), budget: w.duration(300*time.Millisecond, 9*time.Second), tasks: 1}
+	s := &submission{name: fmt.Sprint("submission-", len(o.submissions)), single: w.chance(50), budget: w.duration(300*time.Millisecond, 9*time.Second), tasks: 1}
 	s.idempotent = s.single && w.chance(40)
 	s.keyed = !s.idempotent
 	if !s.single {
@@ -91,19 +97,20 @@
 			s.tasks = job.MaxTasks
 		}
 	}
-	body := map[string]any{"service": serviceName, "team": "shop", "deadline_ms": s.budget.Milliseconds()}
+	body := map[string]any{"service": serviceName, "team": teamName, "deadline_ms": s.budget.Milliseconds()}
 	if s.keyed {
 		key := fmt.Sprintf("key-%d", len(o.submissions))
 		body["key"], body["submitted_at"] = key, w.now
-		s.hash = job.HashKey("shop", serviceName, key)
-		o.byHash[s.hash] = s
-		o.keyed[s.hash] = true
+		o.identify(s, key)
 	}
 	if s.single {
 		body["input"], body["idempotent"] = 1, s.idempotent
 	} else {
 		body["tasks"] = slices.Repeat([]int{1}, s.tasks)
 	}
+	if s.once = s.keyed && w.chance(30); s.once {
+		body["resubmission"] = false
+	}
 	if w.chance(30) {
 		body["priority"] = job.Batch
 	}
@@ -112,15 +119,67 @@
 	return s
 }
 
-// call sends a submission to a random live entry.
-func (o *oracle) call(s *submission) {
+func (o *oracle) identify(s *submission, key string) {
+	s.hash = job.HashKey(teamName, serviceName, key)
+	o.keyed[s.hash] = true
+}
+
+// perform makes the call of a trace.
+func (o *oracle) perform(step Step) {
+	for _, s := range o.submissions {
+		if s.name == step.Name {
+			o.call(s, o.world.entryNamed(step.Process))
+			return
+		}
+	}
+	var body struct {
+		Key        string            `json:"key"`
+		DeadlineMS int64             `json:"deadline_ms"`
+		Idempotent bool              `json:"idempotent"`
+		Tasks      []json.RawMessage `json:"tasks"`
+	}
+	if err := json.Unmarshal(step.Body, &body); err != nil {
+		o.world.violated("trace: body of %s: %v", step.Name, err)
+		return
+	}
+	s := &submission{name: step.Name, body: step.Body, single: step.Single, idempotent: body.Idempotent,
+		keyed: body.Key != "", tasks: max(1, len(body.Tasks)), budget: time.Duration(body.DeadlineMS) * time.Millisecond}
+	if s.keyed {
+		o.identify(s, body.Key)
+	}
+	o.submissions = append(o.submissions, s)
+	o.call(s, o.world.entryNamed(step.Process))
+}
+
+// cancel cancels the open calls of a submission.
+func (o *oracle) cancel(name string) {
+	for _, s := range o.submissions {
+		for _, c := range s.calls {
+			if s.name == name && c.entry.calls[c] && c.cancel != nil {
+				c.entry.do(c.cancel)
+			}
+		}
+	}
+}
+
+// drawCall sends a submission to a random entry.
+func (o *oracle) drawCall(s *submission) {
 	w := o.world
 	e := w.entries[w.random.IntN(len(w.entries))]
-	if !e.alive || e.draining {
-		return // connection refused, or left out by the balancer
-	}
+	w.record(Step{Do: stepCall, Process: e.name, Name: s.name, Body: s.body, Single: s.single})
+	o.call(s, e)
+}
+
+// call sends a submission to an entry.
+func (o *oracle) call(s *submission, e *entryNode) {
+	w := o.world
 	c := &call{sub: s, entry: e, at: w.now}
 	s.calls = append(s.calls, c)
+	if !e.alive || e.draining {
+		// Refused by the system, or left out by the balancer.
+		c.lost, c.reply = true, "connection refused"
+		return
+	}
 	w.result.Calls++
 	e.calls[c] = true
 	at, core := e.process, e.core
@@ -153,6 +212,7 @@
 	w := o.world
 	delete(c.entry.calls, c)
 	c.replies++
+	c.reply = describe(reply)
 	if c.replies > 1 {
 		w.violated("G3 call answered %d times", c.replies)
 	}
@@ -168,6 +228,18 @@
 	o.checkAnswer(c.sub, reply.Answer)
 }
 
+// describe gives the end of a call in a few words.
+func describe(reply entry.Reply) string {
+	if reply.Refusal != nil {
+		return fmt.Sprintf("refused %s run=%s", reply.Refusal.Code, reply.Refusal.Run)
+	}
+	outcomes := make([]string, len(reply.Answer.Tasks))
+	for i, task := range reply.Answer.Tasks {
+		outcomes[i] = string(task.Outcome)
+	}
+	return fmt.Sprintf("%s [%s]", reply.Answer.State, strings.Join(outcomes, " "))
+}
+
 func (o *oracle) checkNotRun(s *submission, refused *refusal.Error) {
 	if s.keyed && o.totalStarts(s.hash) > 0 {
 		o.world.violated("G4 %s says not run, but %d starts of %s", refused.Code, o.totalStarts(s.hash), s.hash)
@@ -240,6 +312,9 @@
 
 // finish checks what holds only at the end.
 func (o *oracle) finish() {
+	for _, s := range o.submissions {
+		o.world.result.Replies = append(o.world.result.Replies, o.resultOf(s))
+	}
 	for i, s := range o.submissions {
 		promised, others := 0, 0
 		for _, c := range s.calls {
@@ -258,6 +333,24 @@
 	}
 }
 
+func (o *oracle) resultOf(s *submission) SubmissionResult {
+	result := SubmissionResult{Name: s.name}
+	for _, c := range s.calls {
+		switch {
+		case c.reply != "":
+			result.Replies = append(result.Replies, c.entry.name+": "+c.reply)
+		case c.lost:
+			result.Replies = append(result.Replies, c.entry.name+": connection lost")
+		default:
+			result.Replies = append(result.Replies, c.entry.name+": no reply")
+		}
+	}
+	for i := range s.tasks {
+		result.Starts = append(result.Starts, o.starts[s.hash][i])
+	}
+	return result
+}
+
 func sortedKeys[V any](m map[wire.Incarnation]V) []wire.Incarnation {
 	return slices.Sorted(maps.Keys(m))
 }
--- a/soak/platform.go
+++ b/soak/platform.go
@@ -109,14 +109,19 @@
 		if ended {
 			return
 		}
-		if w.chance(refusePercent) {
+		plan, planned := planOf(call.Input)
+		refuse, fail, runTime := w.chance(refusePercent), w.chance(failPercent), w.taskTime(call)
+		if planned {
+			refuse, fail, runTime = plan.End == job.NotStarted, plan.End == job.Failed, milliseconds(*plan.MS)
+		}
+		if refuse {
 			finish(target.Result{NotStarted: true})
 			return
 		}
 		w.oracle.started(n, call)
-		w.after(w.taskTime(call), "end "+at.name, func() {
+		w.after(runTime, "end "+at.name, func() {
 			took := w.now.Sub(started)
-			if w.chance(failPercent) {
+			if fail {
 				finish(target.Result{Outcome: job.Failed, Error: "failed", Took: took})
 				return
 			}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -34,3 +34,24 @@
 		t.Fatalf("digests %x and %x, events %d and %d", first.Digest, second.Digest, first.Events, second.Events)
 	}
 }
+
+// pairDuration is long enough for several faults of both kinds and for the
+// leases that they may cross.
+const pairDuration = 20 * time.Second
+
+// Guards every guarantee against each kind of fault alone and each pair of kinds.
+func TestFaultPairs(t *testing.T) {
+	kinds := AllFaults()
+	for i, first := range kinds {
+		for j, second := range kinds[i:] {
+			seed := uint64(1 + i*len(kinds) + j)
+			t.Run(fmt.Sprintf("%s,%s", first, second), func(t *testing.T) {
+				t.Parallel()
+				result := Run(Options{Seed: seed, Duration: pairDuration, Faults: []Fault{first, second}})
+				for _, v := range result.Violations {
+					t.Errorf("%s\nrepeat with: azurerouter soak -seed %d -duration %s -faults %s,%s", v, seed, pairDuration, first, second)
+				}
+			})
+		}
+	}
+}
--- a/soak/world.go
+++ b/soak/world.go
@@ -8,6 +8,7 @@
 	"container/heap"
 	"fmt"
 	"hash/fnv"
+	"io"
 	"math/rand/v2"
 	"time"
 )
@@ -22,6 +23,10 @@
 	Faults   []Fault       // kinds of faults to inject; empty means all
 	Entries  int
 	Agents   int
+	// Record receives the calls and faults of the run as a trace.
+	Record io.Writer
+	// Trace replaces the random calls and faults.
+	Trace []Step
 }
 
 // Result is what a run saw.
@@ -34,6 +39,16 @@
 	Answers  map[string]int
 	Starts   int
 	Injected map[Fault]int
+	// Replies lists, for each submission of a trace, the ends of its calls in
+	// order of time, and Started the starts of its tasks.
+	Replies []SubmissionResult
+}
+
+// SubmissionResult is what became of one submission.
+type SubmissionResult struct {
+	Name    string
+	Replies []string
+	Starts  []int
 }
 
 // world is the event queue of a run.
@@ -140,8 +155,12 @@
 	for i := range options.Agents {
 		w.agents = append(w.agents, newAgentNode(w, fmt.Sprintf("agent-%d", i)))
 	}
-	w.after(time.Second, "callers", w.callers)
-	w.after(2*time.Second, "faults", w.faults)
+	if options.Trace != nil {
+		w.replay(options.Trace)
+	} else {
+		w.after(time.Second, "callers", w.callers)
+		w.after(2*time.Second, "faults", w.faults)
+	}
 	w.runUntil(epoch.Add(options.Duration))
 	w.heal()
 	w.runUntil(epoch.Add(options.Duration + settleTime))
