Use the claim table with dedupe window and append budget

Change: entry.Core creates the table with the first configuration; the dedupe window of a process stays at most that of its start, because a longer one would accept keys that the shards have forgotten; a key that this entry owns without a record of it is a violation of G1 and is refused, not run. Ruled out: a window that grows with the time that passes after it was raised; the claim table would have to grow with it.

--- a/process/entry/claiming.go
+++ b/process/entry/claiming.go
@@ -9,35 +9,63 @@
 	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/claims"
 	"github.com/azurerouter/azurerouter/request/job"
+	"github.com/azurerouter/azurerouter/request/refusal"
 )
 
-// claimState is the claim table and the group commit of an entry.
+// claimState is the claim table and the group commit of an entry. It begins
+// with the first configuration, which names the dedupe window.
 type claimState struct {
 	mu        sync.Mutex
+	random    *rand.Rand
+	table     *claims.Table
 	committer *claims.Committer
+	// window stays as it was at the start of the process. A longer one would
+	// accept keys that the table and the shards have already forgotten.
+	window  time.Duration
+	entries int
 }
 
-func (s *claimState) init(self wire.Incarnation, entries int, random *rand.Rand) {
-	s.committer = claims.NewCommitter(self, entries, random)
+// begin creates the table unless it exists.
+func (s *claimState) begin(self wire.Incarnation, window time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.committer != nil {
+		return
+	}
+	s.window = window
+	s.table = claims.NewTable(window)
+	s.committer = claims.NewCommitter(self, s.table, window)
+	s.committer.SetEntries(s.entries)
 }
 
-func (c *Core) claimOwner(hash job.KeyHash) (claims.Owner, bool) {
-	c.claims.mu.Lock()
-	defer c.claims.mu.Unlock()
-	return c.claims.committer.Owner(hash)
+// keyWindow returns how long keys are remembered.
+func (s *claimState) keyWindow() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.window
 }
 
-// addClaim asks for the key. The decision comes with claimDecided.
-func (c *Core) addClaim(now time.Time, sub *job.Submission) {
+// addClaim asks for the key of a job in phase claiming. restart is set if the
+// job was idle here before: only then may its owner be this entry already.
+func (c *Core) addClaim(now time.Time, sub *job.Submission, restart bool) {
 	c.claims.mu.Lock()
-	decisions := c.claims.committer.Add(now, claims.Claim{Key: sub.Hash, Digest: sub.Digest})
+	decision, known := c.claims.committer.Add(now, claims.Claim{
+		Pair: claims.Pair{Key: sub.Hash, Digest: sub.Digest}, SubmittedAt: sub.SubmittedAt})
 	c.claims.mu.Unlock()
-	c.claimsDecided(now, decisions)
-	c.appendClaims(now)
+	if !known {
+		c.appendClaims(now)
+		return
+	}
+	if decision.Verdict == claims.Won && !restart {
+		c.env.Violated("G1", "claim", "", "this entry owns key "+sub.Hash.String()+" and has no record of it")
+		c.refuseClaiming(now, sub.Hash, refusal.New(refusal.KeyTooOld, "claim", "what became of the key is no longer known").Unknown())
+		return
+	}
+	c.claimsDecided(now, []claims.Decision{decision})
 }
 
-// withdrawClaim takes back a claim that is not in the log yet. One that is, or
-// that turns up later, leaves the key idle at this entry.
+// withdrawClaim takes back a claim. It may still come into effect, which leaves
+// the key idle at this entry.
 func (c *Core) withdrawClaim(hash job.KeyHash) {
 	c.claims.mu.Lock()
 	defer c.claims.mu.Unlock()
@@ -47,7 +75,11 @@
 // appendClaims starts the next append if none is in flight.
 func (c *Core) appendClaims(now time.Time) {
 	c.claims.mu.Lock()
-	batch, ok := c.claims.committer.Next(now)
+	if c.claims.committer == nil {
+		c.claims.mu.Unlock()
+		return
+	}
+	batch, ok := c.claims.committer.Next(now, c.claims.random)
 	c.claims.mu.Unlock()
 	if ok {
 		c.env.Append(batch)
@@ -55,7 +87,7 @@
 }
 
 // Appended takes the result of an append. An error that is not marked
-// logclient.ErrNotAppended leaves the outcome open until it is read.
+// logclient.ErrNotAppended leaves the outcome open until the stream is read.
 func (c *Core) Appended(nonce uint64, offset uint64, err error) {
 	now := c.env.Now()
 	c.claims.mu.Lock()
@@ -65,54 +97,82 @@
 	c.appendClaims(now)
 }
 
-// NextClaim returns the offset to read next.
-func (c *Core) NextClaim() uint64 {
+// NextClaim returns the offset to read next, and whether the end of the stream
+// is needed at once, so that the read must not wait for new records. It returns
+// 0 before the first configuration.
+func (c *Core) NextClaim() (offset uint64, atOnce bool) {
 	c.claims.mu.Lock()
 	defer c.claims.mu.Unlock()
-	return c.claims.committer.NextOffset()
+	if c.claims.committer == nil {
+		return 0, false
+	}
+	return c.claims.table.Next(), c.claims.committer.MustRead()
 }
 
-// ClaimRecords takes a page of the claims stream.
-func (c *Core) ClaimRecords(page logclient.Page) {
+// ClaimRecords takes a page read from the offset that NextClaim returned. The
+// error says which records were skipped.
+func (c *Core) ClaimRecords(page logclient.Page) error {
 	now := c.env.Now()
 	c.claims.mu.Lock()
-	decisions := c.claims.committer.Records(now, page)
+	decisions, err := c.claims.committer.Records(now, page)
 	c.claims.mu.Unlock()
 	c.claimsDecided(now, decisions)
 	c.appendClaims(now)
+	return err
 }
 
 // SetEntryCount divides the append budget among the known entries.
 func (c *Core) SetEntryCount(entries int) {
 	c.claims.mu.Lock()
 	defer c.claims.mu.Unlock()
-	c.claims.committer.SetEntries(entries)
+	c.claims.entries = entries
+	if c.claims.committer != nil {
+		c.claims.committer.SetEntries(entries)
+	}
 }
 
 func (c *Core) claimsDecided(now time.Time, decisions []claims.Decision) {
 	for _, d := range decisions {
-		if d.Owner.Entry == c.self {
+		switch d.Verdict {
+		case claims.Won:
 			c.run(now, d.Key)
-			continue
+		case claims.Lost:
+			c.claimLost(now, d)
+		case claims.Conflict:
+			c.refuseClaiming(now, d.Key, keyConflict().At(d.Owner.String()))
+		default:
+			c.refuseClaiming(now, d.Key, refusal.New(refusal.KeyTooOld, "claim", "the owner of the key can no longer be found out").Unknown())
 		}
-		c.claimLost(now, d)
 	}
 }
 
+func keyConflict() *refusal.Error {
+	return refusal.New(refusal.KeyConflict, "submit", "the key was submitted before with another body").Unknown()
+}
+
 // claimLost hands the callers of a key over to its owner.
 func (c *Core) claimLost(now time.Time, d claims.Decision) {
-	s := c.shard(d.Key)
+	sub, waiters := c.dropClaiming(d.Key)
+	for _, w := range waiters {
+		c.askOwner(now, sub, d.Owner, w)
+	}
+}
+
+func (c *Core) refuseClaiming(now time.Time, hash job.KeyHash, refused *refusal.Error) {
+	_, waiters := c.dropClaiming(hash)
+	replyAll(waiters, Reply{Refusal: refused})
+}
+
+// dropClaiming forgets a job that this entry will not run.
+func (c *Core) dropClaiming(hash job.KeyHash) (*job.Submission, []*waiter) {
+	s := c.shard(hash)
 	s.mu.Lock()
-	e, ok := s.jobs[d.Key]
+	defer s.mu.Unlock()
+	e, ok := s.jobs[hash]
 	if !ok || e.phase != claiming {
-		s.mu.Unlock()
-		return
+		return nil, nil
 	}
-	waiters := e.waiters
-	delete(s.jobs, d.Key)
+	delete(s.jobs, hash)
 	s.active--
-	s.mu.Unlock()
-	for _, w := range waiters {
-		c.askOwner(now, e.sub, d.Owner, w)
-	}
+	return e.sub, e.waiters
 }
--- a/process/entry/core.go
+++ b/process/entry/core.go
@@ -77,7 +77,6 @@
 	servicesMu sync.RWMutex
 	services   map[string]*service
 	limits     config.Limits
-	window     dedupeWindow
 	configured bool
 
 	agentsMu   sync.RWMutex
@@ -125,7 +124,7 @@
 	for i := range c.shards {
 		c.shards[i].jobs = make(map[job.KeyHash]*entryJob)
 	}
-	c.claims.init(self, entries, c.drawRandom())
+	c.claims.random, c.claims.entries = c.drawRandom(), entries
 	c.peers.init()
 	return c
 }
@@ -139,10 +138,9 @@
 // Configure puts a configuration in force. Services that are no longer named
 // take no new work; what they hold goes on.
 func (c *Core) Configure(cfg config.Config) {
-	now := c.env.Now()
+	c.claims.begin(c.self, cfg.Limits.DedupeWindow)
 	c.servicesMu.Lock()
 	c.limits = cfg.Limits
-	c.window.set(now, cfg.Limits.DedupeWindow)
 	c.configured = true
 	var created []*service
 	for _, name := range slices.Sorted(maps.Keys(cfg.Services)) {
--- a/process/entry/daemon.go
+++ b/process/entry/daemon.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/azurerouter/azurerouter/connection/logclient"
 	"github.com/azurerouter/azurerouter/connection/peer"
@@ -39,6 +40,9 @@
 	fencedReason = "fenced by an agent; the process has to start again"
 )
 
+// claimBuckets are the buckets of the claims per append, in claims.
+var claimBuckets = tally.MustMakeExponentialValueBuckets(1, 2, 12)
+
 // Daemon runs a Core as a process.
 type Daemon struct {
 	settings *settings.Entry
@@ -342,11 +346,12 @@
 
 // Append implements Env.
 func (e *daemonEnv) Append(batch claims.Batch) {
+	e.observer.Metrics.Histogram(observe.ClaimsPerAppend, claimBuckets).RecordValue(float64(batch.Size))
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
 		defer cancel()
-		offset, err := e.log.Append(ctx, claims.Stream, batch.Data)
-		(*Daemon)(e).noteLog(observe.LogAppends, claims.Stream, err)
+		offset, err := e.log.Append(ctx, ClaimsStream, batch.Data)
+		(*Daemon)(e).noteLog(observe.LogAppends, ClaimsStream, err)
 		e.core.Appended(batch.Nonce, offset, err)
 	}()
 }
--- a/process/entry/jobs.go
+++ b/process/entry/jobs.go
@@ -297,7 +297,7 @@
 // expireDone drops answers past their retention, and forgets keys past the
 // dedupe window.
 func (c *Core) expireDone(now time.Time, s *shard) []func() {
-	limits := c.Limits()
+	limits, window := c.Limits(), c.claims.keyWindow()
 	var release []sentRef
 	for len(s.done) > 0 {
 		oldest := s.done[0]
@@ -310,7 +310,7 @@
 			break
 		}
 		s.done = s.done[1:]
-		release = append(release, e.evict(now, s, oldest.hash, limits.DedupeWindow)...)
+		release = append(release, e.evict(now, s, oldest.hash, window)...)
 	}
 	if len(release) == 0 {
 		return nil
--- a/process/entry/peers.go
+++ b/process/entry/peers.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/azurerouter/azurerouter/connection/wire"
-	"github.com/azurerouter/azurerouter/process/claims"
 	"github.com/azurerouter/azurerouter/request/job"
 	"github.com/azurerouter/azurerouter/request/refusal"
 )
@@ -151,20 +150,11 @@
 }
 
 // askOwner waits for the answer of the entry that owns the key.
-func (c *Core) askOwner(now time.Time, sub *job.Submission, owner claims.Owner, w *waiter) {
-	if owner.Digest != sub.Digest {
-		refused := refusal.New(refusal.KeyConflict, "submit", "the key was submitted before with another body")
-		w.reply(Reply{Refusal: refused.Unknown().At(owner.Entry.String())})
-		return
-	}
-	if reply, ok := c.recoveredReply(sub); ok {
-		w.reply(reply)
-		return
-	}
+func (c *Core) askOwner(now time.Time, sub *job.Submission, owner wire.Incarnation, w *waiter) {
 	p := &c.peers
 	p.mu.Lock()
 	p.nextQuery++
-	p.queries[p.nextQuery] = &query{id: p.nextQuery, owner: owner.Entry, sub: sub, waiter: w}
+	p.queries[p.nextQuery] = &query{id: p.nextQuery, owner: owner, sub: sub, waiter: w}
 	p.mu.Unlock()
 	c.sendQueries(now)
 }
@@ -212,10 +202,6 @@
 	// The caller may have submitted the key before, whatever it says.
 	sub.First = false
 	sub.Deadline = now.Add(time.Duration(m.BudgetMS) * time.Millisecond)
-	if owner, ok := c.claimOwner(sub.Hash); ok && owner.Entry != c.self {
-		reply(Reply{Refusal: refusal.New(refusal.OwnerUnreachable, "query", "the key belongs to another entry").Unknown()})
-		return
-	}
 	c.admit(now, sub, &waiter{deadline: sub.Deadline, reply: reply})
 }
 
--- a/process/entry/recovery.go
+++ b/process/entry/recovery.go
@@ -240,14 +240,3 @@
 	s.leave(now, sub.Hash, e, answered)
 	return reply
 }
-
-// recoveredReply returns the answer that this entry recovered earlier.
-func (c *Core) recoveredReply(sub *job.Submission) (Reply, bool) {
-	s := c.shard(sub.Hash)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if e, ok := s.jobs[sub.Hash]; ok && e.phase == answered {
-		return Reply{Answer: e.answer}, true
-	}
-	return Reply{}, false
-}
--- a/process/entry/streams.go
+++ b/process/entry/streams.go
@@ -8,14 +8,18 @@
 
 	"github.com/azurerouter/azurerouter/connection/logclient"
 	"github.com/azurerouter/azurerouter/connection/wire"
-	"github.com/azurerouter/azurerouter/process/claims"
 	"github.com/azurerouter/azurerouter/process/membership"
 	"github.com/azurerouter/azurerouter/process/observe"
 	"github.com/azurerouter/azurerouter/version/config"
 )
 
-// ConfigStream is the log stream of the published configuration.
-const ConfigStream = "config"
+// Names of log streams. The third one is membership.Stream.
+const (
+	// ConfigStream carries the published configuration.
+	ConfigStream = "config"
+	// ClaimsStream carries the claims of submission keys.
+	ClaimsStream = "claims"
+)
 
 const (
 	// snapshotRecords and snapshotInterval say when a snapshot of the
@@ -52,7 +56,30 @@
 }
 
 func (d *Daemon) followClaims(ctx context.Context) error {
-	return d.follow(ctx, claims.Stream, d.core.NextClaim, d.core.ClaimRecords)
+	for ctx.Err() == nil {
+		offset, atOnce := d.core.NextClaim()
+		if offset == 0 {
+			sleep(ctx, followRetry)
+			continue
+		}
+		wait := followWait
+		if atOnce {
+			wait = 0
+		}
+		page, err := d.log.Read(ctx, ClaimsStream, offset, followMax, wait)
+		if ctx.Err() != nil {
+			break
+		}
+		d.noteLog(observe.LogReads, ClaimsStream, err)
+		if err != nil {
+			sleep(ctx, followRetry)
+			continue
+		}
+		if err := d.core.ClaimRecords(page); err != nil {
+			d.observer.Log.Warn().Str("step", "claims").Err(err).Msg("record skipped")
+		}
+	}
+	return ctx.Err()
 }
 
 func (d *Daemon) followConfig(ctx context.Context) error {
--- a/process/entry/submit.go
+++ b/process/entry/submit.go
@@ -57,12 +57,6 @@
 
 // admit attaches the caller to the job of the key, or starts one.
 func (c *Core) admit(now time.Time, sub *job.Submission, w *waiter) {
-	if sub.Keyed() {
-		if owner, ok := c.claimOwner(sub.Hash); ok && owner.Entry != c.self {
-			c.askOwner(now, sub, owner, w)
-			return
-		}
-	}
 	s := c.shard(sub.Hash)
 	s.mu.Lock()
 	e, known := s.jobs[sub.Hash]
@@ -71,7 +65,7 @@
 		e.waiters = []*waiter{w}
 		s.add(sub.Hash, e)
 		s.mu.Unlock()
-		c.begin(now, sub)
+		c.begin(now, sub, false)
 		return
 	}
 	then := s.attach(now, e, sub, w, c.service(sub.Service))
@@ -80,20 +74,19 @@
 }
 
 // begin claims a keyed submission and starts any other at once.
-func (c *Core) begin(now time.Time, sub *job.Submission) {
+func (c *Core) begin(now time.Time, sub *job.Submission, restart bool) {
 	if !sub.Keyed() {
 		c.run(now, sub.Hash)
 		return
 	}
-	c.addClaim(now, sub)
+	c.addClaim(now, sub, restart)
 }
 
 // attach adds a caller to a known key. It returns what is left to do without
 // the lock.
 func (s *shard) attach(now time.Time, e *entryJob, sub *job.Submission, w *waiter, svc *service) func(*Core) {
 	if e.sub.Digest != sub.Digest {
-		refused := refusal.New(refusal.KeyConflict, "submit", "the key was submitted before with another body").Unknown()
-		return func(*Core) { w.reply(Reply{Refusal: refused}) }
+		return func(*Core) { w.reply(Reply{Refusal: keyConflict()}) }
 	}
 	switch e.phase {
 	case answered:
@@ -108,7 +101,7 @@
 		fresh := newEntryJob(sub, svc, claiming, now)
 		fresh.waiters = []*waiter{w}
 		s.add(sub.Hash, fresh)
-		return func(c *Core) { c.begin(now, sub) }
+		return func(c *Core) { c.begin(now, sub, true) }
 	}
 	e.waiters = append(e.waiters, w)
 	return func(*Core) {}
--- a/soak/platform.go
+++ b/soak/platform.go
@@ -73,9 +73,9 @@
 	if l.down || n.cut {
 		return
 	}
-	from := n.core.NextClaim()
+	from, atOnce := n.core.NextClaim()
 	next := uint64(len(l.records) + 1)
-	if from >= next {
+	if from >= next && !atOnce {
 		return
 	}
 	page := logclient.Page{First: 1, Next: next}
