scheduler: send batch work into half of the reported room at a time

A batch run reaches both entries at once, both fill the same idle slots before they hear of each other, and the refusals exceed the retry budget, which is small after a quiet time. Change: between two answers or reports of a target, batch work takes at most half of its room. The test of the reserve now sends in several steps and still demands exactly 6 of 8 slots.

--- a/process/scheduler/choose.go
+++ b/process/scheduler/choose.go
@@ -186,7 +186,19 @@
 
 // usable reports whether a target may take the task in the first place.
 func (r *round) usable(task Task, t *target) bool {
-	return t.heldIn != r.s.rounds && t.fits(task.Needs) && t.ID != task.Avoid && !t.lastResort(r.now)
+	return r.possible(task, t) && t.ID != task.Avoid && !t.lastResort(r.now)
+}
+
+// possible reports whether a target with room may take the task at all.
+func (r *round) possible(task Task, t *target) bool {
+	return t.heldIn != r.s.rounds && t.fits(task.Needs) && (task.Priority == job.Urgent || r.leavesHalf(t))
+}
+
+// leavesHalf reports whether less than half of the room of the last report has
+// been used since. Batch runs reach all entries at once, and each of them would
+// otherwise fill all idle slots.
+func (r *round) leavesHalf(t *target) bool {
+	return t.unreported < max(1, t.room(r.now, &r.s.settings))
 }
 
 // sample draws a target with room, or nil if too few of them are usable.
@@ -209,7 +221,7 @@
 		switch {
 		case r.usable(task, t):
 			best, ties = r.lessLoaded(best, t, ties)
-		case t.heldIn == r.s.rounds || !t.fits(task.Needs):
+		case !r.possible(task, t):
 		case t.lastResort(r.now):
 			last = t
 		default:
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -150,6 +150,7 @@
 // is called after Finish for the tasks of the same answer.
 func (s *Scheduler) Report(now time.Time, id wire.Incarnation, load wire.Load) {
 	if t, known := s.targets[id]; known {
+		t.unreported = 0
 		t.foreign = max(0, load.Running+load.Queued-len(t.running))
 		s.refresh(now, t)
 	}
@@ -179,6 +180,7 @@
 		s.runningUrgent--
 	}
 	delete(s.running, task)
+	t.unreported = 0
 	switch end {
 	case EndOK:
 		s.budget.success(now)
--- a/process/scheduler/scheduler_test.go
+++ b/process/scheduler/scheduler_test.go
@@ -162,8 +162,17 @@
 		task.Priority = job.Batch
 		mustAdmit(t, s, start, task)
 	}
-	if n := len(s.Assign(at(time.Second), newRandom())); n != 6 {
-		t.Errorf("%d batch tasks sent, want 6 of 8 slots", n)
+	sent := 0
+	for range 10 {
+		n := len(s.Assign(at(time.Second), newRandom()))
+		if idle := 8 - sent; n > (idle+1)/2 {
+			t.Errorf("%d batch tasks sent at once into %d idle slots, want at most half", n, idle)
+		}
+		sent += n
+		s.Report(at(time.Second), 1, wire.Load{Running: sent})
+	}
+	if sent != 6 {
+		t.Errorf("%d batch tasks sent, want 6 of 8 slots", sent)
 	}
 	mustAdmit(t, s, start, urgent(100, time.Hour))
 	if n := len(s.Assign(start, newRandom())); n != 1 {
--- a/process/scheduler/target.go
+++ b/process/scheduler/target.go
@@ -16,7 +16,9 @@
 	// foreign estimates the tasks of other entries, from the last report.
 	foreign int
 	credits int
-	health  health
+	// unreported counts the sends since the last answer or report.
+	unreported int
+	health     health
 	// counted, openAt and ejectedAt belong to the pool. heldIn is the number of
 	// the last round that kept the target for a large task.
 	counted           sums
@@ -66,6 +68,7 @@
 
 func (t *target) start(task Task) {
 	t.running[task.ID] = task
+	t.unreported++
 	t.used.MemoryMB += task.Needs.MemoryMB
 	t.used.Accelerators += task.Needs.Accelerators
 	t.credits = max(0, t.credits-1)
