--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -48,3 +48,27 @@
 		}
 	}
 }
+
+// Guards against a change that loses the goals of the design page: at 80 % load
+// for the response time and the messages, at 120 % for urgent work. The model
+// runs in virtual time, so the figures do not depend on the machine.
+func TestDefaultSettingsMeetGoals(t *testing.T) {
+	run := func(load, urgentShare float64, seed uint64) Report {
+		return Run(Config{Settings: scheduler.DefaultSettings(), Load: load, UrgentShare: urgentShare, AgentQueue: 2,
+			Seed: seed, Duration: 2 * time.Minute})
+	}
+	for seed := uint64(1); seed <= 3; seed++ {
+		for _, urgentShare := range []float64{0.7, 1} {
+			r := run(0.8, urgentShare, seed)
+			if r.P50 > 1.05 || r.P99 > 1.25 || r.MessagesPerTask > 2.2 || r.Unused > 0.01 {
+				t.Errorf("seed %d, urgent share %v: p50 %.3f, p99 %.3f, %.3f messages per task, %.2f %% unused",
+					seed, urgentShare, r.P50, r.P99, r.MessagesPerTask, 100*r.Unused)
+			}
+			normal, overload := run(0.95, urgentShare, seed), run(1.2, urgentShare, seed)
+			if overload.UrgentGoodput < 0.95*normal.UrgentGoodput {
+				t.Errorf("seed %d, urgent share %v: urgent goodput %.1f/s at 120 %% load, %.1f/s at 95 %%",
+					seed, urgentShare, overload.UrgentGoodput, normal.UrgentGoodput)
+			}
+		}
+	}
+}
