scheduler: estimate the wait of batch work from its measured starts

Change: once batch tasks have waited without a gap for a minute, the wait is estimated from the starts in the last minute. With BatchSpread the rate is low on purpose, so the old estimate applies there.

--- a/process/scheduler/admission.go
+++ b/process/scheduler/admission.go
@@ -42,7 +42,7 @@
 		return refused
 	}
 	for _, task := range tasks {
-		s.queue.push(task)
+		s.queue.push(now, task)
 	}
 	return nil
 }
@@ -92,6 +92,9 @@
 	ahead := s.queue.waiting[job.Urgent] + count
 	if priority == job.Batch {
 		ahead += s.queue.waiting[job.Batch]
+		if measured, known := s.batchWait(now, count); known {
+			return measured
+		}
 	}
 	s.refreshTimed(now)
 	total := s.pool.sums
@@ -101,6 +104,19 @@
 	return time.Duration(ahead-total.idle) * s.runTime.value / time.Duration(max(1, total.share))
 }
 
+// batchWait estimates the wait of batch work from the rate at which it has
+// started lately, since urgent work goes first. The rate says nothing unless batch
+// tasks were waiting all the time, or if batch work is held back on purpose.
+func (s *Scheduler) batchWait(now time.Time, count int) (time.Duration, bool) {
+	waits := s.queue.waiting[job.Batch] > 0 && now.Sub(s.queue.batchSince) >= s.batchStarts.span()
+	if s.settings.BatchSpread > 0 || !waits {
+		return 0, false
+	}
+	started := max(1, s.batchStarts.total(now))
+	waiting := s.queue.waiting[job.Batch] + count
+	return time.Duration(waiting) * s.batchStarts.span() / time.Duration(started), true
+}
+
 func (s *Scheduler) retryAfter(excess time.Duration) time.Duration {
 	return min(max(excess, time.Second), maxRetryAfter)
 }
--- a/process/scheduler/choose.go
+++ b/process/scheduler/choose.go
@@ -86,6 +86,8 @@
 	t.start(task)
 	if task.Priority == job.Urgent {
 		r.s.runningUrgent++
+	} else {
+		r.s.batchStarts.add(r.now)
 	}
 	r.s.running[task.ID] = t
 	r.s.refresh(r.now, t)
--- a/process/scheduler/queue.go
+++ b/process/scheduler/queue.go
@@ -22,6 +22,8 @@
 	elements  map[TaskID]*item
 	deadlines deadlineHeap
 	waiting   map[job.Priority]int
+	// batchSince is the time since which at least one batch task has waited.
+	batchSince time.Time
 }
 
 // item is a task in the queue. A task that was set aside is in no class any more
@@ -48,7 +50,7 @@
 func classOf(task Task) class { return class{task.Priority, task.Needs} }
 
 // push inserts a task by its time of arrival, so that a retry keeps its place.
-func (q *queue) push(task Task) {
+func (q *queue) push(now time.Time, task Task) {
 	c := classOf(task)
 	tasks, known := q.classes[c]
 	if !known {
@@ -68,6 +70,9 @@
 	}
 	q.elements[task.ID] = it
 	heap.Push(&q.deadlines, it)
+	if task.Priority == job.Batch && q.waiting[job.Batch] == 0 {
+		q.batchSince = now
+	}
 	q.waiting[task.Priority]++
 }
 
--- a/process/scheduler/retry.go
+++ b/process/scheduler/retry.go
@@ -2,54 +2,57 @@
 
 import "time"
 
-// The retry budget looks back over budgetBuckets x budgetBucket = 10 s, long
-// enough to smooth tasks of several seconds.
+// Recent events are counted in windowBuckets buckets. Successes and retries look
+// back over 10 s, long enough to smooth tasks of several seconds; batch starts
+// over a minute, so that a burst of urgent work does not count as overload.
 const (
-	budgetBuckets = 10
-	budgetBucket  = time.Second
+	windowBuckets    = 10
+	budgetBucket     = time.Second
+	batchStartBucket = 6 * time.Second
 )
 
-// retryBudget counts recent successes and retries in one-second buckets.
-type retryBudget struct {
-	buckets [budgetBuckets]struct{ second, successes, retries int64 }
+// window counts the events of the last windowBuckets x bucket.
+type window struct {
+	bucket  time.Duration
+	buckets [windowBuckets]struct{ number, count int64 }
 }
 
-func (b *retryBudget) success(now time.Time) { b.buckets[b.at(now)].successes++ }
+func (w *window) span() time.Duration { return windowBuckets * w.bucket }
 
-// take spends one retry, or reports false if the budget is used up.
-func (b *retryBudget) take(now time.Time, share float64, minimum int) bool {
-	at := b.at(now)
-	successes, retries := b.totals(now)
-	if float64(retries) >= max(float64(minimum), share*float64(successes)) {
-		return false
+func (w *window) add(now time.Time) {
+	current := w.number(now)
+	b := &w.buckets[current%windowBuckets]
+	if b.number != current {
+		b.number, b.count = current, 0
 	}
-	b.buckets[at].retries++
-	return true
+	b.count++
 }
 
-func (b *retryBudget) totals(now time.Time) (successes, retries int64) {
-	oldest := second(now) - budgetBuckets
-	for _, bucket := range b.buckets {
-		if bucket.second > oldest {
-			successes += bucket.successes
-			retries += bucket.retries
+func (w *window) total(now time.Time) int64 {
+	oldest, sum := w.number(now)-windowBuckets, int64(0)
+	for _, b := range w.buckets {
+		if b.number > oldest {
+			sum += b.count
 		}
 	}
-	return successes, retries
+	return sum
 }
 
-// at returns the index of the current bucket, emptied if it is an old one.
-func (b *retryBudget) at(now time.Time) int {
-	current := second(now)
-	bucket := &b.buckets[current%budgetBuckets]
-	if bucket.second != current {
-		bucket.second, bucket.successes, bucket.retries = current, 0, 0
+func (w *window) number(now time.Time) int64 { return now.UnixNano() / int64(w.bucket) }
+
+// retryBudget bounds retries by recent successes.
+type retryBudget struct{ successes, retries window }
+
+// take spends one retry, or reports false if the budget is used up.
+func (b *retryBudget) take(now time.Time, share float64, minimum int) bool {
+	allowed := max(float64(minimum), share*float64(b.successes.total(now)))
+	if float64(b.retries.total(now)) >= allowed {
+		return false
 	}
-	return int(current % budgetBuckets)
+	b.retries.add(now)
+	return true
 }
 
-func second(now time.Time) int64 { return now.UnixNano() / int64(budgetBucket) }
-
 // averageWeight gives the last 50 values about two thirds of the weight.
 const averageWeight = 50
 
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -81,6 +81,8 @@
 	budget  retryBudget
 	runTime average
 	pacer   pacer
+	// batchStarts counts recent starts of batch tasks.
+	batchStarts window
 	// runningUrgent counts the urgent tasks that run for this entry.
 	runningUrgent int
 	violations    int
@@ -95,6 +97,9 @@
 		targets:  map[wire.Incarnation]*target{},
 		running:  map[TaskID]*target{},
 		shapes:   map[job.Needs]time.Time{},
+		budget:   retryBudget{successes: window{bucket: budgetBucket}, retries: window{bucket: budgetBucket}},
+
+		batchStarts: window{bucket: batchStartBucket},
 	}
 }
 
@@ -183,7 +188,7 @@
 	t.unreported = 0
 	switch end {
 	case EndOK:
-		s.budget.success(now)
+		s.budget.successes.add(now)
 		s.runTime.add(took)
 		s.judge(now, t, true)
 	case EndFailed, EndTimeout, EndNotStarted:
@@ -209,7 +214,7 @@
 	if !s.budget.take(now, s.settings.RetryShare, s.settings.RetryMinimum) {
 		return false
 	}
-	s.queue.push(task)
+	s.queue.push(now, task)
 	return true
 }
 
--- a/process/scheduler/steady_test.go
+++ b/process/scheduler/steady_test.go
@@ -40,3 +40,29 @@
 		t.Errorf("%d slots busy at once, want about 4", most)
 	}
 }
+
+// Guards against batch work that is admitted in overload, waits for its whole
+// deadline behind urgent work and expires, instead of being refused at once.
+func TestBatchIsRefusedEarlyBehindUrgentWork(t *testing.T) {
+	s := withTargets(Settings{BatchReserve: -1}, Target{ID: 1, Slots: 1})
+	refused, expired, sent := 0, 0, 0
+	for step := range 600 {
+		now := at(time.Duration(step) * time.Second)
+		arrive := func(index int, priority job.Priority, patience time.Duration) bool {
+			task := Task{ID: TaskID{Index: index}, Priority: priority, Enqueued: now, Deadline: now.Add(patience)}
+			return s.Admit(now, []Task{task}) == nil
+		}
+		arrive(2*step, job.Urgent, time.Hour)
+		if !arrive(2*step+1, job.Batch, 2*time.Minute) {
+			refused++
+		}
+		expired += len(s.Expire(now))
+		for _, a := range s.Assign(now, testRandom) {
+			sent++
+			s.Finish(now.Add(900*time.Millisecond), 1, a.Task.ID, EndOK, 900*time.Millisecond)
+		}
+	}
+	if refused < 4*expired || sent < 590 {
+		t.Errorf("%d batch tasks refused, %d expired, %d tasks sent", refused, expired, sent)
+	}
+}
