bench: refuse unknown policies and scenarios

Cause: a misspelt policy measured the default and a misspelt scenario printed an empty table. Ruled out: ignoring them with a warning, which hides a wrong figure. Conclusion: every table names what was measured.

--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -31,7 +31,7 @@
 // scenario and under every policy.
 func TestEveryTaskEndsOnce(t *testing.T) {
 	for _, scenario := range Scenarios() {
-		for _, policy := range []scheduler.Policy{scheduler.Random, scheduler.LeastOutstanding, scheduler.TwoChoices, scheduler.Credits} {
+		for _, policy := range scheduler.Policies() {
 			settings := scheduler.DefaultSettings()
 			settings.Policy = policy
 			cfg := Config{Settings: settings, UrgentShare: 0.7, Seed: 1, Duration: 20 * time.Second}
--- a/cmd/azurerouter/bench.go
+++ b/cmd/azurerouter/bench.go
@@ -61,6 +61,10 @@
 	}
 	options.policies = strings.Split(policies, ",")
 	options.scenarios = strings.Split(scenarios, ",")
+	if err := options.check(); err != nil {
+		fmt.Fprintln(stderr, "bench:", err)
+		return benchUsage
+	}
 	if err := options.write(stdout); err != nil {
 		fmt.Fprintln(stderr, "bench:", err)
 		return benchFailed
@@ -68,6 +72,26 @@
 	return benchOK
 }
 
+// check refuses names that are not known, which would otherwise select nothing or
+// fall back to a default.
+func (o benchOptions) check() error {
+	known := []string{"all"}
+	for _, scenario := range bench.Scenarios() {
+		known = append(known, scenario.Name)
+	}
+	for _, name := range o.scenarios {
+		if !slices.Contains(known, name) {
+			return fmt.Errorf("unknown scenario %q, want one of %q", name, known)
+		}
+	}
+	for _, name := range o.policies {
+		if !slices.Contains(scheduler.Policies(), scheduler.Policy(name)) {
+			return fmt.Errorf("unknown policy %q, want one of %q", name, scheduler.Policies())
+		}
+	}
+	return nil
+}
+
 func (o benchOptions) write(w io.Writer) error {
 	switch o.experiment {
 	case "policies":
--- a/cmd/azurerouter/bench_test.go
+++ b/cmd/azurerouter/bench_test.go
@@ -32,3 +32,13 @@
 		}
 	}
 }
+
+// Guards against a misspelt name that silently measures something else.
+func TestBenchRefusesUnknownNames(t *testing.T) {
+	for _, args := range [][]string{{"-policies", "lest"}, {"-scenarios", "load 81"}, {"-experiment", "x", "-duration", "20s"}} {
+		var stdout, stderr bytes.Buffer
+		if code := runBench(args, &stdout, &stderr); code == benchOK || stderr.Len() == 0 {
+			t.Errorf("%q: exit code %d, message %q", args, code, stderr.String())
+		}
+	}
+}
--- a/process/scheduler/settings.go
+++ b/process/scheduler/settings.go
@@ -14,6 +14,9 @@
 	Credits Policy = "credits"
 )
 
+// Policies returns every policy, for checks of settings and for comparisons.
+func Policies() []Policy { return []Policy{Random, LeastOutstanding, TwoChoices, Credits} }
+
 // Settings are the parameters of one service. A zero field takes the value of
 // DefaultSettings.
 type Settings struct {
