--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -81,6 +81,8 @@
 	budget  retryBudget
 	runTime average
 	pacer   pacer
+	// batchStarts counts recent starts of batch tasks.
+	batchStarts window
 	// runningUrgent counts the urgent tasks that run for this entry.
 	runningUrgent int
 	violations    int
@@ -95,6 +97,9 @@
 		targets:  map[wire.Incarnation]*target{},
 		running:  map[TaskID]*target{},
 		shapes:   map[job.Needs]time.Time{},
+		budget:   retryBudget{successes: window{bucket: budgetBucket}, retries: window{bucket: budgetBucket}},
+
+		batchStarts: window{bucket: batchStartBucket},
 	}
 }
 
@@ -150,6 +155,7 @@
 // is called after Finish for the tasks of the same answer.
 func (s *Scheduler) Report(now time.Time, id wire.Incarnation, load wire.Load) {
 	if t, known := s.targets[id]; known {
+		t.unreported = 0
 		t.foreign = max(0, load.Running+load.Queued-len(t.running))
 		s.refresh(now, t)
 	}
@@ -179,9 +185,10 @@
 		s.runningUrgent--
 	}
 	delete(s.running, task)
+	t.unreported = 0
 	switch end {
 	case EndOK:
-		s.budget.success(now)
+		s.budget.successes.add(now)
 		s.runTime.add(took)
 		s.judge(now, t, true)
 	case EndFailed, EndTimeout, EndNotStarted:
@@ -207,7 +214,7 @@
 	if !s.budget.take(now, s.settings.RetryShare, s.settings.RetryMinimum) {
 		return false
 	}
-	s.queue.push(task)
+	s.queue.push(now, task)
 	return true
 }
 
