--- a/cmd/azurerouter/publish_test.go
+++ b/cmd/azurerouter/publish_test.go
@@ -120,6 +120,9 @@
 			log.transit = rivalRecord(t, name, base, td.Input)
 		case "land":
 			return fmt.Sprintln("at", log.add(log.transit))
+		case "forge":
+			record, _ := cbor.Marshal(map[int]any{1: 2, 6: 1, 7: []any{map[int]any{1: "x.json", 2: 1, 3: []byte("{}")}}})
+			return fmt.Sprintln("at", log.add(record))
 		case "append":
 			return fmt.Sprintln("at", log.add([]byte(td.Input)))
 		case "trim":
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -9,22 +9,27 @@
 import (
 	"fmt"
 	"regexp"
+	"strconv"
+	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 )
 
 // Bounds of a publication. Check and EncodeChange enforce them; a verdict does
 // not depend on them, so that binaries with other bounds reach the same one.
 const (
 	// MaxFileBytes bounds one file. Merge ignores larger ones.
-	MaxFileBytes = 256 << 10
-	// MaxFolderBytes bounds all files together. It is an eighth of
-	// MaxRecordBytes, so that a snapshot still fits when several publications
-	// that were checked separately add up to more.
-	MaxFolderBytes = 1 << 20
+	MaxFileBytes = 128 << 10
+	// MaxFolderBytes bounds all files together. It is a quarter of
+	// MaxRecordBytes, so that a snapshot has room for the marks of deleted files
+	// and for publications that were checked separately and add up to more.
+	MaxFolderBytes = 256 << 10
 	// MaxFiles bounds the number of files.
 	MaxFiles = 1000
-	// MaxRecordBytes bounds an encoded change or snapshot.
-	MaxRecordBytes = 8 << 20
+	// MaxRecordBytes bounds an encoded change or snapshot. The client of the log
+	// service appends no larger record.
+	MaxRecordBytes = 1 << 20
 	// MaxNameBytes bounds the name of a file, service, team or publication.
 	MaxNameBytes = 128
 	// MaxListNames bounds the names in one list.
@@ -72,12 +77,12 @@
 
 // String returns the fault in the form "file:line: field: message (expected ...)".
 func (f Fault) String() string {
-	text := f.File
+	text := printable(f.File)
 	if f.Line > 0 {
 		text += fmt.Sprintf(":%d", f.Line)
 	}
 	if f.Field != "" {
-		text += ": " + f.Field
+		text += ": " + printable(f.Field)
 	}
 	text += ": " + f.Message
 	if f.Expected != "" {
@@ -86,6 +91,14 @@
 	return text
 }
 
+// printable quotes names that would otherwise break the line or the terminal.
+func printable(name string) string {
+	if strings.ContainsFunc(name, func(r rune) bool { return r == utf8.RuneError || !unicode.IsPrint(r) }) {
+		return strconv.Quote(name)
+	}
+	return name
+}
+
 // Config is the configuration in force. Every value is within its range.
 type Config struct {
 	Services map[string]Service
--- a/version/config/fuzz_test.go
+++ b/version/config/fuzz_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"reflect"
 	"strconv"
 	"strings"
@@ -19,7 +20,7 @@
 		if again, _ := Merge(files); !reflect.DeepEqual(merged, again) {
 			t.Fatalf("second merge differs: %+v and %+v", merged, again)
 		}
-		if _, err := hujson.Parse(append(first, '\n')); err != nil && len(faults) == 0 {
+		if _, err := hujson.Parse(append(bytes.Clone(first), '\n')); err != nil && len(faults) == 0 {
 			t.Fatalf("no fault for a file that does not parse: %v", err)
 		}
 		if len(Check(files)) < len(faults) {
--- a/version/config/parse.go
+++ b/version/config/parse.go
@@ -52,24 +52,24 @@
 	// is what an editor that adds no last newline leaves behind.
 	value, err := hujson.Parse(append(bytes.Clone(f.Content), '\n'))
 	if err != nil {
-		fault := syntaxFault(f.Name, err)
-		fault.Line = min(fault.Line, len(p.lineStarts))
-		return nil, fault
+		return nil, syntaxFault(f.Name, err, len(p.lineStarts))
 	}
 	p.root = value
 	return p, nil
 }
 
-// syntaxFault takes the line out of the parser's message.
-func syntaxFault(name string, err error) *Fault {
+// syntaxFault takes the line out of the parser's message. The newline that
+// parseFile adds can move the fault past the last line.
+func syntaxFault(name string, err error, lines int) *Fault {
 	fault := &Fault{File: name, Message: err.Error(), Expected: "JSON with comments and trailing commas"}
-	var column int
-	if _, scanErr := fmt.Sscanf(err.Error(), "hujson: line %d, column %d:", &fault.Line, &column); scanErr == nil {
-		cause := err
-		for next := errors.UnwrapOnce(cause); next != nil; next = errors.UnwrapOnce(cause) {
-			cause = next
-		}
-		fault.Message = fmt.Sprintf("column %d: %v", column, cause)
+	var line, column int
+	if _, scanErr := fmt.Sscanf(err.Error(), "hujson: line %d, column %d:", &line, &column); scanErr != nil {
+		return fault
+	}
+	fault.Line = min(line, lines)
+	fault.Message = errors.UnwrapAll(err).Error()
+	if line <= lines {
+		fault.Message = fmt.Sprintf("column %d: %s", column, fault.Message)
 	}
 	return fault
 }
--- a/version/config/state.go
+++ b/version/config/state.go
@@ -9,8 +9,10 @@
 // deletionRecords is the number of records after which the mark of a deleted
 // file is dropped. Until then a publication that created the file and is
 // repeated is refused. The number is part of the verdict and must not be
-// changed; it is over a month at 2,800 changes a day.
-const deletionRecords = 100_000
+// changed. It is more than a day at 2,800 changes a day, while a publisher gives
+// up after seconds, and with one deletion per record the marks fit into a
+// snapshot next to a full folder.
+const deletionRecords = 5_000
 
 // Verdict is the outcome of one record.
 type Verdict struct {
--- a/version/config/state_test.go
+++ b/version/config/state_test.go
@@ -48,6 +48,16 @@
 	if _, err := s.EncodeSnapshot(); !errors.Is(err, ErrTooLarge) {
 		t.Errorf("snapshot of large files: %v", err)
 	}
+	// A full folder and the mark of one deletion per record must fit.
+	marked := NewState()
+	full := []File{{"0.json", 1, files[0].Content}, {"1.json", 1, files[0].Content}}
+	for i := range uint64(deletionRecords) {
+		full = append(full, File{Name: fmt.Sprintf("%0*d.json", MaxNameBytes-len(".json"), i), Version: i + 2})
+	}
+	marked.Restore(deletionRecords+1, full)
+	if _, err := marked.EncodeSnapshot(); err != nil || len(marked.Files()) != len(full) {
+		t.Errorf("snapshot of a full folder with %d of %d files: %v", len(marked.Files()), len(full), err)
+	}
 	if faults := Check(files); len(faults) == 0 || faults[0].File != "" {
 		t.Errorf("no fault for a folder of %d bytes", len(files)*MaxFileBytes)
 	}
