--- a/version/config/datadriven_test.go
+++ b/version/config/datadriven_test.go
@@ -124,8 +124,10 @@
 func forgedSnapshot(td *datadriven.TestData) []byte {
 	r := record{Kind: snapshotRecord}
 	fmt.Sscan(argValues(td, "upto")[0], &r.UpTo)
-	for name, version := range versions(argValues(td, "files")) {
-		r.Files = append(r.Files, recordFile{Name: name, Version: version, Content: []byte("{} // forged")})
+	for _, pair := range argValues(td, "files") {
+		for name, version := range versions([]string{pair}) {
+			r.Files = append(r.Files, recordFile{Name: name, Version: version, Content: []byte("{} // forged")})
+		}
 	}
 	record, _ := encodeRecord(r)
 	return record
