--- a/cmd/azurerouter/publish_test.go
+++ b/cmd/azurerouter/publish_test.go
@@ -23,7 +23,8 @@
 // refused (certainly no effect), lost (request lost), unanswered (response
 // lost), slow (response later than any timeout), down (as lost, and reads fail
 // until the end of the command), delayed (as down, and the record lands with
-// the command land), raced (the record in transit lands first).
+// the command land), raced (the record in transit lands first), hidden (as
+// unanswered, and reads fail until the next append).
 type memoryLog struct {
 	transit []byte
 	first   uint64
@@ -39,7 +40,7 @@
 	if len(l.faults) > 0 {
 		fault, l.faults = l.faults[0], l.faults[1:]
 	}
-	l.down = fault == "down" || fault == "delayed"
+	l.down = fault == "down" || fault == "delayed" || fault == "hidden"
 	switch fault {
 	case "delayed":
 		l.transit = data
@@ -53,7 +54,7 @@
 	}
 	offset := l.add(data)
 	switch fault {
-	case "unanswered":
+	case "unanswered", "hidden":
 		return 0, errors.New("connection reset")
 	case "slow":
 		<-ctx.Done()
@@ -68,8 +69,8 @@
 	return offset
 }
 
-func (l *memoryLog) Read(_ context.Context, stream string, from uint64, limit int, wait time.Duration) (logclient.Page, error) {
-	if l.down {
+func (l *memoryLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (logclient.Page, error) {
+	if l.down || ctx.Err() != nil {
 		return logclient.Page{}, errors.New("log unavailable")
 	}
 	page := logclient.Page{First: l.first, Next: uint64(len(l.records)) + 1}
@@ -122,6 +123,9 @@
 			log.transit = rivalRecord(t, name, base, td.Input)
 		case "land":
 			return fmt.Sprintln("at", log.add(log.transit))
+		case "forge":
+			record, _ := cbor.Marshal(map[int]any{1: 2, 6: 1, 7: []any{map[int]any{1: "x.json", 2: 1, 3: []byte("{}")}}})
+			return fmt.Sprintln("at", log.add(record))
 		case "append":
 			return fmt.Sprintln("at", log.add([]byte(td.Input)))
 		case "trim":
