Share team quotas between entries and check the teams of a service

Cause: the quota package was not used, its first submission of a team was always refused, and the published burst had no effect. Change: entries exchange loans twice a second; a submission is charged when its key's owner is not known yet; a team starts with what it has saved up since the entry became usable, at most its burst; an entry is not ready for the 2.1 s in which earlier loans may still be used; service team lists and default deadlines apply. Ruled out: charging after the claim, which would spend log appends on refused work.

--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -251,13 +251,14 @@
 	Demand float64 `cbor:"2,keyasint"`
 	// Loan is the rate lent to the receiver, in task starts per second.
 	Loan float64 `cbor:"3,keyasint,omitempty"`
-	// LoanMS is how long the receiver may use the loan, in milliseconds.
-	LoanMS int64 `cbor:"4,keyasint,omitempty"`
 }
 
-// Quota carries quota reports between entries.
+// Quota carries quota reports between entries. The time of a loan counts from
+// the message that Echo names.
 type Quota struct {
 	Shares []QuotaShare `cbor:"1,keyasint"`
+	Seq    uint64       `cbor:"2,keyasint"`
+	Echo   uint64       `cbor:"3,keyasint,omitempty"`
 }
 
 // Milliseconds converts a duration to whole milliseconds, rounding down.
--- a/process/entry/claiming.go
+++ b/process/entry/claiming.go
@@ -53,6 +53,11 @@
 		Pair: claims.Pair{Key: sub.Hash, Digest: sub.Digest}, SubmittedAt: sub.SubmittedAt})
 	c.claims.mu.Unlock()
 	if !known {
+		if refused := c.takeQuota(now, sub); refused != nil {
+			c.withdrawClaim(sub.Hash)
+			c.refuseClaiming(now, sub.Hash, unlessFirst(sub, refused))
+			return
+		}
 		c.appendClaims(now)
 		return
 	}
@@ -121,8 +126,8 @@
 	return err
 }
 
-// SetEntryCount divides the append budget among the known entries.
-func (c *Core) SetEntryCount(entries int) {
+// setClaimers divides the append budget among the known entries.
+func (c *Core) setClaimers(entries int) {
 	c.claims.mu.Lock()
 	defer c.claims.mu.Unlock()
 	c.claims.entries = entries
--- a/process/entry/core.go
+++ b/process/entry/core.go
@@ -15,6 +15,7 @@
 
 	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/claims"
+	"github.com/azurerouter/azurerouter/process/quota"
 	"github.com/azurerouter/azurerouter/process/scheduler"
 	"github.com/azurerouter/azurerouter/request/job"
 	"github.com/azurerouter/azurerouter/request/refusal"
@@ -86,6 +87,7 @@
 	retired map[wire.Incarnation]uint64
 
 	claims claimState
+	quotas quotaState
 	peers  peerState
 
 	draining  atomic.Bool
@@ -100,6 +102,7 @@
 type service struct {
 	name      string
 	mu        sync.Mutex
+	settings  config.Service
 	scheduler *scheduler.Scheduler
 	random    *rand.Rand
 
@@ -125,6 +128,7 @@
 		c.shards[i].jobs = make(map[job.KeyHash]*entryJob)
 	}
 	c.claims.random, c.claims.entries = c.drawRandom(), entries
+	c.quotas.shares = quota.New(c.started, self)
 	c.peers.init()
 	return c
 }
@@ -138,6 +142,7 @@
 // Configure puts a configuration in force. Services that are no longer named
 // take no new work; what they hold goes on.
 func (c *Core) Configure(cfg config.Config) {
+	c.quotas.configure(cfg.Teams)
 	c.claims.begin(c.self, cfg.Limits.DedupeWindow)
 	c.servicesMu.Lock()
 	c.limits = cfg.Limits
@@ -147,12 +152,13 @@
 		settings := cfg.Services[name]
 		svc, ok := c.services[name]
 		if !ok {
-			svc = &service{name: name, scheduler: scheduler.New(schedulerSettings(settings)), random: c.drawRandom()}
+			svc = &service{name: name, settings: settings, scheduler: scheduler.New(schedulerSettings(settings)), random: c.drawRandom()}
 			c.services[name] = svc
 			created = append(created, svc)
 			continue
 		}
 		svc.mu.Lock()
+		svc.settings = settings
 		svc.scheduler.Configure(schedulerSettings(settings))
 		svc.mu.Unlock()
 	}
@@ -202,6 +208,8 @@
 		return refusal.New(refusal.Draining, "ready", "this entry is shutting down")
 	case !configured:
 		return refusal.New(refusal.NotReady, "ready", "no configuration is known yet")
+	case c.quotas.settling(c.env.Now(), c.started):
+		return refusal.New(refusal.NotReady, "ready", "quota loans made before this entry was known have not ended")
 	}
 	return nil
 }
@@ -226,6 +234,7 @@
 	c.checkAgents(now)
 	c.expireJobs(now)
 	c.checkPeers(now)
+	c.reportQuotas(now)
 	for _, svc := range c.allServices() {
 		c.expireQueue(now, svc)
 		c.pump(now, svc)
--- a/process/entry/dump.go
+++ b/process/entry/dump.go
@@ -137,10 +137,10 @@
 
 // configError counts what Apply found. A reader that disagrees with the log or
 // with a peer has violated the order of versions.
-func (d *Daemon) configError(err error) {
+func (d *Daemon) configError(peer string, err error) {
 	var disagreement *config.DisagreementError
-	d.observer.Log.Warn().Str("step", "config").Err(err).Msg("configuration record skipped")
+	d.observer.Log.Warn().Str("step", "config").Str("peer", peer).Err(err).Msg("configuration record skipped")
 	if errors.As(err, &disagreement) {
-		d.observer.Violated("G8", "config", "log", err.Error())
+		d.observer.Violated("G8", "config", peer, err.Error())
 	}
 }
--- a/process/entry/peers.go
+++ b/process/entry/peers.go
@@ -146,6 +146,8 @@
 		c.answerQuery(now, id, m)
 	case *wire.QueryReply:
 		c.queryReplied(id, m)
+	case *wire.Quota:
+		c.quotaReceived(now, id, m)
 	}
 }
 
--- a/process/entry/streams.go
+++ b/process/entry/streams.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/azurerouter/azurerouter/connection/logclient"
 	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/membership"
@@ -108,9 +110,10 @@
 			continue // a peer's state overtook this page
 		}
 		if _, err := d.config.Apply(record.Offset, page.First, record.Data); err != nil {
-			d.configError(err)
+			d.configError("log", err)
 		}
 	}
+	d.checkDeferred()
 	changed := d.config.Offset() != before
 	d.mu.Unlock()
 	if changed || !d.core.isConfigured() {
@@ -125,9 +128,17 @@
 		files[i] = config.File{Name: file.Name, Version: file.Version, Content: file.Content}
 	}
 	d.mu.Lock()
-	restored := d.config.Restore(m.Offset, files)
+	err := d.config.RestoreFrom(m.Offset, files)
+	if err == nil {
+		d.checkDeferred()
+	}
 	d.mu.Unlock()
-	if restored {
+	var older *config.OffsetError
+	switch {
+	case errors.As(err, &older): // the peer is behind
+	case err != nil:
+		d.configError(from, err)
+	default:
 		d.observer.Log.Info().Str("step", "config").Str("peer", from).Uint64("offset", m.Offset).Msg("configuration taken from a peer")
 		d.putInForce()
 	}
@@ -158,6 +169,16 @@
 	d.observer.Log.Info().Str("step", "config").Uint64("offset", offset).Int("faults", len(faults)).Msg("configuration in force")
 }
 
+// checkDeferred reports what was wrong in records that were held back until the
+// state before them was known. It needs d.mu.
+func (d *Daemon) checkDeferred() {
+	for _, judgement := range d.config.Deferred() {
+		if judgement.Err != nil {
+			d.configError("log", judgement.Err)
+		}
+	}
+}
+
 func (d *Daemon) snapshotDue(due time.Time, page logclient.Page) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -233,7 +254,11 @@
 	}
 	d.mu.Unlock()
 	d.core.PushMembers(m)
-	d.core.SetEntryCount(len(m.Entries))
+	ids := make([]wire.Incarnation, len(m.Entries))
+	for i, entry := range m.Entries {
+		ids[i] = entry.Incarnation
+	}
+	d.core.SetEntries(ids)
 }
 
 // announce repeats this entry's announcement, so that it is not trimmed.
--- a/process/entry/submit.go
+++ b/process/entry/submit.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"github.com/azurerouter/azurerouter/process/scheduler"
@@ -40,9 +41,19 @@
 		refused, _ := refusal.As(err)
 		return refused.After(time.Second)
 	}
-	if c.service(sub.Service) == nil {
+	svc := c.service(sub.Service)
+	if svc == nil {
 		return refusal.New(refusal.UnknownService, "submit", "service %q is not configured", sub.Service)
 	}
+	svc.mu.Lock()
+	settings := svc.settings
+	svc.mu.Unlock()
+	if settings.Teams != nil && !slices.Contains(settings.Teams, sub.Team) {
+		return refusal.New(refusal.UnknownService, "submit", "service %q is not open to team %q", sub.Service, sub.Team)
+	}
+	if sub.DefaultDeadline {
+		sub.Deadline = c.env.Now().Add(settings.DefaultDeadline)
+	}
 	return nil
 }
 
@@ -76,6 +87,10 @@
 // begin claims a keyed submission and starts any other at once.
 func (c *Core) begin(now time.Time, sub *job.Submission, restart bool) {
 	if !sub.Keyed() {
+		if refused := c.takeQuota(now, sub); refused != nil {
+			c.refuseClaiming(now, sub.Hash, refused)
+			return
+		}
 		c.run(now, sub.Hash)
 		return
 	}
--- a/process/quota/bucket.go
+++ b/process/quota/bucket.go
@@ -2,12 +2,8 @@
 
 import "time"
 
-const (
-	// burstTime bounds what a team can save up, as time at its rate.
-	burstTime = time.Second
-	// demandWindow is the time over which the demand of a team is measured.
-	demandWindow = time.Second
-)
+// demandWindow is the time over which the demand of a team is measured.
+const demandWindow = time.Second
 
 // team is the use of one quota at this entry.
 type team struct {
@@ -21,9 +17,10 @@
 	demand      float64
 }
 
-func (t *team) take(now time.Time, rate float64, tasks int) bool {
+// take spends tokens, which fill up to capacity at rate per second.
+func (t *team) take(now time.Time, rate, capacity float64, tasks int) bool {
 	if elapsed := now.Sub(t.filled); elapsed > 0 {
-		t.tokens = min(t.tokens+rate*elapsed.Seconds(), rate*burstTime.Seconds())
+		t.tokens = min(t.tokens+rate*elapsed.Seconds(), capacity)
 		t.filled = now
 	}
 	if t.tokens <= 0 {
--- a/process/quota/example_test.go
+++ b/process/quota/example_test.go
@@ -13,7 +13,7 @@
 	entries := []wire.Incarnation{1, 2}
 	busy, idle := quota.New(now, 1), quota.New(now, 2)
 	for _, shares := range []*quota.Shares{busy, idle} {
-		shares.SetQuotas(map[string]float64{"flores": 100})
+		shares.SetQuotas(map[string]quota.Quota{"flores": {Rate: 100, Burst: 100}})
 		shares.SetEntries(now, entries)
 	}
 	for range 10 {
--- a/process/quota/quota.go
+++ b/process/quota/quota.go
@@ -45,33 +45,45 @@
 	Loan float64
 }
 
+// Quota limits the task starts of a team over all entries together.
+type Quota struct {
+	// Rate is in task starts per second.
+	Rate float64
+	// Burst is the number of starts that a team may save up. An entry saves
+	// up the part of it that its rate is of the whole.
+	Burst float64
+}
+
 // Shares is the part of each quota that one entry may use.
 type Shares struct {
 	self   wire.Incarnation
 	usable time.Time
-	quotas map[string]float64
+	quotas map[string]Quota
 	peers  map[wire.Incarnation]*peer
 	teams  map[string]*team
 }
 
+// SettleTime is the time after New in which an entry may start nothing for teams
+// with quotas.
+const SettleTime = holdTime
+
 // New returns the shares of an entry that starts now. It uses its own share
 // only after the loans that others made without knowing it have ended.
 func New(now time.Time, self wire.Incarnation) *Shares {
 	return &Shares{
 		self:   self,
 		usable: now.Add(holdTime),
-		quotas: map[string]float64{},
+		quotas: map[string]Quota{},
 		peers:  map[wire.Incarnation]*peer{},
 		teams:  map[string]*team{},
 	}
 }
 
-// SetQuotas replaces the quotas, in task starts per second for all entries
-// together. A team without a quota is not limited.
-func (s *Shares) SetQuotas(quotas map[string]float64) {
-	s.quotas = make(map[string]float64, len(quotas))
-	for name, rate := range quotas {
-		s.quotas[name] = max(0, rate)
+// SetQuotas replaces the quotas. A team without a quota is not limited.
+func (s *Shares) SetQuotas(quotas map[string]Quota) {
+	s.quotas = make(map[string]Quota, len(quotas))
+	for name, q := range quotas {
+		s.quotas[name] = Quota{Rate: max(0, q.Rate), Burst: max(0, q.Burst)}
 	}
 	for name := range s.teams {
 		if _, limited := s.quotas[name]; !limited {
@@ -106,12 +118,18 @@
 // up its share. A job that is larger than what is left is accepted and paid off
 // before the next one, so that no job is too large for a small share.
 func (s *Shares) Take(now time.Time, name string, tasks int) bool {
-	if _, limited := s.quotas[name]; !limited {
+	q, limited := s.quotas[name]
+	if !limited {
 		return true
 	}
 	t := s.team(now, name)
 	t.want(now, tasks)
-	return t.take(now, s.Rate(now, name), tasks)
+	rate := s.Rate(now, name)
+	capacity := 0.0
+	if q.Rate > 0 {
+		capacity = q.Burst * rate / q.Rate
+	}
+	return t.take(now, rate, capacity, tasks)
 }
 
 // Rate returns the rate of task starts that this entry may use now, per second:
@@ -135,7 +153,7 @@
 
 func (s *Shares) part(now time.Time, name string) float64 {
 	s.forgetGone(now)
-	return s.quotas[name] / float64(1+len(s.peers))
+	return s.quotas[name].Rate / float64(1+len(s.peers))
 }
 
 // forgetGone drops entries that left the list. Each counts for holdTime more, so
@@ -163,7 +181,9 @@
 func (s *Shares) team(now time.Time, name string) *team {
 	t := s.teams[name]
 	if t == nil {
-		t = &team{filled: now, windowStart: now}
+		// A team that was not seen before has saved up since the entry became
+		// usable.
+		t = &team{filled: s.usable, windowStart: now}
 		s.teams[name] = t
 	}
 	return t
--- a/process/quota/quota_test.go
+++ b/process/quota/quota_test.go
@@ -63,7 +63,7 @@
 		offset: time.Duration(rapid.IntRange(0, 100000).Draw(t, "offset ms")) * time.Millisecond,
 		drift:  rapid.SampledFrom([]float64{0.99, 1, 1.01}).Draw(t, "drift")}
 	n.shares = New(n.now(w.elapsed), n.id)
-	n.shares.SetQuotas(map[string]float64{testTeam: testQuota})
+	n.shares.SetQuotas(map[string]Quota{testTeam: {Rate: testQuota, Burst: testQuota}})
 	w.nodes = append(w.nodes, n)
 	for _, other := range w.nodes {
 		if !other.stop {
@@ -172,7 +172,7 @@
 func TestLoanReturns(t *testing.T) {
 	a, b := New(start, 1), New(start, 2)
 	for _, s := range []*Shares{a, b} {
-		s.SetQuotas(map[string]float64{testTeam: testQuota})
+		s.SetQuotas(map[string]Quota{testTeam: {Rate: testQuota, Burst: testQuota}})
 		s.SetEntries(start, []wire.Incarnation{1, 2})
 	}
 	now := start
@@ -213,7 +213,7 @@
 // for ever, and against one that is not paid off.
 func TestLargeJobIsPaidOff(t *testing.T) {
 	s := New(start, 1)
-	s.SetQuotas(map[string]float64{testTeam: testQuota})
+	s.SetQuotas(map[string]Quota{testTeam: {Rate: testQuota, Burst: testQuota}})
 	now := start.Add(holdTime)
 	s.Take(now, testTeam, 0)
 	now = now.Add(time.Second)
--- a/request/job/submission.go
+++ b/request/job/submission.go
@@ -70,6 +70,9 @@
 	Single bool
 	// First is true if the caller states that it has not sent this key before.
 	First bool
+	// DefaultDeadline is true if the body names no deadline, so that the
+	// service's own applies.
+	DefaultDeadline bool
 	// Raw is the body as it was received.
 	Raw []byte
 }
@@ -150,6 +153,7 @@
 		sub.Priority = Urgent
 	}
 	budget := DefaultDeadline
+	sub.DefaultDeadline = b.DeadlineMS == nil
 	if b.DeadlineMS != nil {
 		budget = time.Duration(*b.DeadlineMS) * time.Millisecond
 		if *b.DeadlineMS <= 0 || budget/time.Millisecond != time.Duration(*b.DeadlineMS) {
--- a/soak/nodes.go
+++ b/soak/nodes.go
@@ -38,6 +38,7 @@
 
 func newEntryNode(w *world, name string) *entryNode {
 	n := &entryNode{}
+	w.entries = append(w.entries, n)
 	n.boot(w, name)
 	return n
 }
@@ -51,16 +52,34 @@
 	n.peers = make(map[wire.Incarnation]*connEnd)
 	n.calls = make(map[*call]bool)
 	n.draining = false
-	merged, _ := config.Merge([]config.File{{Name: "services.json", Version: 1, Content: []byte(`{"services":{"` + serviceName + `":{}}}`)}})
+	merged, _ := config.Merge([]config.File{{Name: "settings.json", Version: 1, Content: []byte(settings)}})
 	env := &entryEnv{node: n, inc: n.inc}
 	n.core = entry.NewCore(env, n.inc, w.options.Entries, w.random.Uint64())
 	n.core.Configure(merged.Config)
+	w.announce()
 	n.every(entryTick, "tick", n.core.Tick)
 	n.every(logPoll, "poll", func() { w.log.poll(n) })
 	n.every(dialInterval, "dial", n.dialPeers)
 	n.every(fencedPoll, "fenced", n.restartIfFenced)
 }
 
+// settings give the team a quota that bursts of calls exceed.
+const settings = `{"services": {"` + serviceName + `": {}}, "teams": {"` + teamName + `": {"starts_per_second": 90, "burst": 400}}}`
+
+// announce gives every live entry the list of entries, as the members stream
+// does.
+func (w *world) announce() {
+	var incarnations []wire.Incarnation
+	for _, e := range w.entries {
+		incarnations = append(incarnations, e.inc)
+	}
+	for _, e := range w.entries {
+		if e.alive {
+			e.core.SetEntries(incarnations)
+		}
+	}
+}
+
 func (n *entryNode) restartIfFenced() {
 	if n.core.FencedOff() && !n.draining {
 		n.world.drainEntry(n)
--- a/soak/world.go
+++ b/soak/world.go
@@ -150,7 +150,7 @@
 	w.oracle = newOracle(w)
 	w.log = &fakeLog{world: w}
 	for i := range options.Entries {
-		w.entries = append(w.entries, newEntryNode(w, fmt.Sprintf("entry-%d", i)))
+		newEntryNode(w, fmt.Sprintf("entry-%d", i))
 	}
 	for i := range options.Agents {
 		w.agents = append(w.agents, newAgentNode(w, fmt.Sprintf("agent-%d", i)))
