connection/wire: bound memory by received bytes, refuse NaN, fuzz the decoder

Cause: a header alone made Read allocate 16 MB; a stream that ended right after a header looked like an orderly end; a NaN or infinite quota rate was accepted and passes comparisons with bounds.

Change: payloads above 64 KB grow with the bytes that arrive, io.EOF is returned only between frames, and NaN and infinity are refused. A fuzz target checks that no input panics, that errors are told apart and that a decoded message is written and read again unchanged.

Ruled out: a lower frame limit, since a configuration or the results of a fenced entry may need it.

Conclusion: the decoder bounds what a peer can claim.

--- a/connection/wire/codec.go
+++ b/connection/wire/codec.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"bytes"
 	"encoding/binary"
 	"io"
 
@@ -13,6 +14,11 @@
 
 const frameHeaderBytes = 5
 
+// trustedBytes is the payload size up to which Read allocates what the header
+// states. For larger payloads the buffer grows with the bytes that arrive, so
+// that a header alone cannot claim MaxFrameBytes of memory.
+const trustedBytes = 64 << 10
+
 // ErrFrame is the mark of every decoding error.
 var ErrFrame = errors.New("invalid frame")
 
@@ -83,6 +89,10 @@
 		MaxArrayElements: 1 << 16,
 		MaxMapPairs:      1 << 10,
 		MaxNestedLevels:  8,
+		// A NaN compares as neither smaller nor larger, so it would pass the
+		// bounds checks on rates.
+		NaN: cbor.NaNDecodeForbidden,
+		Inf: cbor.InfDecodeForbidden,
 	}.DecMode()
 	if err != nil {
 		panic(err)
@@ -104,8 +114,9 @@
 	return append(dst, payload...), nil
 }
 
-// Read reads one frame. An error of the reader is returned as it is; a frame
-// that cannot be decoded gives an error marked ErrFrame.
+// Read reads one frame. The error is io.EOF only between two frames. Another
+// error of the reader is returned as it is; a frame that cannot be decoded
+// gives an error marked ErrFrame.
 func Read(r io.Reader) (Message, error) {
 	var header [frameHeaderBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
@@ -115,13 +126,27 @@
 	if size > MaxFrameBytes {
 		return nil, errors.Mark(errors.Newf("frame of %d bytes exceeds the limit", size), ErrFrame)
 	}
-	payload := make([]byte, size)
-	if _, err := io.ReadFull(r, payload); err != nil {
+	payload, err := readPayload(r, int(size))
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
 		return nil, err
 	}
 	return decode(kind(header[4]), payload)
 }
 
+func readPayload(r io.Reader, size int) ([]byte, error) {
+	if size <= trustedBytes {
+		payload := make([]byte, size)
+		_, err := io.ReadFull(r, payload)
+		return payload, err
+	}
+	var payload bytes.Buffer
+	_, err := io.CopyN(&payload, r, int64(size))
+	return payload.Bytes(), err
+}
+
 func decode(k kind, payload []byte) (Message, error) {
 	construct, ok := newMessage[k]
 	if !ok {
--- /dev/null
+++ b/connection/wire/codec_test.go
@@ -0,0 +1,150 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"math"
+	"runtime"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/azurerouter/azurerouter/request/job"
+)
+
+// samples holds one message of each kind with every field set.
+func samples() []Message {
+	key := job.KeyHash{1, 2, 3}
+	load := Load{Running: 3, Queued: 4}
+	return []Message{
+		&Hello{Role: RoleAgent, Incarnation: math.MaxUint64, Name: "agent-1", Zone: "zone-a", PeerAddr: "127.0.0.1:7000",
+			Service: "card", Slots: 8, MemoryMB: 32768, Accelerators: 1, ConfigOffset: 5},
+		&Members{Offset: 9, Entries: []EntryAddress{{Incarnation: 7, Name: "entry-1", Zone: "zone-b", PeerAddr: "127.0.0.1:7001"}}},
+		&Heartbeat{Load: load, Released: []uint64{1, 2}, ConfigOffset: 5},
+		&Resume{High: 10, Unreleased: []uint64{8, 9}},
+		&Dispatch{Agent: 1, Entry: 2, Tasks: []DispatchTask{{Seq: 1, Key: key, Index: 2, Count: 400, Attempt: 1,
+			BudgetMS: 30_000, Batch: true, Input: []byte(`{"sleep_ms":50}`)}}, Released: []uint64{3}},
+		&Answers{Agent: 1, Entry: 2, Load: load, Tasks: []TaskAnswer{{Seq: 1, Attempt: 1, NotStarted: NotStartedBusy,
+			Outcome: job.Failed, Output: []byte("{}"), Error: "exit 1", RunMS: 50}}},
+		&Cancel{Entry: 2, Seqs: []uint64{1}},
+		&Leaving{},
+		&Fence{Entry: 2, SilentMS: 3000},
+		&Fenced{Entry: 2, Alive: true, Tasks: []HeldTask{{Key: key, Index: 1, Count: 2, Outcome: job.OK, Output: []byte("{}"), Error: "x"}}},
+		&Query{ID: 1, Key: key, Digest: job.Digest{4}, BudgetMS: 100, Body: []byte("{}"), Single: true},
+		&QueryReply{ID: 1, Answer: []byte("{}"), Refusal: Refusal{Code: "deadline", Run: "no", Message: "m", Step: "s", RetryAfterMS: 1}},
+		&Config{Offset: 3, Files: []ConfigFile{{Name: "a.json", Version: 3, Content: []byte("{}")}}},
+		&Quota{Shares: []QuotaShare{{Team: "shop", Demand: 10.5, Loan: 2, LoanMS: 1000}}},
+	}
+}
+
+func frame(k kind, payload []byte) []byte {
+	head := binary.BigEndian.AppendUint32(nil, uint32(len(payload)))
+	return append(append(head, byte(k)), payload...)
+}
+
+// Guards against a decoder that panics, that claims an error of the reader for
+// a bad frame, or that reads a message differently from how it is written.
+func FuzzRead(f *testing.F) {
+	for _, m := range samples() {
+		encoded, err := Append(nil, m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(encoded)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := Read(bytes.NewReader(data))
+		if err != nil {
+			if !errors.Is(err, ErrFrame) && err != io.ErrUnexpectedEOF && !(err == io.EOF && len(data) == 0) {
+				t.Fatalf("%d bytes: error %v", len(data), err)
+			}
+			return
+		}
+		first, err := Append(nil, m)
+		if err != nil {
+			t.Fatalf("%s was read but cannot be written: %v", KindName(m), err)
+		}
+		again, err := Read(bytes.NewReader(first))
+		if err != nil {
+			t.Fatalf("%s was written but cannot be read: %v", KindName(m), err)
+		}
+		if second, _ := Append(nil, again); !bytes.Equal(first, second) {
+			t.Fatalf("%s changes from\n%x to\n%x", KindName(m), first, second)
+		}
+	})
+}
+
+// Guards against a message kind that lacks a name, a number or a constructor.
+func TestEveryKindIsRead(t *testing.T) {
+	seen := make(map[kind]bool)
+	var stream []byte
+	for _, m := range samples() {
+		seen[m.kind()] = true
+		stream, _ = Append(stream, m)
+	}
+	if len(seen) != len(newMessage) || len(seen) != len(kindNames) {
+		t.Errorf("%d kinds in samples, %d constructors, %d names", len(seen), len(newMessage), len(kindNames))
+	}
+	reader := bytes.NewReader(stream)
+	for _, want := range samples() {
+		if got, err := Read(reader); err != nil || got.kind() != want.kind() {
+			t.Errorf("%s was read as %v, error %v", KindName(want), got, err)
+		}
+	}
+	if _, err := Read(reader); err != io.EOF {
+		t.Errorf("end of the stream gives %v", err)
+	}
+}
+
+// Guards against input beyond the bounds that later checks rely on.
+func TestReadRefuses(t *testing.T) {
+	quota := func(value []byte) []byte { // one share with team "t" and the given demand
+		return append([]byte{0xa1, 0x01, 0x81, 0xa2, 0x01, 0x61, 't', 0x02}, value...)
+	}
+	cases := map[string][]byte{
+		"oversized":      binary.BigEndian.AppendUint32(nil, MaxFrameBytes+1),
+		"unknown kind":   frame(200, []byte{0xa0}),
+		"trailing bytes": frame(kindLeaving, []byte{0xa0, 0x00}),
+		"NaN":            frame(kindQuota, quota([]byte{0xf9, 0x7e, 0x00})),
+		"infinity":       frame(kindQuota, quota([]byte{0xf9, 0x7c, 0x00})),
+	}
+	for name, data := range cases {
+		if _, err := Read(bytes.NewReader(append(data, 0))); !errors.Is(err, ErrFrame) {
+			t.Errorf("%s: error %v", name, err)
+		}
+	}
+	var tooDeep *cbor.MaxNestedLevelError
+	nested := append(bytes.Repeat([]byte{0x81}, 20), 0x80)
+	if _, err := Read(bytes.NewReader(frame(kindMembers, nested))); !errors.As(err, &tooDeep) {
+		t.Errorf("nested arrays: error %v", err)
+	}
+	if _, err := Read(bytes.NewReader(frame(kindQuota, quota([]byte{0xf9, 0x3c, 0x00})))); err != nil {
+		t.Errorf("demand of 1: %v", err)
+	}
+}
+
+// Guards against a stream that ends inside a frame and looks like an orderly
+// end.
+func TestReadTellsCutFrames(t *testing.T) {
+	whole, _ := Append(nil, samples()[0])
+	for length := 1; length < len(whole); length++ {
+		if _, err := Read(bytes.NewReader(whole[:length])); err != io.ErrUnexpectedEOF {
+			t.Fatalf("%d of %d bytes: error %v", length, len(whole), err)
+		}
+	}
+}
+
+// Guards against memory that a peer claims by headers without sending the
+// payload.
+func TestHeaderAloneClaimsNoMemory(t *testing.T) {
+	header := append(binary.BigEndian.AppendUint32(nil, MaxFrameBytes), byte(kindHello), 0)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	Read(bytes.NewReader(header))
+	runtime.ReadMemStats(&after)
+	if claimed := after.TotalAlloc - before.TotalAlloc; claimed > MaxFrameBytes/4 {
+		t.Errorf("a header claimed %d bytes", claimed)
+	}
+}
