--- a/connection/peer/conn.go
+++ b/connection/peer/conn.go
@@ -20,14 +20,19 @@
 // Times of a connection.
 const (
 	// IdleTimeout is shorter than the dispatch lease, so that what is still
-	// buffered for a silent peer is discarded before the lease ends.
+	// buffered for a silent peer is discarded before the lease ends. QUIC counts
+	// it from the first packet sent after the last one received, which a
+	// keep-alive delays by up to keepAlive.
 	IdleTimeout      = 2 * time.Second
 	keepAlive        = 500 * time.Millisecond
 	handshakeTimeout = 2 * time.Second
 )
 
 const (
-	readBufferBytes     = 32 << 10
+	readBufferBytes = 32 << 10
+	// maxSpareBytes bounds the write buffer that an idle connection keeps after
+	// a burst.
+	maxSpareBytes       = 64 << 10
 	maxQueuedBytes      = 64 << 20
 	applicationProtocol = "azurerouter/1"
 )
@@ -41,6 +46,8 @@
 	// Connected is called after both sides have said hello, before the first
 	// Received. An error closes the connection.
 	Connected(c *Conn) error
+	// Received is not called for messages that are still buffered when this
+	// side has closed the connection.
 	Received(c *Conn, m wire.Message)
 	// Disconnected is called once after the last Received of a connection for
 	// which Connected returned nil.
@@ -68,11 +75,15 @@
 		KeepAlivePeriod:      keepAlive,
 		HandshakeIdleTimeout: handshakeTimeout,
 		MaxIncomingStreams:   1,
+		// Negative means none: a peer could otherwise open streams that nobody
+		// reads.
+		MaxIncomingUniStreams: -1,
 	}
 }
 
 // Dial connects to addr, exchanges hellos and serves the connection in the
-// background. The error names the peer's address.
+// background. The handler may be called before Dial returns. The error names
+// the peer's address.
 func Dial(ctx context.Context, addr string, tlsConfig *tls.Config, hello wire.Hello, h Handler) (*Conn, error) {
 	connection, err := quic.DialAddr(ctx, addr, withProtocol(tlsConfig), quicConfig())
 	if err != nil {
@@ -165,6 +176,12 @@
 	c.connection.CloseWithError(0, "")
 }
 
+func (c *Conn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
 func (c *Conn) start(h Handler) {
 	go c.writeLoop()
 	go c.readLoop(h)
@@ -189,12 +206,18 @@
 			return
 		}
 		spare = batch
+		if cap(spare) > maxSpareBytes {
+			spare = nil
+		}
 	}
 }
 
 func (c *Conn) readLoop(h Handler) {
 	for {
 		m, err := wire.Read(c.reader)
+		if err == nil && c.isClosed() {
+			err = ErrClosed
+		}
 		if err != nil {
 			c.Close()
 			h.Disconnected(c, err)
--- a/connection/peer/listener.go
+++ b/connection/peer/listener.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 	"github.com/quic-go/quic-go"
@@ -15,6 +16,10 @@
 	quic  *quic.Listener
 	hello func() wire.Hello
 	h     Handler
+
+	mu       sync.Mutex
+	accepted map[*quic.Conn]struct{}
+	closed   bool
 }
 
 // Listen accepts connections on addr. hello is called for each connection.
@@ -23,7 +28,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", addr)
 	}
-	return &Listener{quic: listener, hello: hello, h: h}, nil
+	return &Listener{quic: listener, hello: hello, h: h, accepted: make(map[*quic.Conn]struct{})}, nil
 }
 
 // Addr returns the address that the listener is bound to.
@@ -41,9 +46,41 @@
 }
 
 // Close stops accepting and ends all accepted connections.
-func (l *Listener) Close() error { return l.quic.Close() }
+func (l *Listener) Close() error {
+	l.mu.Lock()
+	l.closed = true
+	accepted := l.accepted
+	l.accepted = nil
+	l.mu.Unlock()
+	// The QUIC listener leaves accepted connections open when it is closed.
+	for connection := range accepted {
+		connection.CloseWithError(0, "")
+	}
+	return l.quic.Close()
+}
+
+// track remembers the connection until it ends. It reports false if the
+// listener has been closed.
+func (l *Listener) track(connection *quic.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return false
+	}
+	l.accepted[connection] = struct{}{}
+	context.AfterFunc(connection.Context(), func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.accepted, connection)
+	})
+	return true
+}
 
 func (l *Listener) accept(ctx context.Context, connection *quic.Conn) {
+	if !l.track(connection) {
+		connection.CloseWithError(0, "")
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
 	stream, err := connection.AcceptStream(ctx)
--- a/connection/peer/tls.go
+++ b/connection/peer/tls.go
@@ -19,12 +19,16 @@
 	Key         string `json:"key"`
 }
 
-// reloadInterval bounds how long a replaced certificate stays unused.
-const reloadInterval = 10 * time.Second
+// defaultReloadInterval bounds how long a replaced certificate stays unused.
+const defaultReloadInterval = 10 * time.Second
 
 // Identity serves the certificate of a process and checks those of its peers.
 // It reads the files again when they change, for new connections only.
 type Identity struct {
+	// ReloadInterval is the least time between two looks at the files. It must
+	// not be changed once connections exist.
+	ReloadInterval time.Duration
+
 	files KeyFiles
 
 	mu        sync.Mutex
@@ -37,7 +41,7 @@
 
 // LoadIdentity reads the files. The error names the file at fault.
 func LoadIdentity(files KeyFiles) (*Identity, error) {
-	id := &Identity{files: files}
+	id := &Identity{ReloadInterval: defaultReloadInterval, files: files}
 	if err := id.load(); err != nil {
 		return nil, err
 	}
@@ -90,7 +94,7 @@
 // reloadIfChanged keeps the earlier identity if the files cannot be read, as
 // may happen halfway through a replacement.
 func (id *Identity) reloadIfChanged() {
-	if time.Since(id.checked) < reloadInterval {
+	if time.Since(id.checked) < id.ReloadInterval {
 		return
 	}
 	id.checked = time.Now()
