fencing: keep the connection of a fenced entry open

Cause: an entry that was paused beyond its lease and fenced meanwhile connects again after the pause. Guard.Connected starts no lease for a fenced entry, so Guard.Heard reported a lapsed lease on the first message (the Resume), and the agent ended the connection before any dispatch could be refused as fenced. The entry never learned of its fence: it stayed ready, served no agent and was dialled again every 500 ms without end.

Ruled out: a lost Fenced answer on the closing connection alone; the connection ended already at the Resume, before the entry had dispatched.

Change: Heard counts a fenced entry as held. It needs no lease, since Offer and Begin refuse all its dispatches.

The new test fails without the change.

--- a/process/fencing/guard.go
+++ b/process/fencing/guard.go
@@ -100,8 +100,13 @@
 
 // Heard renews the lease of an entry and reports whether it still held. A lapsed
 // lease is renewed only by Connected: after a pause of this process, messages
-// that were buffered meanwhile say nothing about the present.
+// that were buffered meanwhile say nothing about the present. A fenced entry
+// needs no lease, because all its dispatches are refused: it counts as held, so
+// that its connection stays open for these refusals.
 func (g *Guard) Heard(now time.Time, entry wire.Incarnation) bool {
+	if g.Fenced(entry) {
+		return true
+	}
 	s := g.lookup(entry)
 	if s == nil {
 		return false
--- a/process/fencing/guard_test.go
+++ b/process/fencing/guard_test.go
@@ -188,6 +188,26 @@
 	}
 }
 
+// Guards against a fenced entry that never learns of its fence, because the
+// agent ends each of its connections for the lapsed lease before it can refuse a
+// dispatch.
+func TestFencedEntryKeepsItsConnection(t *testing.T) {
+	g := New(self, DefaultLimits, func(_, detail string) { t.Error(detail) })
+	g.Connected(epoch, entry)
+	later := epoch.Add(10 * time.Second)
+	if g.Heard(later, entry) {
+		t.Fatal("a lapsed lease counts as held")
+	}
+	g.Fence(later, entry, 3*time.Second)
+	g.Connected(later, entry)
+	if !g.Heard(later, entry) {
+		t.Fatal("the connection of a fenced entry would be ended")
+	}
+	if offer := g.Offer(later, self, entry, task(1), ""); offer.Answer.NotStarted != wire.NotStartedFenced {
+		t.Fatalf("offer after the fence = %+v", offer)
+	}
+}
+
 // Guards against any second start, start after a fence, or start of a refused
 // sequence, under random orders of duplicated, delayed and lost messages.
 func TestAtMostOneStartProperty(t *testing.T) {
