entry: write all answers before a graceful shutdown ends

Cause: ListenAndServe returns as soon as Shutdown begins. It is an actor of the run group, so its return ended the group: the HTTP server was closed while answers were still being written, the drain was cancelled, and a clean shutdown exited with status 1 ("http: Server closed").

Ruled out: the drain timeout (30 s, the cut came within a second) and the count of active jobs, which is rightly 0 once answers are built.

Change: the actor waits for the end of the drain. An answer during the drain also ends its connection, so that the next call on it is not cut off when idle connections are closed.

--- a/process/entry/daemon.go
+++ b/process/entry/daemon.go
@@ -124,12 +124,24 @@
 	actor(d.dialEntries)
 	actor(func(ctx context.Context) error { return d.drainOn(ctx, stop) })
 	g.Add(func() error { return listener.Serve(ctx) }, func(error) { listener.Close() })
-	g.Add(d.http.ListenAndServe, func(error) { d.http.Close() })
+	g.Add(func() error { return d.serveHTTP(ctx) }, func(error) { d.http.Close() })
 	g.Add(observe.Admin(d.settings.AdminAddr, d.observer, func() any { return d.dump() }, d.core.Ready))
 	d.observer.Log.Info().Str("incarnation", d.self.String()).Str("zone", d.settings.Zone).Msg("entry started")
 	return nil
 }
 
+// serveHTTP serves callers. ListenAndServe returns as soon as a shutdown begins,
+// while answers are still being written; the actor must not end before the
+// drain does, because its end closes all connections.
+func (d *Daemon) serveHTTP(ctx context.Context) error {
+	err := d.http.ListenAndServe()
+	if !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
 func (d *Daemon) tick(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
--- a/process/entry/http.go
+++ b/process/entry/http.go
@@ -79,6 +79,10 @@
 			return
 		}
 		a.answered(reply.Answer.State, a.now().Sub(began))
+		if a.core.draining.Load() {
+			// The next call on this connection could be cut off by its end.
+			w.Header().Set("Connection", "close")
+		}
 		if writeJSON(w, http.StatusOK, reply.Answer) == nil {
 			a.core.Delivered(hash)
 		}
