process/entry: let a graceful shutdown finish open exchanges

Cause: ListenAndServe returns http.ErrServerClosed as soon as Shutdown begins. Its return ended the run group, whose interrupts closed the connections of callers while Shutdown still waited for them, and the process exited with 1 and 'http: Server closed' after 'drained'.

Ruled out: the drain loop itself, which ends only when no job is active; the drain timeout, which was far from reached.

Change: the HTTP actor waits for drainOn to end the group. The log line of a lost connection names the incarnation, since the names of an earlier and a later incarnation are the same and the end of the earlier one is noticed after the start of the later one.

Conclusion: a SIGTERM answers open exchanges and exits with 0.

--- a/process/entry/daemon.go
+++ b/process/entry/daemon.go
@@ -129,12 +129,23 @@
 	actor(d.report)
 	actor(func(ctx context.Context) error { return d.drainOn(ctx, stop) })
 	g.Add(func() error { return listener.Serve(ctx) }, func(error) { listener.Close() })
-	g.Add(d.http.ListenAndServe, func(error) { d.http.Close() })
+	g.Add(func() error { return d.serveHTTP(ctx) }, func(error) { d.http.Close() })
 	g.Add(observe.Admin(d.settings.AdminAddr, d.observer, func() any { return d.dump() }, d.core.Ready))
 	d.observer.Log.Info().Str("incarnation", d.self.String()).Str("zone", d.settings.Zone).Msg("entry started")
 	return nil
 }
 
+// serveHTTP serves callers. ListenAndServe returns as soon as drainOn begins to
+// shut the server down; ending the group then would cut off the responses that
+// are still being written, so serveHTTP waits for drainOn to end the process.
+func (d *Daemon) serveHTTP(ctx context.Context) error {
+	if err := d.http.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrapf(err, "serve callers on %s", d.settings.HTTPAddr)
+	}
+	<-ctx.Done()
+	return nil
+}
+
 func (d *Daemon) tick(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -270,7 +281,7 @@
 	} else {
 		d.core.EntryDisconnected(c.Peer.Incarnation)
 	}
-	d.observer.Log.Info().Str("step", "connection").Str("peer", c.Peer.Name).Err(err).Msg("peer disconnected")
+	d.observer.Log.Info().Str("step", "connection").Str("peer", c.Peer.Name).Str("incarnation", c.Peer.Incarnation.String()).Err(err).Msg("peer disconnected")
 }
 
 // dialEntries keeps a connection to every other entry. Of two entries the one
--- /dev/null
+++ b/process/entry/daemon_test.go
@@ -0,0 +1,108 @@
+package entry
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/oklog/run"
+
+	"github.com/azurerouter/azurerouter/connection/peer"
+	"github.com/azurerouter/azurerouter/process/observe"
+	"github.com/azurerouter/azurerouter/process/settings"
+	"github.com/azurerouter/azurerouter/standin/logservice"
+)
+
+// testKeys issues a certificate that is valid until the given time.
+func testKeys(t *testing.T, until time.Time) peer.KeyFiles {
+	t.Helper()
+	dir := t.TempDir()
+	files := peer.KeyFiles{Authority: filepath.Join(dir, "authority.pem"),
+		Certificate: filepath.Join(dir, "own.pem"), Key: filepath.Join(dir, "own-key.pem")}
+	start := until.Add(-24 * time.Hour)
+	authority, err := peer.NewAuthority(start)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := authority.WriteAuthority(files.Authority, filepath.Join(dir, "authority-key.pem")); err != nil {
+		t.Fatal(err)
+	}
+	if err := authority.Issue(files, "own", start, until); err != nil {
+		t.Fatal(err)
+	}
+	return files
+}
+
+func freePort(t *testing.T, network string) string {
+	t.Helper()
+	if network == "udp" {
+		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		return conn.LocalAddr().String()
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// Guards against a graceful shutdown that cuts off a caller whose exchange is
+// still open, and that ends the process with an error.
+func TestShutdownFinishesOpenExchanges(t *testing.T) {
+	log := httptest.NewServer(logservice.New(logservice.Settings{}))
+	defer log.Close()
+	observer := observe.New("entry-1", io.Discard)
+	defer observer.Close()
+	d, err := NewDaemon(&settings.Entry{Name: "entry-1", Zone: "zone-1", LogURL: log.URL,
+		HTTPAddr: freePort(t, "tcp"), PeerAddr: freePort(t, "udp"), AdminAddr: freePort(t, "tcp"),
+		Keys: testKeys(t, time.Now().Add(time.Hour)), DrainTimeoutMS: settings.DefaultDrainTimeoutMS}, observer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var g run.Group
+	stop, ended := make(chan struct{}), make(chan error, 1)
+	if err := d.AddTo(&g, stop); err != nil {
+		t.Fatal(err)
+	}
+	go func() { ended <- g.Run() }()
+
+	const body = "{}"
+	caller := dialUntil(t, d.settings.HTTPAddr, true)
+	defer caller.Close()
+	fmt.Fprintf(caller, "POST %s HTTP/1.1\r\nHost: entry\r\nContent-Length: %d\r\n\r\n%s", PathJobs, len(body), body[:1])
+	close(stop)
+	dialUntil(t, d.settings.HTTPAddr, false)
+	fmt.Fprint(caller, body[1:])
+	if _, err := http.ReadResponse(bufio.NewReader(caller), nil); err != nil {
+		t.Errorf("the exchange that was open at the shutdown ended with %v", err)
+	}
+	caller.Close()
+	if err := <-ended; err != nil {
+		t.Errorf("the shutdown ended with %v", err)
+	}
+}
+
+// dialUntil dials until the address accepts connections, or no longer does.
+func dialUntil(t *testing.T, addr string, accepts bool) net.Conn {
+	t.Helper()
+	for {
+		conn, err := net.Dial("tcp", addr)
+		if (err == nil) == accepts {
+			return conn
+		}
+		if conn != nil {
+			conn.Close()
+		}
+	}
+}
