process/agent: report ready only with a configuration

Cause: readiness looked at connections only. With nothing published, both entries said not_ready and all four agents said yes with config_offset=0.

Ruled out: an old answer of the entries; their dumps agreed with /ready.

The log line of a lost entry names the incarnation.

Conclusion: readiness of agents and entries agrees before the first publication.

--- a/process/agent/daemon.go
+++ b/process/agent/daemon.go
@@ -82,6 +82,9 @@
 	if len(d.conns) == 0 {
 		return errors.New("no entry is connected")
 	}
+	if d.core.ConfigOffset() == 0 {
+		return errors.New("no configuration is known yet")
+	}
 	return nil
 }
 
@@ -250,7 +253,7 @@
 	d.mu.Unlock()
 	if current {
 		d.core.Disconnected(c.Peer.Incarnation)
-		d.observer.Log.Info().Str("step", "connection").Str("peer", c.Peer.Name).Err(err).Msg("entry disconnected")
+		d.observer.Log.Info().Str("step", "connection").Str("peer", c.Peer.Name).Str("incarnation", c.Peer.Incarnation.String()).Err(err).Msg("entry disconnected")
 	}
 }
 
--- /dev/null
+++ b/process/agent/daemon_test.go
@@ -0,0 +1,55 @@
+package agent
+
+import (
+	"io"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/azurerouter/azurerouter/connection/peer"
+	"github.com/azurerouter/azurerouter/process/observe"
+	"github.com/azurerouter/azurerouter/process/settings"
+)
+
+func newTestDaemon(t *testing.T, log io.Writer) *Daemon {
+	t.Helper()
+	dir := t.TempDir()
+	files := peer.KeyFiles{Authority: filepath.Join(dir, "authority.pem"),
+		Certificate: filepath.Join(dir, "own.pem"), Key: filepath.Join(dir, "own-key.pem")}
+	authority, err := peer.NewAuthority(time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := authority.WriteAuthority(files.Authority, filepath.Join(dir, "authority-key.pem")); err != nil {
+		t.Fatal(err)
+	}
+	if err := authority.Issue(files, "own", time.Now(), time.Now().Add(time.Hour)); err != nil {
+		t.Fatal(err)
+	}
+	observer := observe.New("agent-1", log)
+	t.Cleanup(func() { observer.Close() })
+	backlog := settings.DefaultBacklog
+	d, err := NewDaemon(&settings.Agent{Name: "agent-1", Keys: files, Slots: 1, Backlog: &backlog,
+		MaxConns: settings.DefaultMaxConns}, observer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// Guards against an agent that reports itself ready before it has a
+// configuration, while no entry accepts submissions either.
+func TestReadyNeedsConfiguration(t *testing.T) {
+	d := newTestDaemon(t, io.Discard)
+	if d.ready() == nil {
+		t.Error("ready without a connection")
+	}
+	d.conns[1] = nil
+	if d.ready() == nil {
+		t.Error("ready without a configuration")
+	}
+	d.core.config.Restore(1, nil)
+	if err := d.ready(); err != nil {
+		t.Errorf("not ready with a connection and a configuration: %v", err)
+	}
+}
