process/settings: check every field and name the nearest one

The error for an unknown field was that of encoding/json and named neither the line nor a known field; negative memory and accelerators, a peer_addr without an address and a seed by host name were accepted. A null backlog was reported as negative.

A table of the fields holds unit, default, range and meaning. The checks use it, docs/settings.md prints it, and tests compare the page and the decoded structs with it. Nearest of version/config is shared instead of written again. The test of the published settings reads the page up to the new section.

--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -4,7 +4,6 @@
 package settings
 
 import (
-	"bytes"
 	"encoding/json"
 	"os"
 	"time"
@@ -20,7 +19,6 @@
 	DefaultDrainTimeoutMS = 30_000
 	DefaultBacklog        = 2
 	DefaultMaxConns       = 60
-	MaxSlots              = 4096
 )
 
 // Entry holds the settings of an entry process.
@@ -78,74 +76,41 @@
 	return time.Duration(a.DrainTimeoutMS) * time.Millisecond
 }
 
-// LoadEntry reads and checks the settings of an entry. The error names the file
-// and the field at fault.
+// LoadEntry reads and checks the settings of an entry. The error names the file,
+// the line, the field at fault and the expected values.
 func LoadEntry(path string) (*Entry, error) {
 	settings := &Entry{DrainTimeoutMS: DefaultDrainTimeoutMS}
-	if err := load(path, settings); err != nil {
-		return nil, err
-	}
-	return settings, errors.Wrap(firstFault([]requirement{
-		{settings.Name != "", "name is missing"},
-		{settings.Zone != "", "zone is missing"},
-		{settings.HTTPAddr != "", "http_addr is missing, expected IP:port"},
-		{settings.PeerAddr != "", "peer_addr is missing, expected IP:port"},
-		{settings.AdminAddr != "", "admin_addr is missing, expected IP:port on loopback"},
-		{settings.LogURL != "", "log_url is missing"},
-		{settings.DrainTimeoutMS > 0, "drain_timeout_ms must be above 0"},
-	}), path)
+	return settings, load(path, ProcessEntry, settings)
 }
 
-// LoadAgent reads and checks the settings of an agent. The error names the file
-// and the field at fault.
+// LoadAgent reads and checks the settings of an agent. The error names the file,
+// the line, the field at fault and the expected values.
 func LoadAgent(path string) (*Agent, error) {
-	backlog := DefaultBacklog
-	settings := &Agent{DrainTimeoutMS: DefaultDrainTimeoutMS, Backlog: &backlog, MaxConns: DefaultMaxConns}
-	if err := load(path, settings); err != nil {
-		return nil, err
-	}
-	return settings, errors.Wrap(firstFault([]requirement{
-		{settings.Name != "", "name is missing"},
-		{settings.Zone != "", "zone is missing"},
-		{settings.AdminAddr != "", "admin_addr is missing, expected IP:port on loopback"},
-		{settings.Service != "", "service is missing"},
-		{settings.TargetURL != "", "target_url is missing"},
-		{len(settings.Seeds) > 0, "seeds is empty, expected at least one IP:port of an entry"},
-		{settings.Slots > 0 && settings.Slots <= MaxSlots, "slots must be 1 to 4096"},
-		{settings.Backlog != nil && *settings.Backlog >= 0, "backlog must not be negative"},
-		{settings.MaxConns > 0, "max_conns must be above 0"},
-		{settings.DrainTimeoutMS > 0, "drain_timeout_ms must be above 0"},
-	}), path)
-}
-
-type requirement struct {
-	met     bool
-	message string
-}
-
-func firstFault(requirements []requirement) error {
-	for _, r := range requirements {
-		if !r.met {
-			return errors.New(r.message)
-		}
+	settings := &Agent{DrainTimeoutMS: DefaultDrainTimeoutMS, MaxConns: DefaultMaxConns}
+	err := load(path, ProcessAgent, settings)
+	if settings.Backlog == nil {
+		backlog := DefaultBacklog
+		settings.Backlog = &backlog
 	}
-	return nil
+	return settings, err
 }
 
-func load(path string, into any) error {
+func load(path string, process Process, into any) error {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return errors.Wrap(err, "settings")
 	}
-	return errors.Wrap(decode(text, into), path)
+	return errors.Wrap(decode(text, process, into), path)
 }
 
-func decode(text []byte, into any) error {
-	plain, err := hujson.Standardize(text)
+func decode(text []byte, process Process, into any) error {
+	root, err := hujson.Parse(text)
 	if err != nil {
 		return err
 	}
-	decoder := json.NewDecoder(bytes.NewReader(plain))
-	decoder.DisallowUnknownFields()
-	return decoder.Decode(into)
+	if err := check(root, text, process); err != nil {
+		return err
+	}
+	root.Standardize()
+	return json.Unmarshal(root.Pack(), into)
 }
--- a/version/config/build.go
+++ b/version/config/build.go
@@ -84,7 +84,7 @@
 			continue
 		}
 		message := fmt.Sprintf("team %q does not exist", name)
-		if close := nearest(name, slices.Sorted(maps.Keys(teams))); close != "" {
+		if close := Nearest(name, slices.Sorted(maps.Keys(teams))); close != "" {
 			message += fmt.Sprintf(", nearest known name is %q", close)
 		}
 		m.faults = append(m.faults, Fault{File: s.file, Line: s.line, Field: path, Message: message,
--- a/version/config/merge.go
+++ b/version/config/merge.go
@@ -134,7 +134,7 @@
 
 func (m *merger) unknownField(path, name string, node *schema, at hujson.Value) {
 	message := "unknown field"
-	if close := nearest(name, node.names()); close != "" {
+	if close := Nearest(name, node.names()); close != "" {
 		message += fmt.Sprintf(", nearest known name is %q", close)
 	}
 	m.fault(at, path, message, "one of "+strings.Join(node.names(), ", "))
--- a/version/config/schema.go
+++ b/version/config/schema.go
@@ -59,9 +59,9 @@
 	return names
 }
 
-// nearest returns the known name with the smallest edit distance, or "" if none
+// Nearest returns the known name with the smallest edit distance, or "" if none
 // is close enough to be a likely misspelling.
-func nearest(name string, known []string) string {
+func Nearest(name string, known []string) string {
 	best, bestDistance := "", max(2, len(name)/3)+1
 	for _, candidate := range known {
 		if distance := levenshtein.ComputeDistance(name, candidate); distance < bestDistance {
--- a/version/config/settings_doc_test.go
+++ b/version/config/settings_doc_test.go
@@ -14,8 +14,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	// The rows of the next section are those of process/settings, whose test
+	// compares all of them.
+	published, _, found := strings.Cut(string(page), "\n## Settings of a process\n")
+	if !found {
+		t.Fatal("the page has no section on the settings of a process")
+	}
 	var rows []string
-	for line := range strings.Lines(string(page)) {
+	for line := range strings.Lines(published) {
 		if strings.HasPrefix(line, "| `") {
 			rows = append(rows, strings.TrimSpace(line))
 		}
