--- a/connection/wire/codec_test.go
+++ b/connection/wire/codec_test.go
@@ -35,7 +35,7 @@
 		&Query{ID: 1, Key: key, Digest: job.Digest{4}, BudgetMS: 100, Body: []byte("{}"), Single: true},
 		&QueryReply{ID: 1, Answer: []byte("{}"), Refusal: Refusal{Code: "deadline", Run: "no", Message: "m", Step: "s", RetryAfterMS: 1}},
 		&Config{Offset: 3, Files: []ConfigFile{{Name: "a.json", Version: 3, Content: []byte("{}")}}},
-		&Quota{Shares: []QuotaShare{{Team: "shop", Demand: 10.5, Loan: 2, LoanMS: 1000}}},
+		&Quota{Shares: []QuotaShare{{Team: "shop", Demand: 10.5, Loan: 2}}, Seq: 7, Echo: 6},
 	}
 }
 
--- a/process/entry/daemon.go
+++ b/process/entry/daemon.go
@@ -135,13 +135,12 @@
 	return nil
 }
 
-// serveHTTP serves callers. ListenAndServe returns as soon as a shutdown begins,
-// while answers are still being written; the actor must not end before the
-// drain does, because its end closes all connections.
+// serveHTTP serves callers. ListenAndServe returns as soon as drainOn begins to
+// shut the server down; ending the group then would cut off the responses that
+// are still being written, so serveHTTP waits for drainOn to end the process.
 func (d *Daemon) serveHTTP(ctx context.Context) error {
-	err := d.http.ListenAndServe()
-	if !errors.Is(err, http.ErrServerClosed) {
-		return err
+	if err := d.http.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrapf(err, "serve callers on %s", d.settings.HTTPAddr)
 	}
 	<-ctx.Done()
 	return nil
@@ -282,7 +281,7 @@
 	} else {
 		d.core.EntryDisconnected(c.Peer.Incarnation)
 	}
-	d.observer.Log.Info().Str("step", "connection").Str("peer", c.Peer.Name).Err(err).Msg("peer disconnected")
+	d.observer.Log.Info().Str("step", "connection").Str("peer", c.Peer.Name).Str("incarnation", c.Peer.Incarnation.String()).Err(err).Msg("peer disconnected")
 }
 
 // dialEntries keeps a connection to every other entry. Of two entries the one
