--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -66,6 +66,9 @@
 	Name        string      `cbor:"2,keyasint"`
 	Zone        string      `cbor:"3,keyasint"`
 	PeerAddr    string      `cbor:"4,keyasint"`
+	// AnnouncedMS is the log time of the last announcement, in milliseconds
+	// since 1970; 0 in the announcement itself.
+	AnnouncedMS int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Members lists the entries known to an entry, as of an offset of the members
--- a/process/entry/http.go
+++ b/process/entry/http.go
@@ -59,9 +59,6 @@
 	sub, err := job.Parse(r.Body, single, began, a.core.ParseLimits())
 	if err != nil {
 		refused, _ := refusal.As(err)
-		if refused.Code == refusal.KeyTooOld {
-			refused.Unknown()
-		}
 		a.refuse(w, refused)
 		return
 	}
--- a/process/entry/streams.go
+++ b/process/entry/streams.go
@@ -227,7 +227,7 @@
 
 func (d *Daemon) restoreMembers(m *wire.Members) {
 	d.mu.Lock()
-	restored := d.members.Restore(time.Now(), m.Offset, m.Entries)
+	restored := d.members.Restore(m.Offset, m.Entries)
 	d.mu.Unlock()
 	if restored {
 		d.pushMembers()
--- a/process/membership/entries.go
+++ b/process/membership/entries.go
@@ -110,14 +110,16 @@
 
 // Restore takes over the list of a peer. It reports false, and has no effect, if
 // the peer's list is not newer.
-func (e *Entries) Restore(now time.Time, offset uint64, entries []wire.EntryAddress) bool {
+func (e *Entries) Restore(offset uint64, entries []wire.EntryAddress) bool {
 	if offset <= e.offset {
 		return false
 	}
 	e.offset = offset
 	e.byName = make(map[string]member, len(entries))
 	for _, address := range entries {
-		e.byName[address.Name] = member{address: address, announced: now}
+		announced := time.UnixMilli(address.AnnouncedMS)
+		address.AnnouncedMS = 0
+		e.byName[address.Name] = member{address: address, announced: announced}
 	}
 	return true
 }
@@ -126,7 +128,9 @@
 func (e *Entries) List() []wire.EntryAddress {
 	list := make([]wire.EntryAddress, 0, len(e.byName))
 	for _, m := range e.byName {
-		list = append(list, m.address)
+		address := m.address
+		address.AnnouncedMS = m.announced.UnixMilli()
+		list = append(list, address)
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
 	return list
