cmd/azurerouter: add the load generator

Cause: response times, refusals and messages per task have to be measured from outside, against the HTTP API of the entries.

Change: load submits jobs and single requests in a closed loop or at a rate, bounded in count, duration and submissions in flight, from a seeded plan with a mix of run times and a share of resubmissions through another entry. It prints response time over the longest task's run time at p50, p95 and p99, refusals by code, and messages per task from /metrics. It also checks that an answer belongs to its caller, is not partial, and equals the answer to the resubmission.

Ruled out: counting response times from the moment of sending at a rate, which hides a slow dispatcher when the generator falls behind; counting failed answers, which can be fast; treating a resubmission that fails after a complete answer as wrong, since a recovering entry may do so.

Conclusion: the generator works against stand-in entries in tests; it has not run against a real entry, which does not exist yet.

--- /dev/null
+++ b/cmd/azurerouter/load.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/azurerouter/azurerouter/request/job"
+)
+
+// Bounds of a run, so that a mistyped flag cannot load a deployment for hours.
+const (
+	maxLoadCount    = 1_000_000
+	maxLoadDuration = 10 * time.Minute
+	maxLoadClients  = 4096
+)
+
+// loadSettings are the flags of one run.
+type loadSettings struct {
+	entries, admins   addressList
+	service, team     string
+	priority, run     string
+	count, clients    int
+	duration          time.Duration
+	rate              float64
+	mix               runTimeMix
+	maxTasks          int
+	singles           float64
+	resubmitted       float64
+	resubmissionDelay time.Duration
+	deadline          time.Duration
+	seed              uint64
+}
+
+// runLoad submits jobs and single requests to the entries and reports how they
+// were answered. The exit code is exitFailed if an answer was wrong, if nothing
+// was answered, or if a process named by -admin could not be read.
+func runLoad(args []string, stdout, stderr io.Writer) int {
+	settings, ok := parseLoadFlags(args, stderr)
+	if !ok {
+		return exitUsage
+	}
+	ctx := context.Background()
+	before, err := readMessageCounts(ctx, settings.admins)
+	if err != nil {
+		fmt.Fprintf(stderr, "load: %v\n", err)
+		return exitFailed
+	}
+	report := newLoadRunner(settings).run()
+	report.print(stdout)
+	if err := printMessages(ctx, stdout, settings.admins, before, report.tasksAnswered); err != nil {
+		fmt.Fprintf(stderr, "load: %v\n", err)
+		return exitFailed
+	}
+	if report.wrong() > 0 || report.answered() == 0 {
+		return exitFailed
+	}
+	return exitOK
+}
+
+// parseLoadFlags prints what is wrong with the flags and reports false.
+func parseLoadFlags(args []string, stderr io.Writer) (loadSettings, bool) {
+	s := loadSettings{mix: runTimeMix{{50, 1000, 98}, {2000, 4000, 2}}}
+	flags := flag.NewFlagSet("load", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	flags.Var(&s.entries, "entry", "HTTP addresses of the entries, separated by commas; may be repeated")
+	flags.Var(&s.admins, "admin", "admin addresses of all processes, to count messages per task")
+	flags.StringVar(&s.service, "service", "card", "service")
+	flags.StringVar(&s.team, "team", "load", "team")
+	flags.StringVar(&s.priority, "priority", string(job.Urgent), "priority: urgent or batch")
+	flags.StringVar(&s.run, "run", "load-"+strconv.FormatInt(time.Now().UnixNano(), 36), "start of the submission keys")
+	flags.IntVar(&s.count, "count", 1000, "most submissions, not counting resubmissions")
+	flags.DurationVar(&s.duration, "duration", 30*time.Second, "longest time in which submissions start")
+	flags.Float64Var(&s.rate, "rate", 0, "submissions per second; 0 means a closed loop")
+	flags.IntVar(&s.clients, "clients", 32, "submissions in flight: kept in a closed loop, the limit at a rate")
+	flags.Var(&s.mix, "mix", "run times of tasks in ms, as LOW-HIGH:WEIGHT or MS:WEIGHT, separated by commas")
+	flags.IntVar(&s.maxTasks, "tasks", 1, "most tasks of a job; the number is drawn from 1 to this")
+	flags.Float64Var(&s.singles, "singles", 0, "share of single requests, from 0 to 1")
+	flags.Float64Var(&s.resubmitted, "resubmit", 0, "share submitted again through another entry, from 0 to 1")
+	flags.DurationVar(&s.resubmissionDelay, "resubmit-after", 20*time.Millisecond, "delay of a resubmission")
+	flags.DurationVar(&s.deadline, "deadline", job.DefaultDeadline, "deadline of a submission")
+	flags.Uint64Var(&s.seed, "seed", 1, "seed of the submissions")
+	if flags.Parse(args) != nil {
+		return s, false
+	}
+	err := s.check()
+	if flags.NArg() > 0 {
+		err = errors.Newf("unexpected argument %q", flags.Arg(0))
+	}
+	if err != nil {
+		fmt.Fprintf(stderr, "load: %v\n", err)
+	}
+	return s, err == nil
+}
+
+func (s loadSettings) check() error {
+	share := func(x float64) bool { return x >= 0 && x <= 1 }
+	switch {
+	case len(s.entries) == 0:
+		return errors.New("-entry is required")
+	case s.count < 1 || s.count > maxLoadCount:
+		return errors.Newf("-count must be from 1 to %d", maxLoadCount)
+	case s.duration <= 0 || s.duration > maxLoadDuration:
+		return errors.Newf("-duration must be at most %v", maxLoadDuration)
+	case s.clients < 1 || s.clients > maxLoadClients:
+		return errors.Newf("-clients must be from 1 to %d", maxLoadClients)
+	case s.maxTasks < 1 || s.maxTasks > job.MaxTasks:
+		return errors.Newf("-tasks must be from 1 to %d", job.MaxTasks)
+	case !(s.rate >= 0):
+		return errors.New("-rate must not be negative")
+	case !share(s.singles) || !share(s.resubmitted):
+		return errors.New("-singles and -resubmit must be from 0 to 1")
+	case s.resubmitted > 0 && len(s.entries) < 2:
+		return errors.New("-resubmit needs a second entry")
+	case s.deadline < time.Millisecond || s.resubmissionDelay < 0:
+		return errors.New("-deadline must be at least 1ms and -resubmit-after must not be negative")
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/azurerouter/loadreport.go
@@ -0,0 +1,232 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"reflect"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+
+	"github.com/azurerouter/azurerouter/process/observe"
+	"github.com/azurerouter/azurerouter/request/job"
+)
+
+const (
+	// ratioScale is the resolution of response time over ideal.
+	ratioScale = 1000
+	// maxRatio and maxExcess bound the histograms; larger values count as these.
+	maxRatio  = 100_000
+	maxExcess = time.Hour
+	// metricsAge is the age that a scraped value can have, with a margin.
+	metricsAge      = 1500 * time.Millisecond
+	maxMetricsBytes = 4 << 20
+)
+
+// loadReport collects the outcome of a run. Its methods are safe for
+// concurrent use until print.
+type loadReport struct {
+	took time.Duration
+
+	mu                         sync.Mutex
+	sent, resubmitted, notSent int
+	complete, failed           int
+	tasksAnswered              int
+	compared, otherState       int
+	refusals, outcomes         map[string]int
+	failures, wrongs           map[string]int
+	ratio, excess              *hdrhistogram.Histogram
+}
+
+func newLoadReport() *loadReport {
+	return &loadReport{
+		refusals: map[string]int{}, outcomes: map[string]int{}, failures: map[string]int{}, wrongs: map[string]int{},
+		ratio:  hdrhistogram.New(1, maxRatio*ratioScale, 3),
+		excess: hdrhistogram.New(1, maxExcess.Microseconds(), 3),
+	}
+}
+
+func (r *loadReport) locked(change func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change()
+}
+
+func (r *loadReport) addNotSent() { r.locked(func() { r.notSent++ }) }
+
+func (r *loadReport) addWrong(fault string) { r.locked(func() { r.wrongs[fault]++ }) }
+
+func (r *loadReport) addFailure(err error) {
+	r.locked(func() { r.failures[oneLine(errors.UnwrapAll(err).Error())]++ })
+}
+
+func (r *loadReport) addSent(resubmission bool) {
+	r.locked(func() {
+		if resubmission {
+			r.resubmitted++
+		} else {
+			r.sent++
+		}
+	})
+}
+
+// refusalBody is the JSON body of a refusal.
+type refusalBody struct{ Code, Run string }
+
+func (r *loadReport) addRefusal(status int, data []byte) {
+	var body refusalBody
+	name := fmt.Sprintf("status %d without a code", status)
+	if json.Unmarshal(data, &body) == nil && body.Code != "" {
+		name = fmt.Sprintf("%s run=%s", oneLine(body.Code), oneLine(body.Run))
+	}
+	r.locked(func() { r.refusals[name]++ })
+}
+
+// addAnswer counts the answer to a first submission, for which due is set.
+// Only complete answers have a response time, since failed ones can be fast.
+func (r *loadReport) addAnswer(answer *job.Answer, item loadItem, due time.Time) {
+	if due.IsZero() {
+		return
+	}
+	took := time.Since(due)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tasksAnswered += len(answer.Tasks)
+	for _, task := range answer.Tasks {
+		r.outcomes[string(task.Outcome)]++
+	}
+	if answer.State != job.Complete {
+		r.failed++
+		return
+	}
+	r.complete++
+	r.ratio.RecordValue(min(int64(float64(took)/float64(item.ideal)*ratioScale), maxRatio*ratioScale))
+	r.excess.RecordValue(min(max(took-item.ideal, 0), maxExcess).Microseconds())
+}
+
+// compare requires that two complete answers to one key are the same. The
+// stand-in target gives every start another output, so two starts show here.
+// Another state is no fault: a recovering entry fails what nobody accounts for.
+func (r *loadReport) compare(first, second *job.Answer) {
+	r.locked(func() {
+		r.compared++
+		switch {
+		case first.State != second.State:
+			r.otherState++
+		case first.State == job.Complete && !reflect.DeepEqual(first, second):
+			r.wrongs["resubmission with another answer"]++
+		}
+	})
+}
+
+func (r *loadReport) answered() int { return r.complete + r.failed }
+
+func (r *loadReport) wrong() int {
+	total := 0
+	for _, n := range r.wrongs {
+		total += n
+	}
+	return total
+}
+
+func (r *loadReport) print(w io.Writer) {
+	seconds := r.took.Seconds()
+	fmt.Fprintf(w, "submitted %d in %.1fs, not sent for lack of clients %d\n", r.sent, seconds, r.notSent)
+	fmt.Fprintf(w, "answered %d (%.1f/s): complete %d, failed %d, tasks %d (%.1f/s)\n", r.answered(),
+		float64(r.answered())/seconds, r.complete, r.failed, r.tasksAnswered, float64(r.tasksAnswered)/seconds)
+	fmt.Fprintf(w, "resubmitted %d, answers compared %d, of another state %d\n", r.resubmitted, r.compared, r.otherState)
+	fmt.Fprintf(w, "response time over ideal: p50 %s p95 %s p99 %s (complete answers, ideal is the longest task)\n",
+		r.ratioAt(50), r.ratioAt(95), r.ratioAt(99))
+	fmt.Fprintf(w, "response time minus ideal: p50 %s p95 %s p99 %s\n", r.excessAt(50), r.excessAt(95), r.excessAt(99))
+	printCounts(w, "task outcome", r.outcomes)
+	printCounts(w, "refused", r.refusals)
+	printCounts(w, "no answer", r.failures)
+	printCounts(w, "WRONG", r.wrongs)
+}
+
+func (r *loadReport) ratioAt(percentile float64) string {
+	return fmt.Sprintf("%.3f", float64(r.ratio.ValueAtPercentile(percentile))/ratioScale)
+}
+
+func (r *loadReport) excessAt(percentile float64) string {
+	return fmt.Sprintf("%.1fms", float64(r.excess.ValueAtPercentile(percentile))/1000)
+}
+
+func printCounts(w io.Writer, title string, counts map[string]int) {
+	names := make([]string, 0, len(counts))
+	for name := range counts {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		fmt.Fprintf(w, "%s: %s %d\n", title, name, counts[name])
+	}
+}
+
+// messageCounts are messages sent, by kind.
+type messageCounts map[string]float64
+
+func readMessageCounts(ctx context.Context, admins []string) (messageCounts, error) {
+	total := make(messageCounts)
+	for _, addr := range admins {
+		data, err := readAdmin(ctx, addr, "/metrics", maxMetricsBytes)
+		if err != nil {
+			return nil, err
+		}
+		if err := total.add(data); err != nil {
+			return nil, errors.Wrapf(err, "metrics of %s", addr)
+		}
+	}
+	return total, nil
+}
+
+// add reads the lines of one metric from the Prometheus text format.
+func (c messageCounts) add(metrics []byte) error {
+	prefix := observe.Prefix + "_" + observe.MessagesSent + "{" + observe.TagKind + "=\""
+	lines := bufio.NewScanner(bytes.NewReader(metrics))
+	for lines.Scan() {
+		rest, found := strings.CutPrefix(lines.Text(), prefix)
+		if !found {
+			continue
+		}
+		kind, value, _ := strings.Cut(rest, "\"} ")
+		n, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return err
+		}
+		c[kind] += n
+	}
+	return lines.Err()
+}
+
+// printMessages prints the messages that the processes have sent per answered
+// task since the first reading. Each message has one sender, so none counts
+// twice if all processes are named.
+func printMessages(ctx context.Context, w io.Writer, admins []string, before messageCounts, tasks int) error {
+	if len(admins) == 0 || tasks == 0 {
+		return nil
+	}
+	time.Sleep(metricsAge)
+	after, err := readMessageCounts(ctx, admins)
+	if err != nil {
+		return err
+	}
+	total, parts := 0.0, []string(nil)
+	for kind, n := range after {
+		n -= before[kind]
+		total += n
+		parts = append(parts, fmt.Sprintf("%s %.3f", kind, n/float64(tasks)))
+	}
+	sort.Strings(parts)
+	_, err = fmt.Fprintf(w, "messages per task %.3f: %s\n", total/float64(tasks), strings.Join(parts, ", "))
+	return err
+}
