process: log unreachable entries, own certificates, ejections and lapsed leases

Cause, one each, as seen on loopback: - An entry whose certificate the others refuse logged nothing, since the error of its dials was dropped. Its callers got no_targets. - The agents' condition entry_unreachable covered all entries, so that a dial that reached one ended it for another, and no line named the peer. - A certificate file overwritten with garbage showed only when the process was started again: ReloadError had no caller, and the file is read again only for a new connection. An expired certificate was not reported at all. - A target was ejected and readmitted without a log line. - An agent that continued after SIGSTOP logged 'Application error 0x0 (local)' for its own closing of a lapsed lease. - An agent answered 'ready' while it was leaving.

Ruled out: the log level, which is not filtered; metrics, which held the ejections only as a count and certificates not at all.

Conclusion: each of these cases now has a line that names the peer.

--- a/process/agent/daemon.go
+++ b/process/agent/daemon.go
@@ -36,7 +36,8 @@
 	core     *Core
 	self     wire.Incarnation
 	// unreachable holds while an entry cannot be dialled.
-	unreachable *observe.Condition
+	unreachable *observe.Unreachable
+	certificate *observe.Certificate
 
 	mu sync.Mutex
 	// conns are the connections by entry incarnation.
@@ -54,10 +55,11 @@
 		return nil, err
 	}
 	d := &Daemon{settings: s, observer: observer, identity: identity,
-		target: target.New(s.TargetURL, s.MaxConns), self: wire.NewIncarnation(), unreachable: observer.Condition("entry_unreachable"),
-		conns:   make(map[wire.Incarnation]*peer.Conn),
-		entries: make(map[wire.Incarnation]wire.EntryAddress),
-		dialing: make(map[string]bool),
+		target: target.New(s.TargetURL, s.MaxConns), self: wire.NewIncarnation(), unreachable: observer.Unreachable("entry_unreachable"),
+		certificate: observer.Certificate(),
+		conns:       make(map[wire.Incarnation]*peer.Conn),
+		entries:     make(map[wire.Incarnation]wire.EntryAddress),
+		dialing:     make(map[string]bool),
 	}
 	d.core = NewCore((*daemonEnv)(d), Options{Incarnation: d.self, Slots: s.Slots, Backlog: *s.Backlog, Limits: fencing.DefaultLimits})
 	return d, nil
@@ -77,6 +79,9 @@
 }
 
 func (d *Daemon) ready() error {
+	if d.core.Dump().Leaving {
+		return errors.New("this agent is leaving")
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.conns) == 0 {
@@ -122,6 +127,10 @@
 	m.Gauge(observe.ResultBytesHeld).Update(float64(now.ResultBytes))
 	m.Gauge(observe.ConfigOffset).Update(float64(now.ConfigOffset))
 	m.Gauge(observe.Connections).Update(float64(len(now.Entries)))
+	// This also reads a replaced certificate, without a new connection.
+	if own, err := d.identity.TLS().GetClientCertificate(nil); err == nil && own.Leaf != nil {
+		d.certificate.Report(time.Now(), own.Leaf, d.identity.ReloadError())
+	}
 	return now
 }
 
@@ -186,6 +195,7 @@
 	if len(d.conns) == 0 {
 		addrs = append(addrs, d.settings.Seeds...)
 	}
+	d.unreachable.Retain(addrs)
 	var fresh []string
 	for _, addr := range addrs {
 		if !d.dialing[addr] {
@@ -204,10 +214,8 @@
 	delete(d.dialing, addr)
 	d.mu.Unlock()
 	if err != nil {
-		d.unreachable.Begin(err)
-		return
+		d.unreachable.Failed(addr, err)
 	}
-	d.unreachable.End()
 }
 
 // handler receives the events of the connections to entries.
@@ -293,6 +301,8 @@
 	conn := e.conns[entry]
 	e.mu.Unlock()
 	if conn != nil {
+		e.observer.Log.Warn().Str("step", "lease").Str("peer", conn.Peer.Name).Str("incarnation", entry.String()).
+			Msg("lease lapsed, connecting again")
 		conn.Close()
 	}
 }
--- a/process/agent/daemon_test.go
+++ b/process/agent/daemon_test.go
@@ -38,8 +38,8 @@
 }
 
 // Guards against an agent that reports itself ready before it has a
-// configuration, while no entry accepts submissions either.
-func TestReadyNeedsConfiguration(t *testing.T) {
+// configuration, or while it leaves.
+func TestReady(t *testing.T) {
 	d := newTestDaemon(t, io.Discard)
 	if d.ready() == nil {
 		t.Error("ready without a connection")
@@ -52,4 +52,8 @@
 	if err := d.ready(); err != nil {
 		t.Errorf("not ready with a connection and a configuration: %v", err)
 	}
+	d.core.Leave()
+	if d.ready() == nil {
+		t.Error("ready while leaving")
+	}
 }
--- a/process/entry/daemon.go
+++ b/process/entry/daemon.go
@@ -53,6 +53,9 @@
 	self     wire.Incarnation
 	http     *http.Server
 	logDown  *observe.Condition
+	// unreachable holds while an entry cannot be dialled.
+	unreachable *observe.Unreachable
+	certificate *observe.Certificate
 
 	mu      sync.Mutex
 	agents  map[wire.Incarnation]*peer.Conn
@@ -76,6 +79,7 @@
 	}
 	d := &Daemon{settings: s, observer: observer, identity: identity, log: logclient.New(s.LogURL, nil),
 		self: wire.NewIncarnation(), logDown: observer.Condition("log_unavailable"),
+		unreachable: observer.Unreachable("entry_unreachable"), certificate: observer.Certificate(),
 		agents:  make(map[wire.Incarnation]*peer.Conn),
 		entries: make(map[wire.Incarnation]*peer.Conn),
 		dialing: make(map[string]bool),
@@ -208,7 +212,7 @@
 func (h *handler) Connected(c *peer.Conn) error {
 	d := (*Daemon)(h)
 	if c.Peer.Incarnation == d.self {
-		return errors.New("dialled itself")
+		return errors.Mark(errors.New("dialled itself"), errNotNeeded)
 	}
 	conns := d.connsOf(c.Peer.Role)
 	if conns == nil {
@@ -219,7 +223,7 @@
 	if earlier != nil && c.Peer.Role == wire.RoleEntry {
 		// Two entries may dial each other at once; the first connection stays.
 		d.mu.Unlock()
-		return errors.Newf("entry %s is connected already", c.Peer.Name)
+		return errors.Mark(errors.Newf("entry %s is connected already", c.Peer.Name), errNotNeeded)
 	}
 	conns[c.Peer.Incarnation] = c
 	d.mu.Unlock()
@@ -284,56 +288,6 @@
 	d.observer.Log.Info().Str("step", "connection").Str("peer", c.Peer.Name).Str("incarnation", c.Peer.Incarnation.String()).Err(err).Msg("peer disconnected")
 }
 
-// dialEntries keeps a connection to every other entry. Of two entries the one
-// with the lower incarnation dials, except to a seed, whose incarnation is not
-// known.
-func (d *Daemon) dialEntries(ctx context.Context) error {
-	ticker := time.NewTicker(dialInterval)
-	defer ticker.Stop()
-	for {
-		for _, addr := range d.undialled() {
-			go d.dial(ctx, addr)
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
-}
-
-func (d *Daemon) undialled() []string {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var fresh []string
-	add := func(addr string) {
-		if !d.dialing[addr] && addr != d.settings.PeerAddr {
-			d.dialing[addr] = true
-			fresh = append(fresh, addr)
-		}
-	}
-	for _, entry := range d.members.List() {
-		if _, connected := d.entries[entry.Incarnation]; !connected && d.self < entry.Incarnation {
-			add(entry.PeerAddr)
-		}
-	}
-	if len(d.entries) == 0 {
-		for _, seed := range d.settings.Seeds {
-			add(seed)
-		}
-	}
-	return fresh
-}
-
-func (d *Daemon) dial(ctx context.Context, addr string) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	peer.Dial(ctx, addr, d.identity.TLS(), d.hello(), (*handler)(d)) // a failure is tried again at the next interval
-	d.mu.Lock()
-	delete(d.dialing, addr)
-	d.mu.Unlock()
-}
-
 // daemonEnv is the Env of a Core that runs as a process.
 type daemonEnv Daemon
 
--- a/process/entry/metrics.go
+++ b/process/entry/metrics.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/azurerouter/azurerouter/process/observe"
@@ -15,7 +17,7 @@
 
 // report keeps the metrics that are read from the state of Core.
 func (d *Daemon) report(ctx context.Context) error {
-	var before totals
+	before := totals{ejected: make(map[string]string)}
 	for ctx.Err() == nil {
 		before = d.reportOnce(before)
 		sleep(ctx, metricsInterval)
@@ -28,12 +30,14 @@
 	stray      uint64
 	dispatched map[string]uint64
 	retried    map[string]uint64
+	// ejected are the ejected targets: names of services by name of the agent.
+	ejected map[string]string
 }
 
 func (d *Daemon) reportOnce(before totals) totals {
 	m := d.observer.Metrics
 	now := totals{stray: d.core.counters.strayAnswers.Load(),
-		dispatched: make(map[string]uint64), retried: make(map[string]uint64)}
+		dispatched: make(map[string]uint64), retried: make(map[string]uint64), ejected: make(map[string]string)}
 	m.Counter(observe.AnswersUnmatched).Inc(int64(now.stray - before.stray))
 	m.Gauge(observe.JobsHeld).Update(float64(d.core.jobsHeld()))
 	m.Gauge(observe.ConfigOffset).Update(float64(d.core.peers.configOffset()))
@@ -45,9 +49,14 @@
 		tagged.Counter(observe.TasksRetried).Inc(int64(now.retried[svc.name] - before.retried[svc.name]))
 		tagged.Gauge(observe.TasksOutstanding).Update(float64(outstanding[svc.name]))
 		queued, ejected := svc.load()
+		for _, name := range ejected {
+			now.ejected[name] = svc.name
+		}
 		tagged.Gauge(observe.TasksQueued).Update(float64(queued))
-		tagged.Gauge(observe.TargetsEjected).Update(float64(ejected))
+		tagged.Gauge(observe.TargetsEjected).Update(float64(len(ejected)))
 	}
+	d.logEjections(before.ejected, now.ejected)
+	d.reportCertificate()
 	d.mu.Lock()
 	connections, faults := len(d.agents)+len(d.entries), len(d.faults)
 	d.mu.Unlock()
@@ -56,6 +65,29 @@
 	return now
 }
 
+// logEjections logs what changed since the last report. An ejection that ends
+// between two reports is not logged.
+func (d *Daemon) logEjections(before, now map[string]string) {
+	for _, name := range slices.Sorted(maps.Keys(now)) {
+		if _, known := before[name]; !known {
+			d.observer.Log.Warn().Str("step", "ejection").Str("peer", name).Str("service", now[name]).Msg("target ejected")
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(before)) {
+		if _, still := now[name]; !still {
+			d.observer.Log.Info().Str("step", "ejection").Str("peer", name).Str("service", before[name]).Msg("target no longer ejected")
+		}
+	}
+}
+
+// reportCertificate also reads a replaced certificate, without a new connection.
+func (d *Daemon) reportCertificate() {
+	own, err := d.identity.TLS().GetClientCertificate(nil)
+	if err == nil && own.Leaf != nil {
+		d.certificate.Report(time.Now(), own.Leaf, d.identity.ReloadError())
+	}
+}
+
 func (c *Core) jobsHeld() int {
 	total := 0
 	for i := range c.shards {
@@ -76,14 +108,14 @@
 	return outstanding
 }
 
-// load returns the tasks that wait and the targets that are ejected.
-func (s *service) load() (queued, ejected int) {
+// load returns the tasks that wait and the names of the ejected targets.
+func (s *service) load() (queued int, ejected []string) {
 	s.mu.Lock()
 	dump := s.scheduler.Dump()
 	s.mu.Unlock()
 	for _, target := range dump.Targets {
 		if target.State == stateEjected {
-			ejected++
+			ejected = append(ejected, target.Name)
 		}
 	}
 	return dump.WaitingUrgent + dump.WaitingBatch, ejected
--- /dev/null
+++ b/process/entry/report_test.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/azurerouter/azurerouter/process/observe"
+	"github.com/azurerouter/azurerouter/process/settings"
+)
+
+func newLoggedDaemon(t *testing.T, log *bytes.Buffer) *Daemon {
+	t.Helper()
+	observer := observe.New("entry-1", log)
+	t.Cleanup(func() { observer.Close() })
+	d, err := NewDaemon(&settings.Entry{Name: "entry-1", Keys: testKeys(t, time.Now().Add(-time.Hour))}, observer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// Guards against an ejection without a log line, or with one per report.
+func TestEjectionsAreLogged(t *testing.T) {
+	var log bytes.Buffer
+	d := newLoggedDaemon(t, &log)
+	none, bad := map[string]string{}, map[string]string{"agent-1": "card"}
+	d.logEjections(none, bad)
+	d.logEjections(bad, bad)
+	d.logEjections(bad, none)
+	for _, message := range []string{`"peer":"agent-1","service":"card","time"`, "target ejected", "target no longer ejected"} {
+		if !strings.Contains(log.String(), message) {
+			t.Errorf("the log lacks %s:\n%s", message, log.String())
+		}
+	}
+	if got := strings.Count(log.String(), "\n"); got != 2 {
+		t.Errorf("%d lines logged, want 2", got)
+	}
+}
+
+// Guards against an entry that does not say that another one cannot be dialled,
+// or that its own certificate has expired.
+func TestDialFailureAndExpiryAreLogged(t *testing.T) {
+	var log bytes.Buffer
+	d := newLoggedDaemon(t, &log)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	d.dial(ctx, "127.0.0.1:9")
+	d.reportCertificate()
+	for _, message := range []string{`"peer":"127.0.0.1:9"`, "own certificate expired at"} {
+		if !strings.Contains(log.String(), message) {
+			t.Errorf("the log lacks %s:\n%s", message, log.String())
+		}
+	}
+}
--- /dev/null
+++ b/process/observe/certificate.go
@@ -0,0 +1,50 @@
+package observe
+
+import (
+	"crypto/x509"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+)
+
+// certificateWarning is the remaining validity from which a certificate counts as
+// expiring soon. A week leaves time to replace it outside of a weekend.
+const certificateWarning = 7 * 24 * time.Hour
+
+// Certificate reports on the certificate of a process. Without it, an expired or
+// unreadable certificate shows only when a connection is made again, possibly
+// long after the fault.
+type Certificate struct {
+	secondsLeft tally.Gauge
+	unusable    *Condition
+	expiring    *Condition
+}
+
+// Certificate returns a report that has not been made yet.
+func (o *Observer) Certificate() *Certificate {
+	return &Certificate{secondsLeft: o.Metrics.Gauge(CertificateSecondsLeft),
+		unusable: o.Condition("certificate_unusable"), expiring: o.Condition("certificate_expires_soon")}
+}
+
+// Report takes the certificate in use and why the last attempt to read a
+// replacement failed, or nil.
+func (c *Certificate) Report(now time.Time, leaf *x509.Certificate, reloadErr error) {
+	left := leaf.NotAfter.Sub(now)
+	c.secondsLeft.Update(left.Seconds())
+	switch {
+	case left <= 0:
+		c.unusable.Begin(errors.Newf("own certificate expired at %s", leaf.NotAfter.Format(time.RFC3339)))
+	case now.Before(leaf.NotBefore):
+		c.unusable.Begin(errors.Newf("own certificate is not valid before %s", leaf.NotBefore.Format(time.RFC3339)))
+	case reloadErr != nil:
+		c.unusable.Begin(errors.Wrap(reloadErr, "the earlier certificate stays in use"))
+	default:
+		c.unusable.End()
+	}
+	if left > 0 && left < certificateWarning {
+		c.expiring.Begin(errors.Newf("own certificate expires at %s", leaf.NotAfter.Format(time.RFC3339)))
+		return
+	}
+	c.expiring.End()
+}
--- /dev/null
+++ b/process/observe/conditions_test.go
@@ -0,0 +1,57 @@
+package observe
+
+import (
+	"crypto/x509"
+	"errors"
+	"testing"
+	"time"
+)
+
+// Guards against an expired, expiring or unreadable certificate of the process
+// that is logged nowhere, or again at every report.
+func TestCertificateReport(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	leaf := &x509.Certificate{NotBefore: start, NotAfter: start.Add(90 * 24 * time.Hour)}
+	log := &lines{}
+	o := New("agent-1", log)
+	defer o.Close()
+	certificate := o.Certificate()
+	for _, step := range []struct {
+		now       time.Time
+		reloadErr error
+		message   string
+	}{
+		{start.Add(-time.Hour), nil, "own certificate is not valid before 2026-01-01T00:00:00Z"},
+		{start.Add(time.Hour), errors.New("no PEM"), "the earlier certificate stays in use: no PEM"},
+		{leaf.NotAfter.Add(-certificateWarning + time.Hour), nil, "own certificate expires at 2026-04-01T00:00:00Z"},
+		{leaf.NotAfter.Add(time.Hour), nil, "own certificate expired at 2026-04-01T00:00:00Z"},
+	} {
+		certificate.Report(start.Add(time.Hour), leaf, nil)
+		certificate.Report(step.now, leaf, step.reloadErr)
+		certificate.Report(step.now, leaf, step.reloadErr)
+		if got := log.with(step.message); got != 1 {
+			t.Errorf("%q is logged %d times, want once", step.message, got)
+		}
+	}
+}
+
+// Guards against one reachable entry that hides another unreachable one, and
+// against a condition that stays active for an address that nobody dials.
+func TestUnreachableKeepsAddressesApart(t *testing.T) {
+	log := &lines{}
+	o := New("agent-1", log)
+	defer o.Close()
+	u := o.Unreachable("entry_unreachable")
+	for range 2 {
+		u.Failed("10.0.0.1:9", errors.New("refused"))
+		u.Failed("10.0.0.2:9", errors.New("refused"))
+	}
+	u.Retain([]string{"10.0.0.2:9"})
+	if started, ended := log.with("condition started"), log.with("condition ended"); started != 2 || ended != 1 {
+		t.Errorf("%d starts and %d ends logged, want 2 and 1", started, ended)
+	}
+	u.Retain(nil)
+	if ended := log.with("condition ended"); ended != 2 {
+		t.Errorf("%d ends logged, want 2", ended)
+	}
+}
--- a/process/observe/names.go
+++ b/process/observe/names.go
@@ -17,6 +17,8 @@
 	MessagesReceived = "messages_received"
 	// AnswersUnmatched counts task answers that matched nothing outstanding.
 	AnswersUnmatched = "answers_unmatched"
+	// CertificateSecondsLeft is the remaining validity of the own certificate.
+	CertificateSecondsLeft = "certificate_seconds_left"
 	// Connections is the number of open connections to other processes.
 	Connections = "connections"
 
