cmd, dumps: show what an operator looks for first, and exit codes that hold

Cause, one each, as seen on loopback: - A row of status is cut at 100 bytes and sorted by name, so that it ended inside 'incarnation' and never showed jobs, queue or outstanding tasks, and agents=[6] counted incarnations that were gone. - The dump of an agent named entries by incarnation only. - submit exited with 0 for a failed job, though its comment said otherwise. - status, dump and keys exited with 2 after -h, the other commands with 0. - An agent without tasks whose drain timed out logged that tasks are cut off.

Ruled out: a wider row, which moves the cut without showing the queue.

Change: rows leave out null, false, zero, empty and the incarnation; the dump of an entry has totals of active jobs, serving agents, outstanding and waiting tasks and ejected targets; the dump of an agent has its service, its zone and the names of its entries; the exit codes and the log line are mended.

--- a/cmd/azurerouter/dump.go
+++ b/cmd/azurerouter/dump.go
@@ -62,7 +62,9 @@
 	flags := flag.NewFlagSet("dump", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	flags.Usage = func() { fmt.Fprintln(stderr, "usage: azurerouter dump ADDR") }
-	if err := flags.Parse(args); err != nil {
+	if err := flags.Parse(args); errors.Is(err, flag.ErrHelp) {
+		return exitOK
+	} else if err != nil {
 		return exitUsage
 	}
 	if flags.NArg() != 1 {
--- a/cmd/azurerouter/keys.go
+++ b/cmd/azurerouter/keys.go
@@ -33,7 +33,9 @@
 		fmt.Fprintln(stderr, "usage: azurerouter keys [flags] NAME...")
 		flags.PrintDefaults()
 	}
-	if err := flags.Parse(args); err != nil {
+	if err := flags.Parse(args); errors.Is(err, flag.ErrHelp) {
+		return exitOK
+	} else if err != nil {
 		return exitUsage
 	}
 	if err := checkKeyNames(flags.Args(), *days); err != nil {
--- a/cmd/azurerouter/status.go
+++ b/cmd/azurerouter/status.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -14,6 +15,8 @@
 	"time"
 	"unicode"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/azurerouter/azurerouter/process/observe"
 )
 
@@ -55,7 +58,9 @@
 	var addrs addressList
 	flags.Var(&addrs, "admin", "admin addresses of the processes, separated by commas; may be repeated")
 	rows := flags.Int("rows", defaultRows, "most processes to show")
-	if err := flags.Parse(args); err != nil {
+	if err := flags.Parse(args); errors.Is(err, flag.ErrHelp) {
+		return exitOK
+	} else if err != nil {
 		return exitUsage
 	}
 	if len(addrs) == 0 || flags.NArg() != 0 {
@@ -143,6 +148,10 @@
 	return strings.Join(parts, " ")
 }
 
+// unremarkable are the values that a row leaves out: in most processes most members
+// have one of them, and the row is cut at maxSummaryBytes.
+var unremarkable = []string{"null", "false", "0", `""`, "[0]", "{0}"}
+
 // summarize shows the scalar members of a state and the lengths of the others.
 func summarize(state json.RawMessage) string {
 	var members map[string]json.RawMessage
@@ -151,7 +160,9 @@
 	}
 	parts := make([]string, 0, len(members))
 	for name, value := range members {
-		parts = append(parts, name+"="+summarizeMember(value))
+		if !slices.Contains(unremarkable, summarizeMember(value)) && name != "incarnation" {
+			parts = append(parts, name+"="+summarizeMember(value))
+		}
 	}
 	sort.Strings(parts)
 	return oneLine(strings.Join(parts, " "))
--- a/cmd/azurerouter/status_test.go
+++ b/cmd/azurerouter/status_test.go
@@ -4,7 +4,11 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 
@@ -27,7 +31,9 @@
 	t.Helper()
 	addr := make(announcedAddr, 1)
 	observer := observe.New(name, addr)
-	state := func() any { return map[string]any{"queue": 7, "agents": []int{1, 2, 3}} }
+	state := func() any {
+		return map[string]any{"queue": 7, "agents": []int{1, 2, 3}, "faults": nil, "idle": 0, "jobs": []int{}}
+	}
 	execute, interrupt := observe.Admin("127.0.0.1:0", observer, state, func() error { return ready })
 	ended := make(chan error, 1)
 	go func() { ended <- execute() }()
@@ -75,6 +81,9 @@
 			}
 		}
 	}
+	if !strings.HasSuffix(lines[4], " agents=[3] queue=7") {
+		t.Errorf("the row is filled with members that say nothing: %s", lines[4])
+	}
 	if strings.Contains(stdout.String(), "\x1b") {
 		t.Error("a control character of another process reached the screen")
 	}
@@ -83,6 +92,34 @@
 	}
 }
 
+// Guards against a help that exits like a wrong flag, and a wrong flag that does not.
+func TestHelpExitsWithZero(t *testing.T) {
+	for name, command := range map[string]func([]string, io.Writer, io.Writer) int{
+		"status": runStatus, "dump": runDump, "keys": runKeys, "submit": runSubmit, "check": runCheck} {
+		if code := command([]string{"-h"}, io.Discard, io.Discard); code != exitOK {
+			t.Errorf("%s -h: exit code %d", name, code)
+		}
+		if code := command([]string{"-no-such-flag"}, io.Discard, io.Discard); code != exitUsage {
+			t.Errorf("%s with an unknown flag: exit code %d", name, code)
+		}
+	}
+}
+
+// Guards against a submit that reports success for a failed job.
+func TestSubmitFailsForFailedJob(t *testing.T) {
+	body := `{"state":"complete"}`
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, body) }))
+	defer server.Close()
+	args := []string{"-entry", server.URL, "-file", os.DevNull}
+	if code := runSubmit(args, io.Discard, io.Discard); code != exitOK {
+		t.Errorf("complete job: exit code %d", code)
+	}
+	body = `{"state":"failed"}`
+	if code := runSubmit(args, io.Discard, io.Discard); code != exitFailed {
+		t.Errorf("failed job: exit code %d", code)
+	}
+}
+
 // Guards against a dump command that reports success without a dump.
 func TestDumpPrintsStateOrFails(t *testing.T) {
 	addr, _ := startProcess(t, "entry-1", nil)
--- a/cmd/azurerouter/submit.go
+++ b/cmd/azurerouter/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -9,10 +10,11 @@
 	"time"
 
 	"github.com/azurerouter/azurerouter/process/entry"
+	"github.com/azurerouter/azurerouter/request/job"
 )
 
 // runSubmit sends one submission and prints the status and the body of the
-// reply. It exits 0 for a complete answer or, with -expect, for that status.
+// reply. It exits with exitOK for a complete answer only.
 func runSubmit(args []string, stdout, stderr io.Writer) int {
 	flags := newFlags("submit")
 	base := flags.String("entry", "http://127.0.0.1:9101", "base `URL` of an entry")
@@ -41,7 +43,8 @@
 		return fail(stderr, "submit", err)
 	}
 	fmt.Fprintf(stdout, "%d %s\n", response.StatusCode, reply)
-	if response.StatusCode != http.StatusOK {
+	var answer job.Answer
+	if response.StatusCode != http.StatusOK || json.Unmarshal(reply, &answer) != nil || answer.State != job.Complete {
 		return exitFailed
 	}
 	return exitOK
--- a/process/agent/daemon.go
+++ b/process/agent/daemon.go
@@ -72,12 +72,32 @@
 	g.Add(func() error { return d.tick(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return d.dialEntries(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return d.drainOn(ctx, stop) }, func(error) { cancel() })
-	g.Add(observe.Admin(d.settings.AdminAddr, d.observer, func() any { return d.core.Dump() }, d.ready))
+	g.Add(observe.Admin(d.settings.AdminAddr, d.observer, func() any { return d.dump() }, d.ready))
 	d.observer.Log.Info().Str("incarnation", d.self.String()).Str("service", d.settings.Service).
 		Str("zone", d.settings.Zone).Msg("agent started")
 	return nil
 }
 
+// daemonDump adds what only the process knows.
+type daemonDump struct {
+	Dump
+	Service string `json:"service"`
+	Zone    string `json:"zone"`
+	// EntryNames are the names of the connected entries by incarnation.
+	EntryNames map[string]string `json:"entry_names"`
+}
+
+func (d *Daemon) dump() daemonDump {
+	dump := daemonDump{Dump: d.core.Dump(), Service: d.settings.Service, Zone: d.settings.Zone,
+		EntryNames: make(map[string]string)}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for incarnation, conn := range d.conns {
+		dump.EntryNames[incarnation.String()] = conn.Peer.Name
+	}
+	return dump
+}
+
 func (d *Daemon) ready() error {
 	if d.core.Dump().Leaving {
 		return errors.New("this agent is leaving")
@@ -150,7 +170,7 @@
 	for !d.core.Drained() {
 		select {
 		case <-deadline:
-			d.observer.Log.Warn().Msg("drain timeout, tasks are cut off")
+			d.logDrainTimeout()
 			return nil
 		case <-poll.C:
 		}
@@ -159,6 +179,17 @@
 	return nil
 }
 
+// logDrainTimeout tells tasks that are cut off from results that no entry has
+// acknowledged, as after the death of an entry.
+func (d *Daemon) logDrainTimeout() {
+	dump := d.core.Dump()
+	if tasks := dump.Running + dump.Queued; tasks > 0 {
+		d.observer.Log.Warn().Int("tasks", tasks).Msg("drain timeout, tasks are cut off")
+		return
+	}
+	d.observer.Log.Warn().Int64("result_bytes", dump.ResultBytes).Msg("drain timeout, results are not acknowledged")
+}
+
 func (d *Daemon) hello() wire.Hello {
 	return wire.Hello{Role: wire.RoleAgent, Incarnation: d.self, Name: d.settings.Name, Zone: d.settings.Zone,
 		Service: d.settings.Service, Slots: d.settings.Slots, MemoryMB: d.settings.MemoryMB,
--- a/process/agent/daemon_test.go
+++ b/process/agent/daemon_test.go
@@ -1,8 +1,10 @@
 package agent
 
 import (
+	"bytes"
 	"io"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -57,3 +59,12 @@
 		t.Error("ready while leaving")
 	}
 }
+
+// Guards against a drain without running tasks that says it cut tasks off.
+func TestDrainTimeoutNamesWhatIsLeft(t *testing.T) {
+	var log bytes.Buffer
+	newTestDaemon(t, &log).logDrainTimeout()
+	if !strings.Contains(log.String(), "results are not acknowledged") {
+		t.Errorf("logged %s", log.String())
+	}
+}
--- a/process/entry/dump.go
+++ b/process/entry/dump.go
@@ -17,10 +17,17 @@
 
 // Dump is the state of an entry for an operator.
 type Dump struct {
-	Incarnation  string                    `json:"incarnation"`
-	Ready        string                    `json:"ready"`
-	FencedOff    bool                      `json:"fenced_off"`
-	ConfigOffset uint64                    `json:"config_offset"`
+	Incarnation  string `json:"incarnation"`
+	Ready        string `json:"ready"`
+	FencedOff    bool   `json:"fenced_off"`
+	ConfigOffset uint64 `json:"config_offset"`
+	// ActiveJobs are not answered yet, Serving agents take work, Outstanding tasks
+	// are at agents. Waiting tasks and Ejected targets are those of all services.
+	ActiveJobs   int                       `json:"active_jobs"`
+	Serving      int                       `json:"agents_serving"`
+	Outstanding  int                       `json:"tasks_outstanding"`
+	Waiting      int                       `json:"tasks_waiting"`
+	Ejected      int                       `json:"targets_ejected"`
 	Jobs         []ShardDump               `json:"jobs"`
 	Services     map[string]scheduler.Dump `json:"services"`
 	Agents       []AgentDump               `json:"agents"`
@@ -65,6 +72,7 @@
 		ConfigOffset: c.peers.configOffset(), Queries: c.peers.pendingQueries(),
 		Services:     make(map[string]scheduler.Dump),
 		StrayAnswers: c.counters.strayAnswers.Load(), Recovered: c.counters.recovered.Load()}
+	dump.ActiveJobs = c.ActiveJobs()
 	if err := c.Ready(); err != nil {
 		dump.Ready = err.Error()
 	}
@@ -75,6 +83,9 @@
 		svc.mu.Lock()
 		dump.Services[svc.name] = svc.scheduler.Dump()
 		svc.mu.Unlock()
+		queued, ejected := svc.load()
+		dump.Waiting += queued
+		dump.Ejected += len(ejected)
 	}
 	c.dumpPeers(&dump)
 	return dump
@@ -98,6 +109,10 @@
 			Service: link.hello.Service, Zone: link.hello.Zone, Connected: link.connected, Serving: link.serving,
 			Leaving: link.leaving, SilentMS: wire.Milliseconds(now.Sub(link.lastHeard)),
 			Outstanding: len(link.outstanding), Unreleased: len(link.unreleased), ConfigOffset: link.configOffset})
+		if link.serving {
+			dump.Serving++
+		}
+		dump.Outstanding += len(link.outstanding)
 		link.mu.Unlock()
 	}
 	sort.Slice(dump.Agents, func(i, j int) bool { return dump.Agents[i].Name < dump.Agents[j].Name })
--- a/process/entry/report_test.go
+++ b/process/entry/report_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/observe"
 	"github.com/azurerouter/azurerouter/process/settings"
 )
@@ -55,3 +56,15 @@
 		}
 	}
 }
+
+// Guards against a dump whose totals leave out what an operator looks at first.
+func TestDumpTotals(t *testing.T) {
+	var log bytes.Buffer
+	d := newLoggedDaemon(t, &log)
+	for incarnation := wire.Incarnation(1); incarnation <= 3; incarnation++ {
+		d.core.AgentConnected(wire.Hello{Role: wire.RoleAgent, Incarnation: incarnation, Service: "card", Slots: 1})
+	}
+	if d.core.AgentDisconnected(2); d.core.Dump().Serving != 2 {
+		t.Errorf("%d agents are serving, want 2", d.core.Dump().Serving)
+	}
+}
