--- a/cmd/azurerouter/status.go
+++ b/cmd/azurerouter/status.go
@@ -152,7 +152,7 @@
 // have one of them, and the row is cut at maxSummaryBytes.
 var unremarkable = []string{"null", "false", "0", `""`, "[0]", "{0}"}
 
-// summarize shows the scalar members of a state and the lengths of the others.
+// summarize shows the scalar members of a state and then the lengths of the others.
 func summarize(state json.RawMessage) string {
 	var members map[string]json.RawMessage
 	if json.Unmarshal(state, &members) != nil {
@@ -160,11 +160,17 @@
 	}
 	parts := make([]string, 0, len(members))
 	for name, value := range members {
-		if !slices.Contains(unremarkable, summarizeMember(value)) && name != "incarnation" {
+		if !slices.Contains(unremarkable, summarizeMember(value)) && name != "incarnation" && name != "ready" {
 			parts = append(parts, name+"="+summarizeMember(value))
 		}
 	}
-	sort.Strings(parts)
+	isLength := func(part string) bool { return strings.HasSuffix(part, "]") || strings.HasSuffix(part, "}") }
+	sort.Slice(parts, func(i, j int) bool {
+		if isLength(parts[i]) != isLength(parts[j]) {
+			return isLength(parts[j])
+		}
+		return parts[i] < parts[j]
+	})
 	return oneLine(strings.Join(parts, " "))
 }
 
