--- a/process/agent/daemon.go
+++ b/process/agent/daemon.go
@@ -36,7 +36,8 @@
 	core     *Core
 	self     wire.Incarnation
 	// unreachable holds while an entry cannot be dialled.
-	unreachable *observe.Condition
+	unreachable *observe.Unreachable
+	certificate *observe.Certificate
 
 	mu sync.Mutex
 	// conns are the connections by entry incarnation.
@@ -54,10 +55,11 @@
 		return nil, err
 	}
 	d := &Daemon{settings: s, observer: observer, identity: identity,
-		target: target.New(s.TargetURL, s.MaxConns), self: wire.NewIncarnation(), unreachable: observer.Condition("entry_unreachable"),
-		conns:   make(map[wire.Incarnation]*peer.Conn),
-		entries: make(map[wire.Incarnation]wire.EntryAddress),
-		dialing: make(map[string]bool),
+		target: target.New(s.TargetURL, s.MaxConns), self: wire.NewIncarnation(), unreachable: observer.Unreachable("entry_unreachable"),
+		certificate: observer.Certificate(),
+		conns:       make(map[wire.Incarnation]*peer.Conn),
+		entries:     make(map[wire.Incarnation]wire.EntryAddress),
+		dialing:     make(map[string]bool),
 	}
 	d.core = NewCore((*daemonEnv)(d), Options{Incarnation: d.self, Service: s.Service, Slots: s.Slots,
 		Backlog: settings.DefaultBacklog, Limits: fencing.DefaultLimits})
@@ -71,13 +73,36 @@
 	g.Add(func() error { return d.tick(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return d.dialEntries(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return d.drainOn(ctx, stop) }, func(error) { cancel() })
-	g.Add(observe.Admin(d.settings.AdminAddr, d.observer, func() any { return d.core.Dump() }, d.ready))
+	g.Add(observe.Admin(d.settings.AdminAddr, d.observer, func() any { return d.dump() }, d.ready))
 	d.observer.Log.Info().Str("incarnation", d.self.String()).Str("service", d.settings.Service).
 		Str("zone", d.settings.Zone).Msg("agent started")
 	return nil
 }
 
+// daemonDump adds what only the process knows.
+type daemonDump struct {
+	Dump
+	Service string `json:"service"`
+	Zone    string `json:"zone"`
+	// EntryNames are the names of the connected entries by incarnation.
+	EntryNames map[string]string `json:"entry_names"`
+}
+
+func (d *Daemon) dump() daemonDump {
+	dump := daemonDump{Dump: d.core.Dump(), Service: d.settings.Service, Zone: d.settings.Zone,
+		EntryNames: make(map[string]string)}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for incarnation, conn := range d.conns {
+		dump.EntryNames[incarnation.String()] = conn.Peer.Name
+	}
+	return dump
+}
+
 func (d *Daemon) ready() error {
+	if d.core.Dump().Leaving {
+		return errors.New("this agent is leaving")
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.conns) == 0 {
@@ -123,6 +148,10 @@
 	m.Gauge(observe.ResultBytesHeld).Update(float64(now.ResultBytes))
 	m.Gauge(observe.ConfigOffset).Update(float64(now.ConfigOffset))
 	m.Gauge(observe.Connections).Update(float64(len(now.Entries)))
+	// This also reads a replaced certificate, without a new connection.
+	if own, err := d.identity.TLS().GetClientCertificate(nil); err == nil && own.Leaf != nil {
+		d.certificate.Report(time.Now(), own.Leaf, d.identity.ReloadError())
+	}
 	return now
 }
 
@@ -142,7 +171,7 @@
 	for !d.core.Drained() {
 		select {
 		case <-deadline:
-			d.observer.Log.Warn().Msg("drain timeout, tasks are cut off")
+			d.logDrainTimeout()
 			return nil
 		case <-poll.C:
 		}
@@ -151,6 +180,17 @@
 	return nil
 }
 
+// logDrainTimeout tells tasks that are cut off from results that no entry has
+// acknowledged, as after the death of an entry.
+func (d *Daemon) logDrainTimeout() {
+	dump := d.core.Dump()
+	if tasks := dump.Running + dump.Queued; tasks > 0 {
+		d.observer.Log.Warn().Int("tasks", tasks).Msg("drain timeout, tasks are cut off")
+		return
+	}
+	d.observer.Log.Warn().Int64("result_bytes", dump.ResultBytes).Msg("drain timeout, results are not acknowledged")
+}
+
 func (d *Daemon) hello() wire.Hello {
 	return wire.Hello{Role: wire.RoleAgent, Incarnation: d.self, Name: d.settings.Name, Zone: d.settings.Zone,
 		Service: d.settings.Service, Slots: d.settings.Slots, MemoryMB: d.settings.MemoryMB,
@@ -187,6 +227,7 @@
 	if len(d.conns) == 0 {
 		addrs = append(addrs, d.settings.Seeds...)
 	}
+	d.unreachable.Retain(addrs)
 	var fresh []string
 	for _, addr := range addrs {
 		if !d.dialing[addr] {
@@ -205,10 +246,8 @@
 	delete(d.dialing, addr)
 	d.mu.Unlock()
 	if err != nil {
-		d.unreachable.Begin(err)
-		return
+		d.unreachable.Failed(addr, err)
 	}
-	d.unreachable.End()
 }
 
 // handler receives the events of the connections to entries.
@@ -294,6 +333,8 @@
 	conn := e.conns[entry]
 	e.mu.Unlock()
 	if conn != nil {
+		e.observer.Log.Warn().Str("step", "lease").Str("peer", conn.Peer.Name).Str("incarnation", entry.String()).
+			Msg("lease lapsed, connecting again")
 		conn.Close()
 	}
 }
--- a/process/agent/daemon_test.go
+++ b/process/agent/daemon_test.go
@@ -1,8 +1,10 @@
 package agent
 
 import (
+	"bytes"
 	"io"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -37,8 +39,8 @@
 }
 
 // Guards against an agent that reports itself ready before it has a
-// configuration, while no entry accepts submissions either.
-func TestReadyNeedsConfiguration(t *testing.T) {
+// configuration, or while it leaves.
+func TestReady(t *testing.T) {
 	d := newTestDaemon(t, io.Discard)
 	if d.ready() == nil {
 		t.Error("ready without a connection")
@@ -51,4 +53,17 @@
 	if err := d.ready(); err != nil {
 		t.Errorf("not ready with a connection and a configuration: %v", err)
 	}
+	d.core.Leave()
+	if d.ready() == nil {
+		t.Error("ready while leaving")
+	}
+}
+
+// Guards against a drain without running tasks that says it cut tasks off.
+func TestDrainTimeoutNamesWhatIsLeft(t *testing.T) {
+	var log bytes.Buffer
+	newTestDaemon(t, &log).logDrainTimeout()
+	if !strings.Contains(log.String(), "results are not acknowledged") {
+		t.Errorf("logged %s", log.String())
+	}
 }
