--- a/cmd/azurerouter/main.go
+++ b/cmd/azurerouter/main.go
@@ -26,6 +26,7 @@
 	{"starts", "read the starts that target stand-ins recorded", runStarts},
 	{"dump", "print the state of one process", runDump},
 	{"keys", "write keys and certificates for a deployment", runKeys},
+	{"load", "send a bounded load and print response times", runLoad},
 	{"bench", "compare policies in virtual time", runBench},
 	{"soak", "run entries and agents in virtual time under faults", runSoak},
 	{"replay", "run a recorded trace of calls and faults", runReplay},
