--- a/e2e/resubmit_test.go
+++ b/e2e/resubmit_test.go
@@ -189,3 +189,28 @@
 	}
 	return total
 }
+
+// G1, G2: the owner dies while a part of its tasks runs, and a client submits the
+// job again through two other entries at the same moment. Both recover it, start
+// nothing and give the same whole answer.
+func TestTwoEntriesRecoverAtOnce(t *testing.T) {
+	c := newCluster(t, 3, 2)
+	ctx, client := c.context(), newCaller(t)
+	s := newJob("twice", 3*slotsPerAgent, 1500)
+	submitAsync(ctx, client, c.entries[0], s)
+	c.await("the slots are taken", func() bool { n, _ := s.count(c.starts()); return n >= 2*slotsPerAgent })
+	c.entries[0].end()
+	second, third := submitAsync(ctx, client, c.entries[1], s), submitAsync(ctx, client, c.entries[2], s)
+	b, d := <-second, <-third
+	outcomes := checkWhole(t, s, b)
+	checkWhole(t, s, d)
+	for i := range b.Tasks {
+		if b.Tasks[i].Outcome != d.Tasks[i].Outcome {
+			t.Errorf("task %d is %q at one entry and %q at the other", i, b.Tasks[i].Outcome, d.Tasks[i].Outcome)
+		}
+	}
+	started, highest := s.count(c.starts())
+	if highest > 1 || outcomes["ok"] != started {
+		t.Errorf("%d tasks started, one %d times; outcomes %v", started, highest, outcomes)
+	}
+}
