bench capacity: measure what links, jobs, claims and messages cost

Ruled out: timing inside tests, and go test benchmarks, which print no slope over sizes and no live memory.

Change: package bench/capacity drives the real cores, the claim table, the quota shares and the QUIC connections through small fakes, at three sizes or more each, and fits a line by least squares. "bench capacity" prints slope, standard error, intercept and sizes. The dispatcher of commands tries the longer name first; "bench" took "bench capacity" as its operand.

Conclusion: the slopes can be printed again with one command per part.

--- a/cmd/azurerouter/main.go
+++ b/cmd/azurerouter/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 )
 
 // subcommand is one of the commands below. run returns the exit code.
@@ -27,6 +28,7 @@
 	{"dump", "print the state of one process", runDump},
 	{"keys", "write keys and certificates for a deployment", runKeys},
 	{"bench", "compare policies in virtual time", runBench},
+	{"bench capacity", "measure the cost of links, jobs, claims and messages", runBenchCapacity},
 	{"soak", "run entries and agents in virtual time under faults", runSoak},
 	{"replay", "run a recorded trace of calls and faults", runReplay},
 	{"standin log", "run a stand-in of the platform's log service", runStandinLog},
@@ -47,11 +49,9 @@
 		usage(stdout)
 		return exitOK
 	}
-	for words := 1; words <= 2 && words <= len(args); words++ {
-		name := args[0]
-		if words == 2 {
-			name += " " + args[1]
-		}
+	// The longer name goes first, because bench is also a command of its own.
+	for words := min(2, len(args)); words >= 1; words-- {
+		name := strings.Join(args[:words], " ")
 		for _, c := range commands {
 			if c.name == name {
 				return c.run(args[words:], stdout, stderr)
