bench cancel: cancel 10,000 requests at once over the real cores

Cause: nothing measured how many messages a wave of cancellations costs at each hop, nor when queue places, slots and target calls are free again.

Ruled out: the soak's own cancel wave, which is drawn at random among other faults and so has no moment to count from; a second world beside that of package soak, which would have to repeat its network and targets.

Change: soak.RunCancel uses the world of the soak, now built by newWorld, without calls and faults. A nil check in the network and in the call of a target counts messages. "bench cancel" prints the result.

--- a/cmd/azurerouter/main.go
+++ b/cmd/azurerouter/main.go
@@ -29,6 +29,7 @@
 	{"keys", "write keys and certificates for a deployment", runKeys},
 	{"bench", "compare policies in virtual time", runBench},
 	{"bench capacity", "measure the cost of links, jobs, claims and messages", runBenchCapacity},
+	{"bench cancel", "cancel many requests at once in virtual time", runBenchCancel},
 	{"soak", "run entries and agents in virtual time under faults", runSoak},
 	{"replay", "run a recorded trace of calls and faults", runReplay},
 	{"standin log", "run a stand-in of the platform's log service", runStandinLog},
--- a/soak/network.go
+++ b/soak/network.go
@@ -138,6 +138,9 @@
 // cut off waits as in a send buffer: it arrives if the cut heals before the
 // connection ends.
 func (w *world) send(to *connEnd, m wire.Message) {
+	if w.cancels != nil {
+		w.cancels.sent(to, m)
+	}
 	at := w.now.Add(w.duration(latencyMin, latencyMax))
 	if at.Before(to.nextAt) {
 		at = to.nextAt
--- a/soak/nodes.go
+++ b/soak/nodes.go
@@ -215,6 +215,9 @@
 }
 
 func (e *agentEnv) Run(call target.Call, done func(target.Result)) func() {
+	if watch := e.node.world.cancels; watch != nil {
+		return watch.run(e.node, call, done)
+	}
 	return e.node.world.runTask(e.node, call, done)
 }
 
--- a/soak/world.go
+++ b/soak/world.go
@@ -70,6 +70,8 @@
 	agents     []*agentNode
 	oracle     *oracle
 	result     Result
+	// cancels counts messages and target calls; nil in runs of the oracle.
+	cancels *cancelWatch
 }
 
 type event struct {
@@ -135,6 +137,24 @@
 
 // Run executes one run.
 func Run(options Options) Result {
+	w := newWorld(options)
+	options = w.options
+	if options.Trace != nil {
+		w.replay(options.Trace)
+	} else {
+		w.after(time.Second, "callers", w.callers)
+		w.after(2*time.Second, "faults", w.faults)
+	}
+	w.runUntil(epoch.Add(options.Duration))
+	w.heal()
+	w.runUntil(epoch.Add(options.Duration + settleTime))
+	w.oracle.finish()
+	w.result.Digest = w.digest.Sum64()
+	return w.result
+}
+
+// newWorld starts the processes of a run, without calls and faults.
+func newWorld(options Options) *world {
 	if options.Entries == 0 {
 		options.Entries = defaultEntries
 	}
@@ -155,16 +175,5 @@
 	for i := range options.Agents {
 		w.agents = append(w.agents, newAgentNode(w, fmt.Sprintf("agent-%d", i)))
 	}
-	if options.Trace != nil {
-		w.replay(options.Trace)
-	} else {
-		w.after(time.Second, "callers", w.callers)
-		w.after(2*time.Second, "faults", w.faults)
-	}
-	w.runUntil(epoch.Add(options.Duration))
-	w.heal()
-	w.runUntil(epoch.Add(options.Duration + settleTime))
-	w.oracle.finish()
-	w.result.Digest = w.digest.Sum64()
-	return w.result
+	return w
 }
