--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -156,18 +156,22 @@
 // elsewhere within the retry budget.
 func (c *Core) notStarted(now time.Time, agent wire.Incarnation, sent *sentTask, end scheduler.End, retry bool) {
 	sent.service.finish(now, agent, sent.task.ID, end, 0)
-	wanted := c.clearOutstanding(sent, false)
+	wanted, cancelled := c.clearOutstanding(sent, false)
 	if retry && wanted && c.retry(now, agent, sent) {
 		return
 	}
-	c.finishTask(now, sent.task.ID.Key, sent.task.ID.Index, job.TaskResult{Outcome: job.NotStarted})
+	outcome := job.NotStarted
+	if cancelled {
+		outcome = job.Cancelled
+	}
+	c.finishTask(now, sent.task.ID.Key, sent.task.ID.Index, job.TaskResult{Outcome: outcome})
 }
 
 // unknown handles a task that may or may not have been started. Only an
 // idempotent one is tried again.
 func (c *Core) unknown(now time.Time, agent wire.Incarnation, sent *sentTask, cause string) {
 	sent.service.finish(now, agent, sent.task.ID, scheduler.EndUnknown, 0)
-	wanted := c.clearOutstanding(sent, true)
+	wanted, _ := c.clearOutstanding(sent, true)
 	if sent.task.Idempotent && wanted && c.retry(now, agent, sent) {
 		return
 	}
@@ -182,20 +186,20 @@
 		job.TaskResult{Outcome: job.Cancelled, Error: "cancelled before it was started"})
 }
 
-// clearOutstanding reports whether the task is still wanted: its job runs, can
-// still be complete and has time left.
-func (c *Core) clearOutstanding(sent *sentTask, mayHaveRun bool) (wanted bool) {
+// clearOutstanding reports whether the task is still wanted (its job runs, can
+// still be complete and has time left) and whether its caller cancelled it.
+func (c *Core) clearOutstanding(sent *sentTask, mayHaveRun bool) (wanted, cancelled bool) {
 	s := c.shard(sent.task.ID.Key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, ok := s.jobs[sent.task.ID.Key]
 	if !ok || e.phase != running {
-		return false
+		return false, false
 	}
 	state := &e.tasks[sent.task.ID.Index]
 	state.outstanding = false
 	state.mayHaveRun = state.mayHaveRun || mayHaveRun
-	return !e.late && !e.job.Failing() && !e.job.Ended(sent.task.ID.Index)
+	return !e.late && !e.cancelled && !e.job.Failing() && !e.job.Ended(sent.task.ID.Index), e.cancelled
 }
 
 func (c *Core) retry(now time.Time, agent wire.Incarnation, sent *sentTask) bool {
--- a/process/entry/jobs.go
+++ b/process/entry/jobs.go
@@ -59,8 +59,9 @@
 	// sent are the sequences whose results the agents hold for this job.
 	sent []sentRef
 	// late is set when the deadline has passed and outstanding tasks were
-	// told to stop.
-	late bool
+	// told to stop; cancelled when the caller wants nothing more.
+	late      bool
+	cancelled bool
 }
 
 // taskState follows the starts of one task, to assert that there is at most
--- a/process/entry/submit.go
+++ b/process/entry/submit.go
@@ -208,6 +208,7 @@
 		s.mu.Unlock()
 		return false
 	}
+	e.cancelled = true
 	queued, sent, svc := e.unsent(), append([]sentRef(nil), e.sent...), e.service
 	s.mu.Unlock()
 	c.cancelQueued(now, svc, hash, queued, job.Cancelled)
