process/entry: tell agents at the shutdown which results nobody needs

Cause: the last flush of a graceful shutdown sent a heartbeat only if 500 ms had passed since the one before. The releases of the last jobs were lost with the process, and an agent that left afterwards waited for them until it fenced the sender after 60 s, or for its drain timeout: agent-3 was not drained more than 20 s after its tasks had ended, with result_bytes=7 and running=0.

Ruled out: tasks still running at the agent (running=0), and submissions still open at the entry, which had logged 'drained'.

Change: the last flush sends the heartbeat at once.

Figures: the new test fails without the change (the release is still unsent) and passes with it.

Conclusion: after the stop of an entry, an agent leaves without waiting for it. After the death of an entry it still waits, up to 60 s or its drain timeout.

--- a/process/entry/daemon.go
+++ b/process/entry/daemon.go
@@ -195,7 +195,13 @@
 		d.observer.Log.Warn().Err(err).Int("jobs", d.core.ActiveJobs()).Msg("drain timeout, submissions are cut off")
 		return end
 	}
-	d.core.flushAgents(time.Now())
+	// Agents keep the results of a released task until a heartbeat says so. Without
+	// it, an agent that leaves waits for this entry until it fences it.
+	// A pending cancellation takes the place of the first message.
+	for range 2 {
+		d.core.flushAgents(time.Now().Add(HeartbeatInterval))
+	}
+	<-poll.C // the connections write in the background
 	d.observer.Log.Info().Msg("drained")
 	return end
 }
--- a/process/entry/report_test.go
+++ b/process/entry/report_test.go
@@ -3,13 +3,16 @@
 import (
 	"bytes"
 	"context"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/azurerouter/azurerouter/connection/logclient"
 	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/observe"
 	"github.com/azurerouter/azurerouter/process/settings"
+	"github.com/azurerouter/azurerouter/standin/logservice"
 )
 
 func newLoggedDaemon(t *testing.T, log *bytes.Buffer) *Daemon {
@@ -68,3 +71,25 @@
 		t.Errorf("%d agents are serving, want 2", d.core.Dump().Serving)
 	}
 }
+
+// Guards against an entry that ends before its agents know which results nobody
+// needs: an agent that left afterwards waited for up to its drain timeout.
+func TestDrainSendsReleases(t *testing.T) {
+	var log bytes.Buffer
+	d := newLoggedDaemon(t, &log)
+	service := httptest.NewServer(logservice.New(logservice.Settings{}))
+	defer service.Close()
+	d.log = logclient.New(service.URL, nil)
+	d.settings.DrainTimeoutMS = settings.DefaultDrainTimeoutMS
+	d.core.AgentConnected(wire.Hello{Role: wire.RoleAgent, Incarnation: 1, Service: "card", Slots: 1})
+	link := d.core.agent(1)
+	link.released = []uint64{1}
+	stop := make(chan struct{})
+	close(stop)
+	if err := d.drainOn(context.Background(), stop); err != nil {
+		t.Fatal(err)
+	}
+	if len(link.released) > 0 {
+		t.Error("the entry drained without sending what it released")
+	}
+}
