process/agent: log a lapsed lease once per connection

An agent that continued after SIGSTOP logged the line four times per entry, once for each message that was still buffered. The connection is closed by the first.

--- a/process/agent/daemon.go
+++ b/process/agent/daemon.go
@@ -46,6 +46,8 @@
 	entries map[wire.Incarnation]wire.EntryAddress
 	dialing map[string]bool
 	members uint64
+	// closing are the connections that were closed for a lapsed lease.
+	closing map[wire.Incarnation]*peer.Conn
 }
 
 // NewDaemon prepares an agent process. It opens nothing yet.
@@ -60,6 +62,7 @@
 		conns:       make(map[wire.Incarnation]*peer.Conn),
 		entries:     make(map[wire.Incarnation]wire.EntryAddress),
 		dialing:     make(map[string]bool),
+		closing:     make(map[wire.Incarnation]*peer.Conn),
 	}
 	d.core = NewCore((*daemonEnv)(d), Options{Incarnation: d.self, Slots: s.Slots, Backlog: *s.Backlog, Limits: fencing.DefaultLimits})
 	return d, nil
@@ -288,6 +291,7 @@
 	current := d.conns[c.Peer.Incarnation] == c
 	if current {
 		delete(d.conns, c.Peer.Incarnation)
+		delete(d.closing, c.Peer.Incarnation)
 	}
 	d.mu.Unlock()
 	if current {
@@ -330,8 +334,11 @@
 func (e *daemonEnv) Disconnect(entry wire.Incarnation) {
 	e.mu.Lock()
 	conn := e.conns[entry]
+	// Every message that is still buffered asks for it again.
+	closing := conn == nil || e.closing[entry] == conn
+	e.closing[entry] = conn
 	e.mu.Unlock()
-	if conn != nil {
+	if !closing {
 		e.observer.Log.Warn().Str("step", "lease").Str("peer", conn.Peer.Name).Str("incarnation", entry.String()).
 			Msg("lease lapsed, connecting again")
 		conn.Close()
--- a/process/agent/daemon_test.go
+++ b/process/agent/daemon_test.go
@@ -68,3 +68,16 @@
 		t.Errorf("logged %s", log.String())
 	}
 }
+
+// Guards against a log line for each message that is buffered on a connection
+// whose lease has lapsed.
+func TestLapsedLeaseIsLoggedOnce(t *testing.T) {
+	var log bytes.Buffer
+	d := newTestDaemon(t, &log)
+	d.conns[1] = &peer.Conn{}
+	d.closing[1] = d.conns[1]
+	(*daemonEnv)(d).Disconnect(1)
+	if log.Len() > 0 {
+		t.Errorf("logged %s", log.String())
+	}
+}
