Make the tests of target calls and freezes independent of timing

A task that timed out during a freeze was started when the freeze ended before the stand-in had noticed the closed request, as with a paused process. A cancelled call could also be answered before the cancellation. Ruled out: accepting either count of starts. Change: the stand-in counts waiting tasks and the test waits for none; the server of the cancelled call answers nothing. The freeze test also checks the time left after a freeze, and 303 answers are tested besides 307: without CheckRedirect both clients took the answer of the redirected GET for their own. Conclusion: tests of other packages should wait for "waiting" to be 0 too.

--- a/connection/logclient/client_test.go
+++ b/connection/logclient/client_test.go
@@ -20,13 +20,16 @@
 func TestAppendErrors(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
+		if r.Method == http.MethodGet {
+			body = []byte("201")
+		}
 		switch code, _ := strconv.Atoi(string(body)); code {
 		case 0:
 			panic(http.ErrAbortHandler)
 		case http.StatusCreated:
 			w.WriteHeader(code)
 			fmt.Fprint(w, `{"offset":7}`)
-		case http.StatusTemporaryRedirect:
+		case http.StatusSeeOther, http.StatusTemporaryRedirect:
 			http.Redirect(w, r, "/elsewhere", code)
 		default:
 			w.WriteHeader(code)
@@ -42,6 +45,7 @@
 	}{
 		{server.URL, "201", 7, false},
 		{server.URL, "200", 0, false},
+		{server.URL, "303", 0, false},
 		{server.URL, "307", 0, false},
 		{server.URL, "500", 0, false},
 		{server.URL, "503", 0, true},
--- a/connection/target/client_test.go
+++ b/connection/target/client_test.go
@@ -195,7 +195,10 @@
 // Guards against the promise of no start for a cancelled call whose bytes are
 // just being written.
 func TestCancelDuringWriteMakesNoPromise(t *testing.T) {
-	server := httptest.NewServer(http.NotFoundHandler())
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body) // the server notices a closed request only after its body
+		<-r.Context().Done()
+	}))
 	defer server.Close()
 	written := make(chan struct{})
 	client := newClient(server.URL, 1, func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -217,6 +220,9 @@
 func TestOutcomes(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
+		if r.Method == http.MethodGet {
+			body = []byte("1")
+		}
 		switch string(body) {
 		case "1":
 			fmt.Fprint(w, `{"a":1}`)
@@ -233,6 +239,8 @@
 			panic(http.ErrAbortHandler)
 		case "7":
 			<-r.Context().Done()
+		case "8":
+			http.Redirect(w, r, "/other", http.StatusSeeOther)
 		case "null":
 			fmt.Fprintf(w, `"%s %s"`, r.Header.Get(HeaderTask), r.Header.Get(HeaderAttempt))
 		}
@@ -255,6 +263,7 @@
 		{server.URL, "5", time.Minute, job.Failed, false, ""},
 		{server.URL, "6", time.Minute, job.Unknown, false, ""},
 		{server.URL, "7", 50 * time.Millisecond, job.Timeout, false, ""},
+		{server.URL, "8", time.Minute, job.Failed, false, ""},
 		{server.URL, "1", 0, job.Timeout, true, ""},
 		{"http://" + refusing.Addr().String(), "1", time.Minute, job.NotStarted, true, ""},
 	}
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -66,6 +66,9 @@
 	Stopped uint64 `json:"stopped"`
 	// Refused is the number of tasks refused without a start.
 	Refused uint64 `json:"refused"`
+	// Waiting is the number of tasks that have arrived during a freeze and
+	// wait for its end.
+	Waiting int `json:"waiting"`
 	// Running is the number of tasks running now.
 	Running int `json:"running"`
 	// PeakRunning is the highest number of tasks running at once.
@@ -137,7 +140,7 @@
 	defer t.mu.Unlock()
 	if control.ResetStarts {
 		clear(t.starts)
-		t.counters = Counters{Running: t.counters.Running, PeakRunning: t.counters.Running}
+		t.counters = Counters{Waiting: t.counters.Waiting, Running: t.counters.Running, PeakRunning: t.counters.Running}
 	}
 	control.ResetStarts = false
 	t.control = control
@@ -156,7 +159,10 @@
 		http.Error(w, "input is not valid: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	if !t.awaitThaw(r.Context()) {
+	t.count(func(c *Counters) { c.Waiting++ })
+	thawed := t.awaitThaw(r.Context())
+	t.count(func(c *Counters) { c.Waiting-- })
+	if !thawed {
 		panic(http.ErrAbortHandler)
 	}
 	control, ok := t.start(r.Header.Get(headerTask))
@@ -199,9 +205,15 @@
 }
 
 func (t *Target) end(change func(*Counters)) {
+	t.count(func(c *Counters) {
+		c.Running--
+		change(c)
+	})
+}
+
+func (t *Target) count(change func(*Counters)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.counters.Running--
 	change(&t.counters)
 }
 
--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -48,6 +48,11 @@
 		{`{"freeze":false}`, `{"sleep_ms":60000}`, 50 * time.Millisecond, job.Timeout, 1},
 	}
 	for i, step := range steps {
+		// A task that timed out during a freeze may start afterwards unless
+		// the target has noticed that its request was closed.
+		for standin.Status().Counters.Waiting > 0 {
+			time.Sleep(time.Millisecond)
+		}
 		control(t, url, step.control)
 		result := c.Run(context.Background(), client.Call{Index: i, Budget: step.budget, Input: []byte(step.input)})
 		task := job.KeyHash{}.String() + "/" + string(rune('0'+i))
@@ -66,24 +71,33 @@
 	}
 }
 
-// Guards against a freeze that lets a running task end.
+// Guards against a freeze that lets a running task end, or forgets how long it
+// has still to run.
 func TestFreezeStopsRunningTasks(t *testing.T) {
 	standin, c, url := start(t)
-	done := make(chan client.Result, 1)
-	go func() {
-		done <- c.Run(context.Background(), client.Call{Budget: time.Minute, Input: []byte(`{"sleep_ms":100}`)})
-	}()
-	for standin.Status().Counters.Running == 0 {
+	ends := make(chan client.Result, 2)
+	run := func(ctx context.Context, input string) {
+		ends <- c.Run(ctx, client.Call{Budget: time.Minute, Input: []byte(input)})
+	}
+	stillRunning := func(want int) {
+		t.Helper()
+		time.Sleep(200 * time.Millisecond)
+		if running := standin.Status().Counters.Running; running != want {
+			t.Errorf("%d tasks running, want %d", running, want)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go run(ctx, `{"sleep_ms":100}`)
+	go run(ctx, `{"sleep_ms":60000}`)
+	for standin.Status().Counters.Running < 2 {
 		time.Sleep(time.Millisecond)
 	}
 	control(t, url, `{"freeze":true}`)
-	select {
-	case result := <-done:
-		t.Errorf("task ended while frozen: %+v", result)
-	case <-time.After(300 * time.Millisecond):
-	}
+	stillRunning(2)
 	control(t, url, `{"freeze":false}`)
-	if result := <-done; result.Outcome != job.OK {
+	if result := <-ends; result.Outcome != job.OK {
 		t.Errorf("after the freeze: %+v", result)
 	}
+	stillRunning(1)
 }
