connection/peer: shrink the read buffer, measure each end of idle connections

Cause: the projected memory of an entry with 890 connections exceeded 64 MB, and the share of each end was unknown.

Change: the read buffer has 4 KB instead of 32 KB, since larger payloads are read past it.

Ruled out: a cost in processor time.

--- a/connection/peer/bench_test.go
+++ b/connection/peer/bench_test.go
@@ -110,19 +110,14 @@
 
 func benchTLS(b *testing.B) *tls.Config {
 	b.Helper()
-	authority, err := NewAuthority(time.Now())
-	if err != nil {
-		b.Fatal(err)
-	}
-	dir := b.TempDir()
-	files := KeyFiles{Authority: dir + "/authority.pem", Certificate: dir + "/process.pem", Key: dir + "/process-key.pem"}
-	if err := authority.WriteAuthority(files.Authority, dir+"/authority-key.pem"); err != nil {
-		b.Fatal(err)
-	}
-	if err := authority.Issue(files, "process", time.Now(), time.Now().Add(time.Hour)); err != nil {
-		b.Fatal(err)
+	dir := *farKeys
+	if *farAddr == "" {
+		dir = b.TempDir()
+		if err := writeBenchKeys(dir); err != nil {
+			b.Fatal(err)
+		}
 	}
-	id, err := LoadIdentity(files)
+	id, err := LoadIdentity(benchKeys(dir))
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -144,15 +139,17 @@
 }
 
 func connectQUIC(b *testing.B, n int, answered func()) (sends []func(wire.Message) error) {
-	config := benchTLS(b)
-	l, err := Listen("127.0.0.1:0", config, func() wire.Hello { return wire.Hello{Name: "entry"} }, benchHandler{})
-	if err != nil {
-		b.Fatal(err)
+	config, addr := benchTLS(b), *farAddr
+	if addr == "" {
+		l, err := listenQUIC("127.0.0.1:0", config)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(func() { l.Close() })
+		addr = l.Addr()
 	}
-	b.Cleanup(func() { l.Close() })
-	go l.Serve(b.Context())
 	for range n {
-		c, err := Dial(b.Context(), l.Addr(), config, wire.Hello{Name: "agent"}, benchHandler{answered})
+		c, err := Dial(b.Context(), addr, config, wire.Hello{Name: "agent"}, benchHandler{answered})
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -218,6 +215,7 @@
 		m, err := wire.Read(reader)
 		if err != nil {
 			close(c.done)
+			c.Close()
 			return
 		}
 		received(c, m)
@@ -225,24 +223,17 @@
 }
 
 func connectTCP(b *testing.B, n int, answered func()) (sends []func(wire.Message) error) {
-	config := benchTLS(b)
-	l, err := tls.Listen("tcp", "127.0.0.1:0", config)
-	if err != nil {
-		b.Fatal(err)
-	}
-	b.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			b.Cleanup(func() { conn.Close() })
-			serveTCP(conn, func(c *tcpConn, m wire.Message) { c.Send(reply(m.(*wire.Query))) })
+	config, addr := benchTLS(b), *farAddr
+	if addr == "" {
+		l, err := listenTCP("127.0.0.1:0", config)
+		if err != nil {
+			b.Fatal(err)
 		}
-	}()
+		b.Cleanup(func() { l.Close() })
+		addr = l.Addr().String()
+	}
 	for range n {
-		conn, err := tls.Dial("tcp", l.Addr().String(), config)
+		conn, err := tls.Dial("tcp", addr, config)
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/connection/peer/conn.go
+++ b/connection/peer/conn.go
@@ -29,7 +29,9 @@
 )
 
 const (
-	readBufferBytes = 32 << 10
+	// readBufferBytes holds small messages; larger payloads are read past the
+	// buffer. An entry holds one buffer per agent.
+	readBufferBytes = 4 << 10
 	// maxSpareBytes bounds the write buffer that an idle connection keeps after
 	// a burst.
 	maxSpareBytes       = 64 << 10
