connection/peer, cmd/azurerouter: test the send bounds, free a test of timing

Cause: nothing tested that Send stops queueing for a slow peer, and one test of the load generator relied on a delay of 200 ms.

Change: a test sends to a peer that does not read, and sends an oversized message first. The load test releases its entry once nine submissions have found no place, instead of after a delay.

Ruled out: leaving the delay, since a busy machine can exceed it.

--- a/cmd/azurerouter/load_test.go
+++ b/cmd/azurerouter/load_test.go
@@ -156,9 +156,22 @@
 	}
 	release := make(chan struct{})
 	f.change = func(*job.Answer) { <-release }
-	time.AfterFunc(200*time.Millisecond, func() { close(release) })
-	_, output := runLoadAgainst(addrs, "-count", "10", "-rate", "1000", "-clients", "1")
-	mustContain(t, output, "submitted 1 in", "not sent for lack of clients 9")
+	settings, _ := parseLoadFlags([]string{"-entry", addrs, "-count", "10", "-rate", "1000", "-clients", "1"}, io.Discard)
+	runner := newLoadRunner(settings)
+	go func() { // the only client is busy until the other nine have found no place
+		defer close(release)
+		for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+			runner.report.mu.Lock()
+			notSent := runner.report.notSent
+			runner.report.mu.Unlock()
+			if notSent == 9 {
+				return
+			}
+		}
+	}()
+	var output bytes.Buffer
+	runner.run().print(&output)
+	mustContain(t, output.String(), "submitted 1 in", "not sent for lack of clients 9")
 	for _, args := range [][]string{{"-count", "1000001"}, {"-duration", "1h"}, {"-clients", "5000"}, {"-tasks", "401"},
 		{"-resubmit", "0.5"}, {"-singles", "NaN"}, {"-rate", "-1"}, {"-mix", "5-1:1"}, {"-mix", "0:1"}, {"stray"}} {
 		if code, output := runLoadAgainst(addrs, args...); code != exitUsage {
--- a/connection/peer/peer_test.go
+++ b/connection/peer/peer_test.go
@@ -329,3 +329,26 @@
 		c.mu.Unlock()
 	}
 }
+
+// Guards against a slow peer that makes a process keep messages without bound,
+// and against a message of excessive size that ends the connection for all
+// others.
+func TestSendIsBounded(t *testing.T) {
+	id := identity(t, newTestAuthority(t), tomorrow())
+	atEntry, release := newRecorder(), make(chan struct{})
+	atEntry.onReceive = func(*Conn) { <-release }
+	c := mustDial(t, listen(t, id.TLS(), atEntry).Addr(), id.TLS(), "agent", newRecorder())
+	if err := c.Send(numbered(0, wire.MaxFrameBytes+1)); !errors.Is(err, wire.ErrFrame) {
+		t.Errorf("oversized message: %v", err)
+	}
+	var err error
+	sent := 0
+	for ; err == nil && sent < 1000; sent++ {
+		err = c.Send(numbered(sent, 1<<20))
+	}
+	if !errors.Is(err, ErrClosed) || sent < maxQueuedBytes>>20 {
+		t.Errorf("after %d messages of 1 MB: %v", sent, err)
+	}
+	close(release)
+	atEntry.mustSee(t, "disconnected agent")
+}
