process/observe: test that a metric with other tags is rejected

Cause: docs/metrics.md states it, and nothing had shown it.

Change: a test uses one name with two sets of tags.

Ruled out: the default of the reporter, which panics.

Conclusion: the second use is logged and not reported.

--- a/process/observe/observe_test.go
+++ b/process/observe/observe_test.go
@@ -265,3 +265,16 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Guards against a process that panics because one metric is used with two
+// sets of tags, which Prometheus does not accept.
+func TestMetricWithOtherTagsIsRejected(t *testing.T) {
+	log := &lines{}
+	observer := New("test", log)
+	defer observer.Close()
+	observer.Metrics.Tagged(map[string]string{TagCode: "deadline"}).Counter(Refusals).Inc(1)
+	observer.Metrics.Counter(Refusals).Inc(1)
+	if log.with("metric rejected") != 1 {
+		t.Errorf("log is\n%s", log.all.String())
+	}
+}
