entry: make a refusal relayed from the owner of a key unknown

Cause: the owner refused a resubmission as not run, which was true; before the refusal arrived, a third call of the key ran it there. Ruled out: a wrong refusal by the owner itself, whose record shows the start after the refusal. Change: a refusal that crossed processes no longer promises anything; the owner's own callers are told no as before.

--- a/process/entry/daemon.go
+++ b/process/entry/daemon.go
@@ -199,7 +199,7 @@
 	// it, an agent that leaves waits for this entry until it fences it.
 	// A pending cancellation takes the place of the first message.
 	for range 2 {
-		d.core.flushAgents(time.Now().Add(HeartbeatInterval))
+		d.core.flushAgents(time.Now().Add(wire.HeartbeatInterval))
 	}
 	<-poll.C // the connections write in the background
 	d.observer.Log.Info().Msg("drained")
--- a/process/entry/peers.go
+++ b/process/entry/peers.go
@@ -237,7 +237,9 @@
 	if m.Refusal.Code != "" {
 		refused := &refusal.Error{Code: refusal.Code(m.Refusal.Code), Run: refusal.Run(m.Refusal.Run),
 			Message: m.Refusal.Message, Step: m.Refusal.Step, RetryAfter: time.Duration(m.Refusal.RetryAfterMS) * time.Millisecond}
-		return Reply{Refusal: refused.At(q.owner.String())}
+		// What was not run at the owner when it replied may run by now for
+		// another resubmission of the key.
+		return Reply{Refusal: refused.Unknown().At(q.owner.String())}
 	}
 	var answer job.Answer
 	if err := json.Unmarshal(m.Answer, &answer); err != nil {
--- a/soak/cancel.go
+++ b/soak/cancel.go
@@ -49,7 +49,7 @@
 const (
 	cancelStep = 100 * time.Microsecond
 	// cancelSettle lets the processes connect before the requests arrive.
-	cancelSettle = 2 * time.Second
+	cancelSettle = 3 * time.Second
 	// cancelLimit ends a run in which something stays taken.
 	cancelLimit = time.Minute
 	// cancelDeadline is longer than the queue of the smallest run takes.
