Change the log stand-in's settings atomically, reset the append backoff

Cause: POST /control read the settings and wrote them back in two steps, so an append in between could have its count of lost responses undone. An append that was read before its response arrived left the backoff of an earlier failure in place. Ruled out: separate counters for the two actions. Change: one lock for both steps; the backoff ends with every success. Conclusion: no change for callers.

--- a/process/claims/committer.go
+++ b/process/claims/committer.go
@@ -206,7 +206,9 @@
 		return nil
 	}
 	c.flight = nil
-	if err != nil {
+	if err == nil {
+		c.backoff = 0
+	} else {
 		c.backoff = min(max(2*c.backoff, minBackoff), maxBackoff)
 		c.allowed = now.Add(max(c.backoff, c.interval))
 	}
@@ -214,7 +216,6 @@
 	case f.seen:
 		return nil
 	case err == nil:
-		c.backoff = 0
 		return c.decideAppended(now, f, offset)
 	case errors.Is(err, logclient.ErrNotAppended):
 		c.requeue(f)
--- a/standin/logservice/control.go
+++ b/standin/logservice/control.go
@@ -1,7 +1,9 @@
 package logservice
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 )
@@ -125,6 +127,10 @@
 func (s *Service) SetControl(control Control) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setControlLocked(control)
+}
+
+func (s *Service) setControlLocked(control Control) {
 	if trim := control.Trim; trim != nil {
 		s.removeBeforeLocked(s.streamLocked(trim.Stream), trim.Before)
 	}
@@ -135,16 +141,32 @@
 
 func (s *Service) serveControl(w http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodPost {
-		control := s.Status().Control
-		decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRecordBytes))
-		decoder.DisallowUnknownFields()
-		if err := decoder.Decode(&control); err != nil {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRecordBytes))
+		if err == nil {
+			err = s.changeControl(body)
+		}
+		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		s.SetControl(control)
 	}
 	writeJSON(w, http.StatusOK, s.Status())
 }
 
+// changeControl sets the fields that the body names. It holds the lock from
+// reading the settings to changing them, because appends count LoseNext and
+// LateNext down.
+func (s *Service) changeControl(body []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	control := s.control
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&control); err != nil {
+		return err
+	}
+	s.setControlLocked(control)
+	return nil
+}
+
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
