Test the backoff of refused appends

Cause: nothing showed that an outage does not flood the log or delay claims after it. Ruled out: none. Change: a test of the waits from 10 ms to 1 s and of the reset after a success. Conclusion: no change of the program.

--- a/process/claims/claims_test.go
+++ b/process/claims/claims_test.go
@@ -177,6 +177,26 @@
 	}
 }
 
+// Guards against appends that flood a log that refuses them, and against claims
+// that wait long after the log is back.
+func TestBackoff(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	c, now := NewCommitter(7, NewTable(testWindow), testWindow), testStart
+	c.Add(now, Claim{pair(1, now), now})
+	for i, want := range []time.Duration{10, 20, 40, 80, 160, 320, 640, 1000, 1000} {
+		batch, _ := c.Next(now, random)
+		c.Appended(now, batch.Nonce, 0, errors.Mark(errNoReply, logclient.ErrNotAppended))
+		if wait := c.NextAllowed().Sub(now); wait != want*time.Millisecond {
+			t.Errorf("wait %v after %d refusals, want %d ms", wait, i+1, want)
+		}
+		now = c.NextAllowed()
+	}
+	batch, _ := c.Next(now, random)
+	if decisions := c.Appended(now, batch.Nonce, 1, nil); len(decisions) != 1 || c.NextAllowed().Sub(now) != c.interval {
+		t.Errorf("decisions %+v, next append in %v", decisions, c.NextAllowed().Sub(now))
+	}
+}
+
 // FuzzDecodeRecord guards against records that make a reader panic, and
 // against two readings of one record.
 func FuzzDecodeRecord(f *testing.F) {
