--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -147,6 +148,46 @@
 	}
 }
 
+// stop suspends the process and waits until all its threads are stopped: one that
+// runs on another processor goes on for a moment after the signal.
+func (p *process) stop() {
+	p.t.Helper()
+	p.signal(syscall.SIGSTOP)
+	deadline := time.Now().Add(waitLimit)
+	for !p.stopped() {
+		if time.Now().After(deadline) {
+			p.t.Fatalf("%s has not stopped", p.name)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (p *process) stopped() bool {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	if err != nil || len(threads) == 0 {
+		return false
+	}
+	for _, thread := range threads {
+		stat, err := os.ReadFile(thread)
+		// The state follows the name of the thread, which is in parentheses.
+		_, rest, found := strings.Cut(string(stat), ") ")
+		if err != nil || !found || !strings.HasPrefix(rest, "T") {
+			return false
+		}
+	}
+	return true
+}
+
+// running reports whether the process has not ended.
+func (p *process) running() bool {
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
 // end kills the process, also one that is stopped, and waits for its end.
 func (p *process) end() {
 	if p.cmd == nil {
