e2e: test a load above the slots of two agents

With two entries, 30 tasks at a time and 16 slots, calls are refused as overloaded or jobs fail with tasks that were not started, because a task that an agent refuses as busy spends the retry budget.

--- a/e2e/load_test.go
+++ b/e2e/load_test.go
@@ -58,8 +58,29 @@
 	return l
 }
 
+// Sizes of a load. loadWithinBacklog is at most 10 tasks at a time, which one agent
+// alone accepts (8 slots and a backlog of 2), so that no agent refuses a task as
+// busy. loadAboveSlots is at most 30 tasks.
+const (
+	loadWithinBacklog = 4
+	loadAboveSlots    = 12
+)
+
 func always(reply) bool { return true }
 
+// Guards against callers that are refused, or whose jobs fail, because two entries
+// that do not see each other's dispatches send more than an agent accepts: a
+// task that an agent refuses as busy has to wait in the queue. The queue limit
+// and the deadlines are far from being reached.
+func TestLoadAboveSlotsCompletes(t *testing.T) {
+	c := newCluster(t, 2, 2)
+	l := startLoad(t, c, loadAboveSlots, c.entries, always)
+	c.await("the load has run for a while", func() bool { return l.count() > 200 })
+	for _, end := range l.end() {
+		checkComplete(t, end.s, end.r)
+	}
+}
+
 // count returns how many calls have ended.
 func (l *load) count() int {
 	l.mu.Lock()
