--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -206,6 +206,8 @@
 	// Alive means that the agent still hears the entry and fenced nothing.
 	Alive bool       `cbor:"2,keyasint,omitempty"`
 	Tasks []HeldTask `cbor:"3,keyasint,omitempty"`
+	// More means that the reply goes on in another message.
+	More bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Query asks the owner of a key for the answer to a resubmission. The owner
--- a/process/agent/core.go
+++ b/process/agent/core.go
@@ -269,7 +269,9 @@
 			c.counters.NotStarted[answer.NotStarted]++
 		}
 	}
-	c.send(entry, &wire.Answers{Agent: c.options.Incarnation, Entry: entry, Tasks: answers, Load: c.load()})
+	for _, part := range chunk(answers, func(a wire.TaskAnswer) int { return len(a.Output) }) {
+		c.send(entry, &wire.Answers{Agent: c.options.Incarnation, Entry: entry, Tasks: part, Load: c.load()})
+	}
 }
 
 func (c *Core) load() wire.Load {
@@ -330,7 +332,27 @@
 	if !alive {
 		c.recoverers[m.Entry] = appendNew(c.recoverers[m.Entry], recoverer)
 	}
-	c.send(recoverer, &wire.Fenced{Entry: m.Entry, Alive: alive, Tasks: tasks})
+	chunks := chunk(tasks, func(t wire.HeldTask) int { return len(t.Output) })
+	for i, part := range chunks {
+		c.send(recoverer, &wire.Fenced{Entry: m.Entry, Alive: alive, Tasks: part, More: i < len(chunks)-1})
+	}
+}
+
+// chunkBytes bounds the outputs in one message, far below wire.MaxFrameBytes.
+const chunkBytes = 2 << 20
+
+// chunk splits a list into at least one part of at most chunkBytes, or of one
+// item.
+func chunk[T any](items []T, size func(T) int) [][]T {
+	var parts [][]T
+	begin, total := 0, 0
+	for i, item := range items {
+		if total += size(item); total > chunkBytes && i > begin {
+			parts = append(parts, items[begin:i])
+			begin, total = i, size(item)
+		}
+	}
+	return append(parts, items[begin:])
 }
 
 func appendNew(list []wire.Incarnation, inc wire.Incarnation) []wire.Incarnation {
--- a/process/entry/peers.go
+++ b/process/entry/peers.go
@@ -35,6 +35,10 @@
 	configOffset uint64
 }
 
+// maxRelayedAnswer bounds an answer that crosses entries, in bytes. Its message
+// stays below wire.MaxFrameBytes.
+const maxRelayedAnswer = wire.MaxFrameBytes - 64<<10
+
 // query is a call whose key another entry owns.
 type query struct {
 	id         uint64
@@ -214,7 +218,12 @@
 			Step: r.Refusal.Step, RetryAfterMS: wire.Milliseconds(r.Refusal.RetryAfter)}
 		return m
 	}
-	m.Answer, _ = json.Marshal(r.Answer)
+	encoded, err := json.Marshal(r.Answer)
+	if err != nil || len(encoded) > maxRelayedAnswer {
+		return queryReply(id, Reply{Refusal: refusal.New(refusal.OwnerUnreachable, "query",
+			"the answer of %d bytes is too large to pass on; ask the entry that owns the key", len(encoded)).Unknown()})
+	}
+	m.Answer = encoded
 	return m
 }
 
--- a/process/entry/recovery.go
+++ b/process/entry/recovery.go
@@ -136,7 +136,9 @@
 	if !ok {
 		return
 	}
-	delete(r.pending, agent)
+	if !m.More {
+		delete(r.pending, agent)
+	}
 	if m.Alive {
 		r.alive = now
 		return
