process: leave a dial that the own shutdown cancels out of the log

An agent logged 'condition started' for entry_unreachable with 'context canceled' after 'drained', since a dial to a killed entry was under way when it ended.

--- a/process/agent/daemon.go
+++ b/process/agent/daemon.go
@@ -247,7 +247,8 @@
 	d.mu.Lock()
 	delete(d.dialing, addr)
 	d.mu.Unlock()
-	if err != nil {
+	// A dial that the end of this process cancels says nothing of the entry.
+	if err != nil && !errors.Is(err, context.Canceled) {
 		d.unreachable.Failed(addr, err)
 	}
 }
