process/agent: end the drain with the process

Cause: the drain loop did not look at the context. A second SIGTERM stopped the heartbeats and the admin server, but the process went on draining, up to the drain timeout, while entries took it for lost after 3 s.

Ruled out: a lost signal; the run group had been interrupted.

Change: the loop ends with the context, as the one of the entry does.

Conclusion: the second signal ends an agent at once, as the help of the daemons says in the code.

--- a/process/agent/daemon.go
+++ b/process/agent/daemon.go
@@ -172,6 +172,8 @@
 	defer poll.Stop()
 	for !d.core.Drained() {
 		select {
+		case <-ctx.Done():
+			return ctx.Err()
 		case <-deadline:
 			d.logDrainTimeout()
 			return nil
--- a/process/agent/daemon_test.go
+++ b/process/agent/daemon_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -99,3 +101,22 @@
 		t.Errorf("logged %s", log.String())
 	}
 }
+
+// Guards against a second signal that ends the heartbeats but not the drain: the
+// process lived on while entries took it for lost.
+func TestDrainEndsWithProcess(t *testing.T) {
+	d := newTestDaemon(t, io.Discard)
+	d.settings.DrainTimeoutMS = settings.DefaultDrainTimeoutMS
+	d.core.running[taskRef{}] = func() {}
+	ctx, cancel := context.WithCancel(context.Background())
+	stop, ended := make(chan struct{}), make(chan error, 1)
+	close(stop)
+	go func() { ended <- d.drainOn(ctx, stop) }()
+	for !d.core.Dump().Leaving {
+		runtime.Gosched()
+	}
+	cancel()
+	if err := <-ended; !errors.Is(err, context.Canceled) {
+		t.Errorf("the drain ended with %v", err)
+	}
+}
