--- a/process/agent/daemon.go
+++ b/process/agent/daemon.go
@@ -173,6 +173,8 @@
 	defer poll.Stop()
 	for !d.core.Drained() {
 		select {
+		case <-ctx.Done():
+			return ctx.Err()
 		case <-deadline:
 			d.logDrainTimeout()
 			return nil
@@ -248,7 +250,8 @@
 	d.mu.Lock()
 	delete(d.dialing, addr)
 	d.mu.Unlock()
-	if err != nil {
+	// A dial that the end of this process cancels says nothing of the entry.
+	if err != nil && !errors.Is(err, context.Canceled) {
 		d.unreachable.Failed(addr, err)
 	}
 }
--- a/process/agent/daemon_test.go
+++ b/process/agent/daemon_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"io"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -80,3 +83,39 @@
 		t.Errorf("logged %s", log.String())
 	}
 }
+
+// Guards against a failed dial that is not logged, and against one that the end
+// of the process cancels and that is logged as a fault of the entry.
+func TestDialFailureIsLogged(t *testing.T) {
+	var log bytes.Buffer
+	d := newTestDaemon(t, &log)
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	if d.dial(ended, "127.0.0.1:9"); log.Len() > 0 {
+		t.Errorf("a cancelled dial logged %s", log.String())
+	}
+	late, cancel := context.WithDeadline(context.Background(), time.Unix(0, 0))
+	defer cancel()
+	if d.dial(late, "127.0.0.1:9"); !strings.Contains(log.String(), `"peer":"127.0.0.1:9"`) {
+		t.Errorf("logged %s", log.String())
+	}
+}
+
+// Guards against a second signal that ends the heartbeats but not the drain: the
+// process lived on while entries took it for lost.
+func TestDrainEndsWithProcess(t *testing.T) {
+	d := newTestDaemon(t, io.Discard)
+	d.settings.DrainTimeoutMS = settings.DefaultDrainTimeoutMS
+	d.core.running[taskRef{}] = func() {}
+	ctx, cancel := context.WithCancel(context.Background())
+	stop, ended := make(chan struct{}), make(chan error, 1)
+	close(stop)
+	go func() { ended <- d.drainOn(ctx, stop) }()
+	for !d.core.Dump().Leaving {
+		runtime.Gosched()
+	}
+	cancel()
+	if err := <-ended; !errors.Is(err, context.Canceled) {
+		t.Errorf("the drain ended with %v", err)
+	}
+}
