bench capacity: add log and target calls, pushes, keys and connects

Cause: the sizing needs the processor time of a target call and of an access to the log, the time until a configuration has reached the agents, the heap of a key after its answer, and the cost of an agent's connection.

Ruled out: splitting the processor time between client and server, which the process's own accounting does not tell apart; the figures say "both ends".

Change: parts "http" and "push"; keys past their answers, connects and handshakes in the parts "entry" and "quic".

--- a/bench/capacity/entry.go
+++ b/bench/capacity/entry.go
@@ -198,11 +198,13 @@
 		func() (Figure, error) { return o.jobBytes("entry: heap per active job of 40 tasks", 40, false) },
 		func() (Figure, error) { return o.jobBytes("entry: heap per held answer of 1 task", 1, true) },
 		func() (Figure, error) { return o.jobBytes("entry: heap per held answer of 40 tasks", 40, true) },
+		func() (Figure, error) { return o.keyBytes() },
 		func() (Figure, error) { return o.taskTime(1) },
 		func() (Figure, error) { return o.taskTime(40) },
 		func() (Figure, error) { return o.taskTime(job.MaxTasks) },
 		o.agentTickTime,
 		o.jobTickTime,
+		o.connectTime,
 	)
 }
 
@@ -229,6 +231,38 @@
 	})
 }
 
+// keyBytes measures keys whose answers are past their retention and whose age is
+// within the dedupe window.
+func (o Options) keyBytes() (Figure, error) {
+	return o.bytesOf("entry: heap per key after the answer", "key", []int{4000, 8000, 16000}, func(n int) (any, error) {
+		r := newEntryRig(100)
+		if err := r.run(n, 1); err != nil {
+			return nil, err
+		}
+		for range 2 { // the first tick evicts, the second passes the releases on
+			r.now = r.now.Add(r.core.Limits().AnswerRetention + time.Second)
+			r.core.Tick()
+		}
+		return r, nil
+	})
+}
+
+// connectTime measures the connection of an agent, which sorts all known ones.
+func (o Options) connectTime() (Figure, error) {
+	const connects = 50
+	return o.timeOf("entry: processor time to connect an agent", "known agent", []int{225, 450, 900, 1800}, connects,
+		func(n int) (func() error, error) {
+			r := newEntryRig(n)
+			return func() error {
+				for i := range connects {
+					r.core.AgentConnected(wire.Hello{Role: wire.RoleAgent, Incarnation: agentID(n + i), Name: fmt.Sprint("agent-", n+i),
+						Zone: "zone-1", Service: serviceName, Slots: wideSlots})
+				}
+				return r.check()
+			}, nil
+		})
+}
+
 // taskTime measures parsing, claim, dispatch and answer at the target number of
 // agents, without HTTP, encoding and sockets.
 func (o Options) taskTime(tasks int) (Figure, error) {
--- a/bench/capacity/measure.go
+++ b/bench/capacity/measure.go
@@ -41,6 +41,8 @@
 		{"agent", agentFigures},
 		{"traffic", trafficFigures},
 		{"messages", messageFigures},
+		{"http", httpFigures},
+		{"push", pushFigures},
 		{"quic", quicFigures},
 	}
 }
--- a/bench/capacity/quic.go
+++ b/bench/capacity/quic.go
@@ -24,6 +24,7 @@
 	identity *peer.Identity
 	stop     context.CancelFunc
 	received atomic.Int64
+	configs  atomic.Int64
 
 	mu       sync.Mutex
 	accepted []*peer.Conn
@@ -41,7 +42,12 @@
 }
 
 // Received implements peer.Handler.
-func (l *links) Received(*peer.Conn, wire.Message) { l.received.Add(1) }
+func (l *links) Received(_ *peer.Conn, m wire.Message) {
+	l.received.Add(1)
+	if _, ok := m.(*wire.Config); ok {
+		l.configs.Add(1)
+	}
+}
 
 // Disconnected implements peer.Handler.
 func (l *links) Disconnected(*peer.Conn, error) {}
@@ -166,17 +172,20 @@
 func quicFigures(o Options) ([]Figure, error) {
 	memory := Figure{Name: "quic: heap and stacks, both ends", Unit: "B", Per: "connection"}
 	idle := Figure{Name: "quic: processor time per idle second, both ends", Unit: "µs", Per: "connection"}
+	handshake := Figure{Name: "quic: processor time of handshakes, both ends", Unit: "µs", Per: "connection"}
 	for _, n := range o.repeated(o.Connections) {
-		before := liveBytes()
+		before, used := liveBytes(), processorTime()
 		l, err := openLinks(o.KeyDir, n, direct)
 		if err != nil {
 			return nil, err
 		}
+		handshake.Points = append(handshake.Points, Point{float64(n), (processorTime() - used).Seconds() * 1e6})
 		if err := l.beat(time.Second); err != nil { // the buffers reach their usual size
 			return nil, err
 		}
 		memory.Points = append(memory.Points, Point{float64(n), liveBytes() - before})
-		began, used := time.Now(), processorTime()
+		began := time.Now()
+		used = processorTime()
 		if err := l.beat(o.Watch); err != nil {
 			return nil, err
 		}
@@ -189,12 +198,61 @@
 		return nil, err
 	}
 	packets, err := packetFigures(o)
-	return append([]Figure{memory, idle, work}, packets...), err
+	return append([]Figure{memory, idle, handshake, work}, packets...), err
 }
 
 // probeWait outlasts the handshake and the search for the largest datagram.
 const probeWait = 3 * time.Second
 
+// pushFigures measures the real time from the push of a configuration of 42
+// files until every connection has received it.
+func pushFigures(o Options) ([]Figure, error) {
+	const pushes = 5
+	f := Figure{Name: "push: real time until 42 files are received", Unit: "µs", Per: "connection"}
+	m := &wire.Config{Offset: 1}
+	for _, file := range configFolder(41) {
+		m.Files = append(m.Files, wire.ConfigFile{Name: file.Name, Version: file.Version, Content: file.Content})
+	}
+	for _, n := range o.Connections {
+		l, err := openLinks(o.KeyDir, n, direct)
+		if err != nil {
+			return nil, err
+		}
+		if err := l.beat(time.Second); err != nil {
+			return nil, err
+		}
+		for range max(o.Repeats, pushes) {
+			took, err := l.push(m)
+			if err != nil {
+				return nil, err
+			}
+			f.Points = append(f.Points, Point{float64(n), took.Seconds() * 1e6})
+		}
+		l.close()
+		time.Sleep(closeWait)
+	}
+	return []Figure{f}, nil
+}
+
+// push sends a configuration on every connection and waits for all to receive
+// it.
+func (l *links) push(m *wire.Config) (time.Duration, error) {
+	l.configs.Store(0)
+	began := time.Now()
+	for _, c := range l.accepted {
+		if err := c.Send(m); err != nil {
+			return 0, err
+		}
+	}
+	for l.configs.Load() < int64(len(l.accepted)) {
+		if time.Since(began) > acceptTimeout {
+			return 0, errors.Newf("%d of %d connections received the configuration", l.configs.Load(), len(l.accepted))
+		}
+		time.Sleep(100 * time.Microsecond)
+	}
+	return time.Since(began), nil
+}
+
 // closeWait lets closed connections give back their buffers.
 const closeWait = time.Second
 
