Do not charge busy refusals to the retry budget; invite refused entries

Cause: two entries regularly send to the same free slots; each busy refusal spent the retry budget, whose minimum is 10 in a quiet service, and after a refusal an entry heard of a free slot only with the next heartbeat. Ruled out: a larger minimum budget (hides the cause); refusals for held results, which now have a reason of their own, window_full, and stay charged, since a target with free slots would otherwise be asked again at once. Change: a retry after busy is free; an agent tells one refused entry for each slot that stays free.

--- a/bench/agent.go
+++ b/bench/agent.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"slices"
 	"time"
 
 	"github.com/azurerouter/azurerouter/connection/wire"
@@ -9,6 +10,8 @@
 
 // agent models an agent with its target.
 type agent struct {
+	// refused are the entries that were refused for lack of room, in order.
+	refused []*entry
 	c       *cluster
 	number  int
 	id      wire.Incarnation
@@ -66,6 +69,9 @@
 			a.waiting = append(a.waiting, d)
 		default:
 			a.answer(d, scheduler.EndBusy)
+			if !slices.Contains(a.refused, d.entry) {
+				a.refused = append(a.refused, d.entry)
+			}
 		}
 	}
 }
@@ -101,6 +107,21 @@
 		a.start(next)
 	}
 	a.answer(d, end)
+	a.invite()
+}
+
+// invite tells entries that were refused for lack of room of free slots, one
+// entry for each slot.
+func (a *agent) invite() {
+	for free := slots - len(a.running) - len(a.waiting); free > 0 && len(a.refused) > 0; free-- {
+		e := a.refused[0]
+		a.refused = a.refused[1:]
+		load, id := a.load(), a.id
+		a.send(e, heartbeatMessage, func() {
+			e.scheduler.Report(a.c.clock(), id, load)
+			e.pump()
+		})
+	}
 }
 
 func (a *agent) answer(d *dispatch, end scheduler.End) {
--- a/bench/entry.go
+++ b/bench/entry.go
@@ -123,7 +123,7 @@
 
 func (e *entry) retry(task scheduler.Task, d *dispatch) {
 	task.Enqueued = epoch.Add(e.c.arrivals[d.task].at)
-	task.Avoid, task.Attempt = d.agent, d.attempt+1
+	task.Avoid, task.Attempt, task.Busy = d.agent, d.attempt+1, d.end == scheduler.EndBusy
 	if !e.scheduler.Retry(e.c.clock(), task) {
 		e.c.end(d.task, notStarted)
 		return
--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -137,11 +137,15 @@
 
 // Values of NotStarted.
 const (
-	Started                 NotStarted = ""
-	NotStartedIncarnation   NotStarted = "wrong_incarnation"
-	NotStartedFenced        NotStarted = "fenced"
-	NotStartedLeaving       NotStarted = "leaving"
-	NotStartedBusy          NotStarted = "busy"
+	Started               NotStarted = ""
+	NotStartedIncarnation NotStarted = "wrong_incarnation"
+	NotStartedFenced      NotStarted = "fenced"
+	NotStartedLeaving     NotStarted = "leaving"
+	// NotStartedBusy means that no slot and no place in the queue is free.
+	NotStartedBusy NotStarted = "busy"
+	// NotStartedWindow means that the entry has not released enough of the
+	// results that the agent holds.
+	NotStartedWindow        NotStarted = "window_full"
 	NotStartedLease         NotStarted = "lease_lapsed"
 	NotStartedDeadline      NotStarted = "deadline"
 	NotStartedCancelled     NotStarted = "cancelled"
--- a/process/agent/core.go
+++ b/process/agent/core.go
@@ -59,8 +59,11 @@
 	// recoverers are the entries that fenced another one and wait for the
 	// ends of tasks that were still running then.
 	recoverers map[wire.Incarnation][]wire.Incarnation
-	config     *config.State
-	counters   Counters
+	// refused are the entries that were refused for lack of room, in order,
+	// until they are told of a free slot.
+	refused  []wire.Incarnation
+	config   *config.State
+	counters Counters
 }
 
 // Counters count events since the start of the agent.
@@ -165,6 +168,9 @@
 			c.enqueue(now, entry, task)
 		case offer.Answer != nil:
 			answers = append(answers, *offer.Answer)
+			if offer.Answer.NotStarted == wire.NotStartedBusy {
+				c.refused = appendNew(c.refused, entry)
+			}
 		default:
 			c.counters.Rejoined++
 		}
@@ -200,8 +206,18 @@
 	c.urgent = append(c.urgent, item)
 }
 
-// fill starts waiting tasks while there are free slots, urgent ones first.
+// fill starts waiting tasks while there are free slots, urgent ones first, and
+// tells refused entries of slots that stay free.
 func (c *Core) fill(now time.Time) {
+	c.startWaiting(now)
+	for free := c.options.Slots - len(c.running); free > 0 && len(c.refused) > 0 && !c.leaving; free-- {
+		entry := c.refused[0]
+		c.refused = c.refused[1:]
+		c.send(entry, &wire.Heartbeat{Load: c.load(), ConfigOffset: c.config.Offset()})
+	}
+}
+
+func (c *Core) startWaiting(now time.Time) {
 	for len(c.running) < c.options.Slots {
 		item, ok := c.pop()
 		if !ok {
--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -157,7 +157,7 @@
 func (c *Core) notStarted(now time.Time, agent wire.Incarnation, sent *sentTask, end scheduler.End, retry bool) {
 	sent.service.finish(now, agent, sent.task.ID, end, 0)
 	wanted, cancelled := c.clearOutstanding(sent, false)
-	if retry && wanted && c.retry(now, agent, sent) {
+	if retry && wanted && c.retry(now, agent, sent, end) {
 		return
 	}
 	outcome := job.NotStarted
@@ -172,7 +172,7 @@
 func (c *Core) unknown(now time.Time, agent wire.Incarnation, sent *sentTask, cause string) {
 	sent.service.finish(now, agent, sent.task.ID, scheduler.EndUnknown, 0)
 	wanted, _ := c.clearOutstanding(sent, true)
-	if sent.task.Idempotent && wanted && c.retry(now, agent, sent) {
+	if sent.task.Idempotent && wanted && c.retry(now, agent, sent, scheduler.EndUnknown) {
 		return
 	}
 	c.finishTask(now, sent.task.ID.Key, sent.task.ID.Index, job.TaskResult{Outcome: job.Unknown, Error: cause})
@@ -202,10 +202,11 @@
 	return !e.late && !e.cancelled && !e.job.Failing() && !e.job.Ended(sent.task.ID.Index), e.cancelled
 }
 
-func (c *Core) retry(now time.Time, agent wire.Incarnation, sent *sentTask) bool {
+func (c *Core) retry(now time.Time, agent wire.Incarnation, sent *sentTask, end scheduler.End) bool {
 	task := sent.task
 	task.Attempt++
 	task.Avoid = agent
+	task.Busy = end == scheduler.EndBusy
 	sent.service.mu.Lock()
 	defer sent.service.mu.Unlock()
 	if !sent.service.scheduler.Retry(now, task) {
--- a/process/fencing/guard.go
+++ b/process/fencing/guard.go
@@ -158,7 +158,7 @@
 	case task.BudgetMS <= 0:
 		refuse = wire.NotStartedDeadline
 	case refuse == "" && (len(s.starts) >= g.limits.Window || g.heldBytes.Load() >= g.limits.HeldBytes):
-		refuse = wire.NotStartedBusy
+		refuse = wire.NotStartedWindow
 	}
 	return s.record(now, task, refuse, g.limits)
 }
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -30,6 +30,8 @@
 	// that is used only if no other target can run the task.
 	Attempt int
 	Avoid   wire.Incarnation
+	// Busy is set before Retry if the agent had no room for the task.
+	Busy bool
 }
 
 // Target is a back end as its agent describes it.
@@ -200,7 +202,9 @@
 	s.forgetIfUnused(t)
 }
 
-// Retry puts a task that was not started back into the queue. It reports false
+// Retry puts a task that was not started back into the queue. A task that an agent
+// had no room for is not charged to the retry budget: the refusal shows that the
+// target works, and nothing more is sent to it before its agent reports room. It reports false
 // if the deadline has passed, the task waits or runs, or the retry budget is
 // used up.
 func (s *Scheduler) Retry(now time.Time, task Task) bool {
@@ -211,7 +215,7 @@
 		s.violations++
 		return false
 	}
-	if !s.budget.take(now, s.settings.RetryShare, s.settings.RetryMinimum) {
+	if !task.Busy && !s.budget.take(now, s.settings.RetryShare, s.settings.RetryMinimum) {
 		return false
 	}
 	s.queue.push(now, task)
