agent, entry: tell a fenced entry when it connects again

Cause: a fenced entry learned of its fence only from the refusal of a dispatch. After a pause its own jobs had ended as unknown, so it had nothing to dispatch: it stayed ready, took the next submission, claimed its key and then refused it as not run. The same submission sent to another entry found the key owned by a fenced entry, and ended as failed with unknown tasks.

Ruled out: the connections, which stay open since "keep the connection of a fenced entry open".

Change: an agent sends Fenced to the fenced entry itself when that connects; the entry takes it as the end of its incarnation, as it does a dispatch refused as fenced.

--- a/process/agent/core.go
+++ b/process/agent/core.go
@@ -111,6 +111,9 @@
 	if c.leaving {
 		c.send(entry, &wire.Leaving{})
 	}
+	if c.guard.Fenced(entry) {
+		c.send(entry, &wire.Fenced{Entry: entry})
+	}
 }
 
 // Disconnected forgets the connection of an entry; its tasks go on.
--- a/process/entry/recovery.go
+++ b/process/entry/recovery.go
@@ -123,8 +123,13 @@
 }
 
 // fenced takes an agent's reply, or the end of a task that was still running at
-// the time of the reply.
+// the time of the reply. An agent also sends it to the fenced entry itself, when
+// that connects again.
 func (c *Core) fenced(now time.Time, agent wire.Incarnation, m *wire.Fenced) {
+	if m.Entry == c.self {
+		c.fencedOff.Store(true)
+		return
+	}
 	link := c.agent(agent)
 	if link == nil {
 		return
