e2e: keep the drain of an entry open for longer

The job in flight runs 6 s instead of 2.5 s, so that every caller is refused as draining before the entry stops listening, also on a machine that takes seconds for it.

--- a/e2e/shutdown_test.go
+++ b/e2e/shutdown_test.go
@@ -51,8 +51,9 @@
 	ctx, client := c.context(), newCaller(t)
 	l := startLoad(t, c, 8, c.entries[:1], func(r reply) bool { return r.Code != "draining" && r.err == nil })
 	c.await("the entry is under load", func() bool { return l.count() > 50 })
-	// This job keeps the drain open until every caller has been refused.
-	s := newJob("in-flight", slotsPerAgent, 2500)
+	// This job keeps the drain open until every caller has been refused, also on a
+	// machine that takes seconds for what usually takes milliseconds.
+	s := newJob("in-flight", slotsPerAgent, 6000)
 	inFlight := submitAsync(ctx, client, c.entries[0], s)
 	c.await("the job runs", func() bool { n, _ := s.count(c.starts()); return n > 0 })
 	c.entries[0].signal(syscall.SIGTERM)
