process/entry: do not log 'drained' after a second signal

Cause: the second signal closes the callers' connections, so that Shutdown had nothing to wait for and returned no error. The caller got EOF, the log said 'drained'.

Change: active submissions count as cut off, with their number and the cause.

--- a/process/entry/daemon.go
+++ b/process/entry/daemon.go
@@ -191,8 +191,11 @@
 	for d.core.ActiveJobs() > 0 && limit.Err() == nil {
 		<-poll.C
 	}
-	if err := d.http.Shutdown(limit); err != nil {
-		d.observer.Log.Warn().Err(err).Int("jobs", d.core.ActiveJobs()).Msg("drain timeout, submissions are cut off")
+	// After a second signal the connections are closed already and Shutdown has
+	// nothing left to wait for.
+	if err := d.http.Shutdown(limit); err != nil || d.core.ActiveJobs() > 0 {
+		d.observer.Log.Warn().Err(errors.CombineErrors(err, limit.Err())).Int("jobs", d.core.ActiveJobs()).
+			Msg("drain ended early, submissions are cut off")
 		return end
 	}
 	// Agents keep the results of a released task until a heartbeat says so. Without
--- a/process/entry/report_test.go
+++ b/process/entry/report_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -78,15 +79,42 @@
 	}
 }
 
+// newDrainDaemon returns a daemon whose log service is a stand-in.
+func newDrainDaemon(t *testing.T, log *bytes.Buffer) *Daemon {
+	t.Helper()
+	d := newLoggedDaemon(t, log)
+	service := httptest.NewServer(logservice.New(logservice.Settings{}))
+	t.Cleanup(service.Close)
+	d.log = logclient.New(service.URL, nil)
+	d.settings.DrainTimeoutMS = settings.DefaultDrainTimeoutMS
+	return d
+}
+
+// Guards against an entry that a second signal ends, and that logs 'drained'
+// although it has cut off submissions.
+func TestEarlyEndIsNotDrained(t *testing.T) {
+	var log bytes.Buffer
+	d := newDrainDaemon(t, &log)
+	d.core.shards[0].active = 1
+	ctx, cancel := context.WithCancel(context.Background())
+	stop, ended := make(chan struct{}), make(chan error, 1)
+	close(stop)
+	go func() { ended <- d.drainOn(ctx, stop) }()
+	for !d.core.draining.Load() {
+		runtime.Gosched()
+	}
+	cancel()
+	<-ended
+	if strings.Contains(log.String(), `"drained"`) || !strings.Contains(log.String(), "submissions are cut off") {
+		t.Errorf("logged %s", log.String())
+	}
+}
+
 // Guards against an entry that ends before its agents know which results nobody
 // needs: an agent that left afterwards waited for up to its drain timeout.
 func TestDrainSendsReleases(t *testing.T) {
 	var log bytes.Buffer
-	d := newLoggedDaemon(t, &log)
-	service := httptest.NewServer(logservice.New(logservice.Settings{}))
-	defer service.Close()
-	d.log = logclient.New(service.URL, nil)
-	d.settings.DrainTimeoutMS = settings.DefaultDrainTimeoutMS
+	d := newDrainDaemon(t, &log)
 	d.core.AgentConnected(wire.Hello{Role: wire.RoleAgent, Incarnation: 1, Service: "card", Slots: 1})
 	link := d.core.agent(1)
 	link.released = []uint64{1}
