--- a/process/settings/fields.go
+++ b/process/settings/fields.go
@@ -22,8 +22,8 @@
 	Path    string
 	Process Process
 	// Unit is empty for a text and for a list of texts.
-	Unit              string
-	Default, Min, Max int64
+	Unit     string
+	Min, Max int64
 	// Form is what a text, or each text of a list, has to be.
 	Form     Form
 	List     bool
@@ -78,9 +78,9 @@
 		Doc: "Base URL of the target."},
 	{Path: "slots", Process: ProcessAgent, Unit: "tasks", Min: 1, Max: MaxSlots, Required: true,
 		Doc: "Tasks that the target runs at once."},
-	{Path: "backlog", Process: ProcessAgent, Unit: "tasks", Default: DefaultBacklog, Max: MaxSlots,
+	{Path: "backlog", Process: ProcessAgent, Unit: "tasks", Max: MaxSlots,
 		Doc: "Accepted tasks that may wait for a slot at the agent."},
-	{Path: "max_conns", Process: ProcessAgent, Unit: "connections", Default: DefaultMaxConns, Min: 1, Max: maxPorts,
+	{Path: "max_conns", Process: ProcessAgent, Unit: "connections", Min: 1, Max: maxPorts,
 		Doc: "Connections to the target."},
 	{Path: "memory_mb", Process: ProcessAgent, Unit: "MB", Max: maxMemoryMB,
 		Doc: "Memory that one task can use at the target."},
@@ -92,7 +92,7 @@
 		Doc: "Certificate of the process."},
 	{Path: "keys.key", Process: processBoth, Form: formFile, Required: true,
 		Doc: "Private key of the process."},
-	{Path: "drain_timeout_ms", Process: processBoth, Unit: "milliseconds", Default: DefaultDrainTimeoutMS, Min: 1, Max: maxDrainTimeoutMS,
+	{Path: "drain_timeout_ms", Process: processBoth, Unit: "milliseconds", Min: 1, Max: maxDrainTimeoutMS,
 		Doc: "Longest time that a graceful shutdown waits for running work."},
 }
 
