bench capacity: measure what the sudden loss of agents costs

Change: part "loss" lets 3 to 12 of 60 agents die under load with 6 entries, on the real cores in virtual time.

--- a/bench/capacity/capacity_test.go
+++ b/bench/capacity/capacity_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/azurerouter/azurerouter/connection/wire"
+	"github.com/azurerouter/azurerouter/process/entry"
 )
 
 // Guards against a wrong slope or error, on which every figure rests. The points
@@ -77,3 +78,15 @@
 		t.Error("no error")
 	}
 }
+
+// Guards against dispatches to a dead agent after the silence that ends them, and
+// against tasks that it takes along without an unknown outcome.
+func TestLossIsNoticed(t *testing.T) {
+	l, err := runLoss(3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l.last > entry.AgentSilence || l.unknown < l.dispatched {
+		t.Errorf("last dispatch after %v, %d dispatched, %d unknown", l.last, l.dispatched, l.unknown)
+	}
+}
--- a/bench/capacity/measure.go
+++ b/bench/capacity/measure.go
@@ -40,6 +40,7 @@
 		{"config", configFigures},
 		{"agent", agentFigures},
 		{"traffic", trafficFigures},
+		{"loss", lossFigures},
 		{"messages", messageFigures},
 		{"http", httpFigures},
 		{"push", pushFigures},
--- a/bench/capacity/traffic.go
+++ b/bench/capacity/traffic.go
@@ -46,6 +46,7 @@
 	messages, control float64
 	violations        int
 	answered          int
+	loss              *loss
 }
 
 type trafficEvent struct {
@@ -112,6 +113,9 @@
 // SendAgent implements entry.Env.
 func (e trafficEntry) SendAgent(to wire.Incarnation, m wire.Message) {
 	e.count(m)
+	if e.loss.swallows(e.now, to, m) {
+		return
+	}
 	e.after(trafficLatency, func() { e.agents[to-agentID(0)].Received(entryID(e.index), m) })
 }
 
@@ -129,6 +133,9 @@
 // Send implements agent.Env.
 func (a trafficAgent) Send(to wire.Incarnation, m wire.Message) {
 	a.count(m)
+	if a.loss.swallows(a.now, agentID(a.index), nil) {
+		return
+	}
 	a.after(trafficLatency, func() { a.entries[to-entryID(0)].AgentReceived(agentID(a.index), m) })
 }
 
@@ -141,9 +148,9 @@
 	return func() {}
 }
 
-func newTraffic(entries int) *traffic {
+func newTraffic(entries, agents int) *traffic {
 	t := &traffic{now: epoch, random: rand.New(rand.NewPCG(1, uint64(entries)))}
-	for i := range trafficAgents {
+	for i := range agents {
 		core := agent.NewCore(trafficAgent{t, i}, agent.Options{Incarnation: agentID(i), Slots: trafficSlots, Backlog: 2, Limits: fencing.DefaultLimits})
 		t.agents = append(t.agents, core)
 		t.every(agentTick, core.Tick)
@@ -176,10 +183,11 @@
 	t.after(wait, func() {
 		core := t.entries[t.random.IntN(len(t.entries))]
 		sub := &job.Submission{Service: serviceName, Team: "shop", Priority: job.Urgent, Deadline: t.now.Add(10 * time.Second),
-			Idempotent: true, Single: true, Inputs: []json.RawMessage{payload}}
+			Idempotent: t.loss == nil, Single: true, Inputs: []json.RawMessage{payload}}
 		core.Submit(sub, func(reply entry.Reply) {
 			if reply.Answer != nil {
 				t.answered++
+				t.loss.answered(reply.Answer)
 				t.after(trafficLatency, func() { core.Delivered(sub.Hash) })
 			}
 		})
@@ -200,7 +208,7 @@
 // perSecond runs agents with their entries and returns messages and control
 // bytes per second of one agent, both directions together.
 func perSecond(entries int, rate float64) (messages, control float64, err error) {
-	t := newTraffic(entries)
+	t := newTraffic(entries, trafficAgents)
 	if rate > 0 {
 		t.submit(rate * trafficAgents)
 	}
