process/entry: make the shutdown test wait until its exchange is accepted

Cause: the test stopped the server while its connection could still wait to be accepted, which a closing listener resets; 1 of about 10 runs failed with unexpected EOF. Ruled out: the drain itself, which does not end before open exchanges do. Change: the test waits for the interim response. As strict as before: the open exchange must be answered.

--- a/process/entry/daemon_test.go
+++ b/process/entry/daemon_test.go
@@ -62,11 +62,17 @@
 
 	caller := dialUntil(d.settings.HTTPAddr, true)
 	defer caller.Close()
-	fmt.Fprintf(caller, "POST %s HTTP/1.1\r\nHost: entry\r\nContent-Length: 2\r\n\r\n{", PathJobs)
+	// The interim response shows that the server has accepted the connection and
+	// reads the body; one that waits to be accepted is lost with the listener.
+	fmt.Fprintf(caller, "POST %s HTTP/1.1\r\nHost: entry\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n", PathJobs)
+	responses := bufio.NewReader(caller)
+	if interim, err := http.ReadResponse(responses, nil); err != nil || interim.StatusCode != http.StatusContinue {
+		t.Fatalf("interim response %v, error %v", interim, err)
+	}
 	close(stop)
 	dialUntil(d.settings.HTTPAddr, false)
-	fmt.Fprint(caller, "}")
-	if _, err := http.ReadResponse(bufio.NewReader(caller), nil); err != nil {
+	fmt.Fprint(caller, "{}")
+	if _, err := http.ReadResponse(responses, nil); err != nil {
 		t.Errorf("the exchange that was open at the shutdown ended with %v", err)
 	}
 	caller.Close()
