Bound what entries and agents keep of finished work

Cause, from the capacity measurements: an agent kept 602 B for every settled sequence because its archive was cut from the front of a slice; an entry kept answers without a bound, with their inputs; results of recovered entries stayed for the life of the process, and every agent that connected later was asked about every dead entry. Change: the archive is cut so that what is dropped is freed; answers are bounded by 32 MB of outputs, oldest first, and keep no inputs; recoveries and gone entries are dropped after a minute. Ruled out: a count of answers as the bound, since outputs differ by four orders of magnitude.

--- /dev/null
+++ b/process/entry/core_test.go
@@ -0,0 +1,132 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/azurerouter/azurerouter/connection/wire"
+	"github.com/azurerouter/azurerouter/process/claims"
+	"github.com/azurerouter/azurerouter/request/job"
+	"github.com/azurerouter/azurerouter/request/refusal"
+	"github.com/azurerouter/azurerouter/version/config"
+)
+
+const testAgent wire.Incarnation = 7
+
+// fakeEnv answers every dispatch with the same output and confirms every append.
+type fakeEnv struct {
+	core   *Core
+	now    time.Time
+	output []byte
+	offset uint64
+	later  []func()
+	sent   []wire.Message
+}
+
+func (f *fakeEnv) Now() time.Time                           { return f.now }
+func (f *fakeEnv) SendEntry(wire.Incarnation, wire.Message) {}
+func (f *fakeEnv) Violated(guarantee, step, peer, detail string) {
+	panic(guarantee + " " + step + " " + peer + " " + detail)
+}
+
+func (f *fakeEnv) Append(batch claims.Batch) {
+	f.offset++
+	offset := f.offset
+	f.later = append(f.later, func() { f.core.Appended(batch.Nonce, offset, nil) })
+}
+
+func (f *fakeEnv) SendAgent(agent wire.Incarnation, m wire.Message) {
+	f.sent = append(f.sent, m)
+	dispatch, ok := m.(*wire.Dispatch)
+	if !ok {
+		return
+	}
+	answers := &wire.Answers{Agent: agent, Entry: dispatch.Entry}
+	for _, task := range dispatch.Tasks {
+		answers.Tasks = append(answers.Tasks, wire.TaskAnswer{Seq: task.Seq, Attempt: task.Attempt, Outcome: job.OK, Output: f.output})
+	}
+	f.later = append(f.later, func() { f.core.AgentReceived(agent, answers) })
+}
+
+// settle runs what is due, in steps of virtual time.
+func (f *fakeEnv) settle(steps int) {
+	for range steps {
+		f.now = f.now.Add(10 * time.Millisecond)
+		later := f.later
+		f.later = nil
+		for _, run := range later {
+			run()
+		}
+		f.core.Tick()
+	}
+}
+
+func newFake(t *testing.T, output []byte) *fakeEnv {
+	t.Helper()
+	f := &fakeEnv{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), output: output}
+	f.core = NewCore(f, 1, 1, 1)
+	merged, _ := config.Merge([]config.File{{Name: "a.json", Version: 1, Content: []byte(`{"services":{"card":{}}}`)}})
+	f.core.Configure(merged.Config)
+	f.core.AgentConnected(wire.Hello{Role: wire.RoleAgent, Incarnation: testAgent, Name: "agent", Service: "card", Slots: 8})
+	return f
+}
+
+func (f *fakeEnv) submit(t *testing.T, key string) *Reply {
+	t.Helper()
+	at, _ := json.Marshal(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC))
+	body := fmt.Sprintf(`{"service":"card","team":"shop","key":%q,"submitted_at":%s,"tasks":[1]}`, key, at)
+	sub, err := job.Parse(strings.NewReader(body), false, f.now, f.core.ParseLimits())
+	if err != nil {
+		t.Fatal(err)
+	}
+	reply := &Reply{}
+	f.core.Submit(sub, func(r Reply) { *reply = r })
+	f.settle(5)
+	return reply
+}
+
+// Guards against answers that fill the memory of an entry: the oldest are dropped,
+// and their keys are refused rather than run again.
+func TestHeldAnswersAreBounded(t *testing.T) {
+	const size = job.MaxInputBytes
+	f := newFake(t, bytes.Repeat([]byte("1"), size))
+	const jobs = 2 * maxHeldBytes * shardCount / size
+	for i := range jobs {
+		if reply := f.submit(t, fmt.Sprint("key-", i)); reply.Answer == nil {
+			t.Fatalf("job %d: %v", i, reply.Refusal)
+		}
+	}
+	f.settle(10)
+	held := 0
+	for i := range f.core.shards {
+		held += f.core.shards[i].heldBytes
+	}
+	if held > maxHeldBytes*shardCount || held < maxHeldBytes*shardCount/2 {
+		t.Errorf("answers hold %d bytes, the bound is %d", held, maxHeldBytes*shardCount)
+	}
+	dropped := 0
+	for i := range jobs {
+		reply := f.submit(t, fmt.Sprint("key-", i))
+		if reply.Refusal != nil && reply.Refusal.Code == refusal.KeyTooOld && reply.Refusal.Run == refusal.RunUnknown {
+			dropped++
+		} else if reply.Answer == nil {
+			t.Fatalf("resubmission of job %d: %v", i, reply.Refusal)
+		}
+	}
+	if dropped == 0 || dropped == jobs {
+		t.Errorf("%d of %d answers were dropped", dropped, jobs)
+	}
+	starts := 0
+	for _, m := range f.sent {
+		if dispatch, ok := m.(*wire.Dispatch); ok {
+			starts += len(dispatch.Tasks)
+		}
+	}
+	if starts != jobs {
+		t.Errorf("%d starts for %d jobs", starts, jobs)
+	}
+}
--- a/process/entry/jobs.go
+++ b/process/entry/jobs.go
@@ -39,8 +39,14 @@
 	// and may hold some that have left them.
 	order  []job.KeyHash
 	active int
+	// heldBytes is the size of the outputs in the answers held.
+	heldBytes int
 }
 
+// maxHeldBytes bounds the outputs in the answers that a shard holds, so that all
+// shards together hold 32 MB.
+const maxHeldBytes = 32 << 20 / shardCount
+
 type doneRef struct {
 	hash job.KeyHash
 	at   time.Time
@@ -98,21 +104,30 @@
 	waiters := e.waiters
 	e.waiters = nil
 	e.phase = to
-	if to == idle || to == evicted {
-		e.forgetBody()
-	}
+	e.forgetBody()
+	s.heldBytes += e.answerBytes()
 	e.doneAt = now
 	s.active--
 	s.done = append(s.done, doneRef{hash: hash, at: now})
 	return waiters
 }
 
-// forgetBody keeps what tells a resubmission from other work.
+// forgetBody keeps the answer, and what tells a resubmission from other work.
 func (e *entryJob) forgetBody() {
-	e.answer, e.job, e.tasks = nil, nil, nil
+	e.job, e.tasks = nil, nil
 	e.sub = &job.Submission{Key: e.sub.Key, SubmittedAt: e.sub.SubmittedAt, Digest: e.sub.Digest}
 }
 
+func (e *entryJob) answerBytes() int {
+	total := 0
+	if e.answer != nil {
+		for _, task := range e.answer.Tasks {
+			total += len(task.Output)
+		}
+	}
+	return total
+}
+
 func (e *entryJob) started() bool {
 	for i := range e.tasks {
 		if e.tasks[i].mayHaveRun || e.tasks[i].outstanding {
@@ -304,19 +319,21 @@
 	return after
 }
 
-// expireDone drops answers past their retention, and forgets keys past the
+// expireDone drops answers past their retention, or the oldest if they take more
+// than maxHeldBytes, and forgets keys past the
 // dedupe window.
 func (c *Core) expireDone(now time.Time, s *shard) []func() {
 	limits, window := c.Limits(), c.claims.keyWindow()
 	var release []sentRef
-	for len(s.done) > 0 {
+	// Evicted keys are listed again, so the scan stops at the present end.
+	for left := len(s.done); left > 0; left-- {
 		oldest := s.done[0]
 		e, ok := s.jobs[oldest.hash]
 		if !ok || !e.doneAt.Equal(oldest.at) {
 			s.done = s.done[1:]
 			continue
 		}
-		if now.Sub(oldest.at) <= limits.AnswerRetention {
+		if now.Sub(oldest.at) <= limits.AnswerRetention && s.heldBytes <= maxHeldBytes {
 			break
 		}
 		s.done = s.done[1:]
@@ -333,6 +350,7 @@
 func (e *entryJob) evict(now time.Time, s *shard, hash job.KeyHash, window time.Duration) []sentRef {
 	release := e.sent
 	e.sent = nil
+	s.heldBytes -= e.answerBytes()
 	age := now.Sub(e.sub.SubmittedAt)
 	if !e.sub.Keyed() || age > window {
 		delete(s.jobs, hash)
@@ -340,7 +358,7 @@
 	}
 	if e.phase == answered {
 		e.phase = evicted
-		e.forgetBody()
+		e.answer = nil
 	}
 	e.doneAt = now
 	s.done = append(s.done, doneRef{hash: hash, at: now})
--- a/process/entry/recovery.go
+++ b/process/entry/recovery.go
@@ -15,6 +15,9 @@
 	fenceTimeout = 3 * time.Second
 	// fenceRetry is when an owner that an agent still heard is tried again.
 	fenceRetry = 500 * time.Millisecond
+	// recoveryRetention is how long the results of a dead entry are kept for
+	// further resubmissions. Agents keep theirs for half of it.
+	recoveryRetention = time.Minute
 	// fenceAttempts bounds the tries before the caller is told.
 	fenceAttempts = 4
 )
@@ -45,6 +48,25 @@
 			c.endQuery(q, reply)
 		}
 	}
+	c.forgetRecoveries(now)
+}
+
+// forgetRecoveries drops the results of dead entries, and the entries that are
+// long gone. A later resubmission asks the agents again.
+func (c *Core) forgetRecoveries(now time.Time) {
+	p := &c.peers
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, r := range p.recoveries {
+		if now.Sub(r.begun) > recoveryRetention {
+			delete(p.recoveries, key)
+		}
+	}
+	for id, link := range p.entries {
+		if !link.connected && now.Sub(link.lastHeard) > recoveryRetention {
+			delete(p.entries, id)
+		}
+	}
 }
 
 // orphans returns the queries whose owner has not been heard for OwnerSilence.
--- a/process/fencing/guard.go
+++ b/process/fencing/guard.go
@@ -358,7 +358,7 @@
 		s.mu.Lock()
 		for g.heldBytes.Load() > g.limits.HeldBytes && len(s.archive) > 0 {
 			g.drop([]*start{s.archive[0]})
-			s.archive = s.archive[1:]
+			s.archive = slices.Delete(s.archive, 0, 1)
 		}
 		s.mu.Unlock()
 	}
--- a/process/fencing/sender.go
+++ b/process/fencing/sender.go
@@ -235,8 +235,8 @@
 	for kept < len(s.archive) && now.Sub(s.archive[kept].endedAt) > retention {
 		kept++
 	}
-	dropped := s.archive[:kept]
-	s.archive = s.archive[kept:]
+	dropped := slices.Clone(s.archive[:kept])
+	s.archive = slices.Delete(s.archive, 0, kept) // clears what would keep the results alive
 	return dropped
 }
 
