--- a/cmd/azurerouter/main.go
+++ b/cmd/azurerouter/main.go
@@ -29,6 +29,7 @@
 	{"keys", "write keys and certificates for a deployment", runKeys},
 	{"load", "send a bounded load and print response times", runLoad},
 	{"bench", "compare policies in virtual time", runBench},
+	{"bench claims", "measure group commit in the log in virtual time", runBenchClaims},
 	{"bench capacity", "measure the cost of links, jobs, claims and messages", runBenchCapacity},
 	{"bench cancel", "cancel many requests at once in virtual time", runBenchCancel},
 	{"soak", "run entries and agents in virtual time under faults", runSoak},
--- a/soak/cancel.go
+++ b/soak/cancel.go
@@ -47,6 +47,8 @@
 }
 
 const (
+	// cancelTeam has no quota, which would refuse most of the wave.
+	cancelTeam = "wave"
 	cancelStep = 100 * time.Microsecond
 	// cancelSettle lets the processes connect before the requests arrive.
 	cancelSettle = 3 * time.Second
@@ -138,7 +140,7 @@
 func (c *cancelWatch) submit(e *entryNode) {
 	w := c.world
 	body := fmt.Appendf(nil, `{"service":%q,"team":%q,"idempotent":true,"deadline_ms":%d,"input":1}`,
-		serviceName, teamName, cancelDeadline.Milliseconds())
+		serviceName, cancelTeam, cancelDeadline.Milliseconds())
 	w.after(w.duration(latencyMin, latencyMax), "call "+e.name, func() {
 		sub, err := job.Parse(bytes.NewReader(body), true, w.now, e.core.ParseLimits())
 		if err != nil {
