--- a/process/agent/daemon.go
+++ b/process/agent/daemon.go
@@ -20,9 +20,6 @@
 	tickInterval = 50 * time.Millisecond
 	// ticksPerReport sets the interval of metrics to 1 s.
 	ticksPerReport = 20
-	// dialInterval is how often entries without a connection are dialled.
-	dialInterval = 500 * time.Millisecond
-	dialTimeout  = 2 * time.Second
 	// drainPoll is how often a shutdown looks whether everything has ended.
 	drainPoll = 20 * time.Millisecond
 )
@@ -44,7 +41,6 @@
 	conns map[wire.Incarnation]*peer.Conn
 	// entries are the known entries; seeds are dialled until one answers.
 	entries map[wire.Incarnation]wire.EntryAddress
-	dialing map[string]bool
 	members uint64
 	// closing are the connections that were closed for a lapsed lease.
 	closing map[wire.Incarnation]*peer.Conn
@@ -61,7 +57,6 @@
 		certificate: observer.Certificate(),
 		conns:       make(map[wire.Incarnation]*peer.Conn),
 		entries:     make(map[wire.Incarnation]wire.EntryAddress),
-		dialing:     make(map[string]bool),
 		closing:     make(map[wire.Incarnation]*peer.Conn),
 	}
 	d.core = NewCore((*daemonEnv)(d), Options{Incarnation: d.self, Service: s.Service, Slots: s.Slots,
@@ -74,7 +69,8 @@
 func (d *Daemon) AddTo(g *run.Group, stop <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	g.Add(func() error { return d.tick(ctx) }, func(error) { cancel() })
-	g.Add(func() error { return d.dialEntries(ctx) }, func(error) { cancel() })
+	dialer := &peer.Dialer{Identity: d.identity, Hello: d.hello, Handler: (*handler)(d), Wanted: d.wanted, Failed: d.unreachable.Failed}
+	g.Add(func() error { return dialer.Run(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return d.drainOn(ctx, stop) }, func(error) { cancel() })
 	g.Add(observe.Admin(d.settings.AdminAddr, d.observer, func() any { return d.dump() }, d.ready))
 	d.observer.Log.Info().Str("incarnation", d.self.String()).Str("service", d.settings.Service).
@@ -202,25 +198,9 @@
 		Accelerators: d.settings.Accelerators, ConfigOffset: d.core.ConfigOffset()}
 }
 
-// dialEntries keeps a connection to every known entry.
-func (d *Daemon) dialEntries(ctx context.Context) error {
-	ticker := time.NewTicker(dialInterval)
-	defer ticker.Stop()
-	for {
-		for _, addr := range d.undialled() {
-			go d.dial(ctx, addr)
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
-}
-
-// undialled lists the addresses to dial now and marks them as being dialled. The
-// seeds are used while no entry is connected.
-func (d *Daemon) undialled() []string {
+// wanted lists the entries without a connection, and the seeds while no entry is
+// connected.
+func (d *Daemon) wanted() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var addrs []string
@@ -233,26 +213,7 @@
 		addrs = append(addrs, d.settings.Seeds...)
 	}
 	d.unreachable.Retain(addrs)
-	var fresh []string
-	for _, addr := range addrs {
-		if !d.dialing[addr] {
-			d.dialing[addr] = true
-			fresh = append(fresh, addr)
-		}
-	}
-	return fresh
-}
-
-func (d *Daemon) dial(ctx context.Context, addr string) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	_, err := peer.Dial(ctx, addr, d.identity.TLS(), d.hello(), (*handler)(d))
-	d.mu.Lock()
-	delete(d.dialing, addr)
-	d.mu.Unlock()
-	if err != nil {
-		d.unreachable.Failed(addr, err)
-	}
+	return addrs
 }
 
 // handler receives the events of the connections to entries.
--- a/process/entry/daemon.go
+++ b/process/entry/daemon.go
@@ -23,10 +23,7 @@
 )
 
 const (
-	tickInterval = 2 * time.Millisecond
-	// dialInterval is how often entries without a connection are dialled.
-	dialInterval  = 500 * time.Millisecond
-	dialTimeout   = 2 * time.Second
+	tickInterval  = 2 * time.Millisecond
 	appendTimeout = 2 * time.Second
 	// followWait is the long poll of a stream, followRetry the pause after an
 	// error.
@@ -60,7 +57,6 @@
 	mu      sync.Mutex
 	agents  map[wire.Incarnation]*peer.Conn
 	entries map[wire.Incarnation]*peer.Conn
-	dialing map[string]bool
 	members *membership.Entries
 	config  *config.State
 	faults  []config.Fault
@@ -82,7 +78,6 @@
 		unreachable: observer.Unreachable("entry_unreachable"), certificate: observer.Certificate(),
 		agents:  make(map[wire.Incarnation]*peer.Conn),
 		entries: make(map[wire.Incarnation]*peer.Conn),
-		dialing: make(map[string]bool),
 		members: membership.New(), config: config.NewState(),
 	}
 	d.core = NewCore((*daemonEnv)(d), d.self, 1, uint64(time.Now().UnixNano()))
--- a/process/entry/report_test.go
+++ b/process/entry/report_test.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"context"
+
 	"net/http/httptest"
 	"runtime"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/azurerouter/azurerouter/connection/logclient"
 	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/observe"
@@ -49,10 +52,12 @@
 func TestDialFailureAndExpiryAreLogged(t *testing.T) {
 	var log bytes.Buffer
 	d := newLoggedDaemon(t, &log)
-	late, cancel := context.WithDeadline(context.Background(), time.Unix(0, 0))
-	defer cancel()
-	d.dial(late, "127.0.0.1:9")
+	d.dialFailed("127.0.0.1:8", errors.Wrap(errNotNeeded, "dial"))
+	d.dialFailed("127.0.0.1:9", errors.New("connection refused"))
 	d.reportCertificate()
+	if strings.Contains(log.String(), "127.0.0.1:8") {
+		t.Errorf("an entry that is connected already counts as unreachable:\n%s", log.String())
+	}
 	for _, message := range []string{`"peer":"127.0.0.1:9"`, "own certificate expired at"} {
 		if !strings.Contains(log.String(), message) {
 			t.Errorf("the log lacks %s:\n%s", message, log.String())
