--- a/e2e/config_test.go
+++ b/e2e/config_test.go
@@ -115,11 +115,11 @@
 // awaitOffset waits until every process is at the end of the config stream.
 func (c *cluster) awaitOffset() {
 	c.t.Helper()
-	want := c.configOffset()
 	for _, p := range append(c.entries, c.agents...) {
 		c.await(p.name+" is at the end of the config stream", func() bool {
+			// The end moves when a delayed record appears.
 			d, err := p.readDump()
-			return err == nil && d.State.ConfigOffset == want
+			return err == nil && d.State.ConfigOffset == c.configOffset()
 		})
 	}
 }
--- a/process/entry/claiming.go
+++ b/process/entry/claiming.go
@@ -38,6 +38,16 @@
 	s.committer.SetEntries(s.entries)
 }
 
+// waiting returns the number of claims that are not decided.
+func (s *claimState) waiting() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.committer == nil {
+		return 0
+	}
+	return s.committer.Waiting()
+}
+
 // keyWindow returns how long keys are remembered.
 func (s *claimState) keyWindow() time.Duration {
 	s.mu.Lock()
--- a/process/entry/dump.go
+++ b/process/entry/dump.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/azurerouter/azurerouter/connection/wire"
+	"github.com/azurerouter/azurerouter/process/quota"
 	"github.com/azurerouter/azurerouter/process/scheduler"
 	"github.com/azurerouter/azurerouter/version/config"
 )
@@ -23,19 +24,22 @@
 	ConfigOffset uint64 `json:"config_offset"`
 	// ActiveJobs are not answered yet, Serving agents take work, Outstanding tasks
 	// are at agents. Waiting tasks and Ejected targets are those of all services.
-	ActiveJobs   int                       `json:"active_jobs"`
-	Serving      int                       `json:"agents_serving"`
-	Outstanding  int                       `json:"tasks_outstanding"`
-	Waiting      int                       `json:"tasks_waiting"`
-	Ejected      int                       `json:"targets_ejected"`
-	Jobs         []ShardDump               `json:"jobs"`
-	Services     map[string]scheduler.Dump `json:"services"`
-	Agents       []AgentDump               `json:"agents"`
-	Entries      []EntryDump               `json:"entries"`
-	Queries      int                       `json:"queries"`
-	Recoveries   int                       `json:"recoveries"`
-	StrayAnswers uint64                    `json:"stray_answers"`
-	Recovered    uint64                    `json:"recovered"`
+	ActiveJobs  int                       `json:"active_jobs"`
+	Serving     int                       `json:"agents_serving"`
+	Outstanding int                       `json:"tasks_outstanding"`
+	Waiting     int                       `json:"tasks_waiting"`
+	Ejected     int                       `json:"targets_ejected"`
+	Jobs        []ShardDump               `json:"jobs"`
+	Services    map[string]scheduler.Dump `json:"services"`
+	Agents      []AgentDump               `json:"agents"`
+	Entries     []EntryDump               `json:"entries"`
+	// ClaimsWaiting is the number of submissions whose claim is not decided.
+	ClaimsWaiting int              `json:"claims_waiting"`
+	Quotas        []quota.TeamDump `json:"quotas"`
+	Queries       int              `json:"queries"`
+	Recoveries    int              `json:"recoveries"`
+	StrayAnswers  uint64           `json:"stray_answers"`
+	Recovered     uint64           `json:"recovered"`
 }
 
 // ShardDump counts the jobs of a shard by phase.
@@ -87,6 +91,10 @@
 		dump.Waiting += queued
 		dump.Ejected += len(ejected)
 	}
+	c.quotas.mu.Lock()
+	dump.Quotas = c.quotas.shares.Dump(c.env.Now())
+	c.quotas.mu.Unlock()
+	dump.ClaimsWaiting = c.claims.waiting()
 	c.dumpPeers(&dump)
 	return dump
 }
