entry: read limits before a shard is locked

Cause: the read-through; the comment on locks said that no two are held at once, and expiring a shard held the claims' lock under the shard's. Change: the limits are read once per pass. No change of behaviour.

--- a/process/entry/core.go
+++ b/process/entry/core.go
@@ -64,8 +64,9 @@
 }
 
 // Core is the state of one entry incarnation. It is safe for concurrent use;
-// jobs, services, agents and claims have locks of their own, of which no two
-// are held at once.
+// job shards, services, agents, claims, quotas and peers have locks of their
+// own. No two are held at once, except that of a service or an agent under that
+// of its table.
 type Core struct {
 	env     Env
 	self    wire.Incarnation
--- a/process/entry/jobs.go
+++ b/process/entry/jobs.go
@@ -222,12 +222,16 @@
 
 // expireJobs ends what is past its deadline or its retention.
 func (c *Core) expireJobs(now time.Time) {
+	keep := retention{answers: c.Limits().AnswerRetention, keys: c.claims.keyWindow()}
 	for i := range c.shards {
-		c.expireShard(now, &c.shards[i])
+		c.expireShard(now, &c.shards[i], keep)
 	}
 }
 
-func (c *Core) expireShard(now time.Time, s *shard) {
+// retention is how long a shard keeps answers, and keys without them.
+type retention struct{ answers, keys time.Duration }
+
+func (c *Core) expireShard(now time.Time, s *shard, keep retention) {
 	var after []func()
 	s.mu.Lock()
 	for _, hash := range s.activeInOrder() {
@@ -238,7 +242,7 @@
 		}
 		after = append(after, c.expireRunning(now, s, hash, e)...)
 	}
-	after = append(after, c.expireDone(now, s)...)
+	after = append(after, c.expireDone(now, s, keep)...)
 	s.mu.Unlock()
 	for _, f := range after {
 		f()
@@ -322,8 +326,7 @@
 // expireDone drops answers past their retention, or the oldest if they take more
 // than maxHeldBytes, and forgets keys past the
 // dedupe window.
-func (c *Core) expireDone(now time.Time, s *shard) []func() {
-	limits, window := c.Limits(), c.claims.keyWindow()
+func (c *Core) expireDone(now time.Time, s *shard, keep retention) []func() {
 	var release []sentRef
 	// Evicted keys are listed again, so the scan stops at the present end.
 	for left := len(s.done); left > 0; left-- {
@@ -333,11 +336,11 @@
 			s.done = s.done[1:]
 			continue
 		}
-		if now.Sub(oldest.at) <= limits.AnswerRetention && s.heldBytes <= maxHeldBytes {
+		if now.Sub(oldest.at) <= keep.answers && s.heldBytes <= maxHeldBytes {
 			break
 		}
 		s.done = s.done[1:]
-		release = append(release, e.evict(now, s, oldest.hash, window)...)
+		release = append(release, e.evict(now, s, oldest.hash, keep.keys)...)
 	}
 	if len(release) == 0 {
 		return nil
--- a/process/fencing/guard.go
+++ b/process/fencing/guard.go
@@ -45,7 +45,7 @@
 }
 
 // hardWindowFactor times Limits.Window bounds the refused sequences that are
-// kept for a sender that ignores busy refusals.
+// kept for a sender that ignores window_full refusals.
 const hardWindowFactor = 4
 
 // Guard remembers what one agent incarnation has started.
--- a/process/fencing/sender.go
+++ b/process/fencing/sender.go
@@ -85,7 +85,7 @@
 }
 
 // record enters a new sequence. A sender that leaves more open than the hard
-// window is fenced: it ignores the busy refusals.
+// window is fenced: it ignores the window_full refusals.
 func (s *sender) record(now time.Time, task wire.DispatchTask, refuse wire.NotStarted, limits Limits) Offer {
 	if !s.raise(task.Seq, limits) {
 		s.fence(now)
