entry: answer the balancer's health and readiness checks

Cause: readiness was served on the loopback admin address alone, which the platform's balancer cannot reach. Ruled out: opening the admin address, which also serves dumps.

--- a/process/entry/http.go
+++ b/process/entry/http.go
@@ -16,6 +16,10 @@
 const (
 	PathJobs     = "/v1/jobs"
 	PathRequests = "/v1/requests"
+	// PathHealth and PathReady are for the balancer, which cannot reach the
+	// admin address. The process is healthy if it answers at all.
+	PathHealth = "/health"
+	PathReady  = "/ready"
 )
 
 // API serves callers over HTTP.
@@ -30,11 +34,28 @@
 
 // ServeHTTP implements http.Handler.
 func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	single := r.URL.Path == PathRequests
-	if !single && r.URL.Path != PathJobs {
+	switch r.URL.Path {
+	case PathJobs, PathRequests:
+		a.serveSubmission(w, r, r.URL.Path == PathRequests)
+	case PathHealth:
+		w.WriteHeader(http.StatusOK)
+	case PathReady:
+		a.ready(w)
+	default:
 		a.refuse(w, refusal.New(refusal.NotFound, "route", "paths are %s and %s", PathJobs, PathRequests))
+	}
+}
+
+// ready answers the balancer. It counts no refusal: nothing was submitted.
+func (a *API) ready(w http.ResponseWriter) {
+	if err := a.core.Ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (a *API) serveSubmission(w http.ResponseWriter, r *http.Request, single bool) {
 	switch r.Method {
 	case http.MethodPost:
 		a.submit(w, r, single)
