--- a/process/entry/daemon.go
+++ b/process/entry/daemon.go
@@ -62,9 +62,11 @@
 	faults  []config.Fault
 	sources map[string]string
 
-	// forceMu orders the changes of what is in force; inForce is its offset.
+	// forceMu orders the changes of what is in force; inForce is its offset,
+	// newest the version of the file that changed last.
 	forceMu sync.Mutex
 	inForce uint64
+	newest  uint64
 }
 
 // NewDaemon prepares an entry process. It opens nothing yet.
--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -57,7 +57,8 @@
 func (c *Core) prepare(now time.Time, svc *service, agent wire.Incarnation, task scheduler.Task) (*sentTask, bool) {
 	sent, refused := c.markOutstanding(svc, agent, task)
 	if refused {
-		svc.finish(now, agent, task.ID, scheduler.EndNotStarted, 0)
+		// The job has ended meanwhile, which says nothing about the target.
+		svc.finish(now, agent, task.ID, scheduler.EndCancelled, 0)
 		return nil, false
 	}
 	return sent, true
--- a/process/entry/streams.go
+++ b/process/entry/streams.go
@@ -25,9 +25,11 @@
 
 const (
 	// snapshotRecords and snapshotInterval say when a snapshot of the
-	// configuration is due, whichever comes first.
+	// configuration is due after the last one of any entry, whichever comes
+	// first. The interval is a quarter of the retention that the default
+	// dedupe window asks of the log.
 	snapshotRecords  = 256
-	snapshotInterval = 2 * time.Minute
+	snapshotInterval = 5 * time.Minute
 	// snapshotSpread keeps entries from writing the same snapshot at once.
 	snapshotSpread = 30 * time.Second
 )
@@ -85,16 +87,26 @@
 }
 
 func (d *Daemon) followConfig(ctx context.Context) error {
-	due := time.Now().Add(snapshotInterval)
+	next := func() time.Time { return time.Now().Add(snapshotInterval + rand.N(snapshotSpread)) }
+	due, seen := next(), uint64(0)
 	return d.follow(ctx, ConfigStream, d.nextConfig, func(page logclient.Page) {
 		d.applyConfig(page)
+		if upTo := d.snapshotUpTo(); upTo != seen {
+			due, seen = next(), upTo
+		}
 		if d.snapshotDue(due, page) {
 			d.writeSnapshot(ctx)
-			due = time.Now().Add(snapshotInterval + rand.N(snapshotSpread))
+			due = next()
 		}
 	})
 }
 
+func (d *Daemon) snapshotUpTo() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.config.SnapshotUpTo()
+}
+
 func (d *Daemon) nextConfig() uint64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -161,14 +173,28 @@
 		return
 	}
 	d.inForce = offset
+	changed := newestVersion(files) != d.newest
+	d.newest = newestVersion(files)
 	merged, faults := config.Merge(files)
 	d.faults, d.sources = faults, merged.Source
 	d.mu.Unlock()
 	d.core.Configure(merged.Config)
 	d.core.PushConfig(offset, files)
+	if !changed {
+		return // a snapshot or a refused publication moved the offset alone
+	}
 	d.observer.Log.Info().Str("step", "config").Uint64("offset", offset).Int("faults", len(faults)).Msg("configuration in force")
 }
 
+// newestVersion returns the offset of the last change of any file.
+func newestVersion(files []config.File) uint64 {
+	newest := uint64(0)
+	for _, file := range files {
+		newest = max(newest, file.Version)
+	}
+	return newest
+}
+
 // checkDeferred reports what was wrong in records that were held back until the
 // state before them was known. It needs d.mu.
 func (d *Daemon) checkDeferred() {
