--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -85,7 +85,8 @@
 	return server.URL
 }
 
-func (c *cluster) publish(change config.Change) {
+// publish appends a change and returns its offset.
+func (c *cluster) publish(change config.Change) uint64 {
 	c.t.Helper()
 	record, err := config.EncodeChange(change)
 	if err != nil {
@@ -95,10 +96,14 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	response.Body.Close()
-	if response.StatusCode != http.StatusCreated {
-		c.t.Fatalf("publication answered %s", response.Status)
+	defer response.Body.Close()
+	var appended struct {
+		Offset uint64 `json:"offset"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&appended); err != nil || response.StatusCode != http.StatusCreated {
+		c.t.Fatalf("publication answered %s, %v", response.Status, err)
 	}
+	return appended.Offset
 }
 
 // seeds are the peer addresses of the entries added so far.
--- a/e2e/config_test.go
+++ b/e2e/config_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/azurerouter/azurerouter/version/config"
 )
 
 // Exit codes of the command publish.
@@ -329,3 +332,28 @@
 	c.awaitClaims("log-is-back")
 	checkStarts(t, c, s, 0)
 }
+
+// G8: the log trims old records. What they published is still in force in an
+// entry that starts afterwards and has nobody but the log to ask.
+func TestTrimmedLogStartsAnEntry(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.publish(config.Change{ID: "old", Base: map[string]uint64{"20-old.json": 0},
+		Put: map[string][]byte{"20-old.json": []byte(`{"services":{"old":{}}}`)}})
+	c.awaitService("old")
+	const publications, kept = 300, 100
+	before, version := c.configOffset(), uint64(0)
+	for i := range publications {
+		version = c.publish(config.Change{ID: fmt.Sprint("change-", i), Base: map[string]uint64{"30-team.json": version},
+			Put: map[string][]byte{"30-team.json": fmt.Appendf(nil, `{"teams":{"t":{"starts_per_second":%d}}}`, i+1)}})
+	}
+	c.awaitOffset()
+	c.await("a snapshot is written", func() bool { return c.configOffset() > before+publications })
+	c.controlLog(map[string]any{"retain_records": kept})
+	c.await("the oldest records are trimmed", func() bool { return c.log.Status().Streams[configStream].First > 2 })
+	c.entries[0].end()
+	late := c.addEntry(1)
+	late.start("entry")
+	c.entries = c.entries[1:]
+	c.awaitService("old")
+	c.awaitOffset()
+}
