entry: decide no recovered job before an agent has been asked

Cause, from the read-through: an entry without a connected agent of the service called a job of a dead entry failed, with all tasks unknown, and kept that answer for later resubmissions; and an agent that connected more than 3 s after the recovery began was asked but not waited for. Ruled out: refusing at once, since agents connect within a second of each other after most failures. Change: without an agent the caller is told at its deadline that the outcome is unknown, and may ask again; the wait counts from the last agent asked. The lease check of fenced entries stood twice in the agent.

--- a/process/agent/core.go
+++ b/process/agent/core.go
@@ -134,9 +134,8 @@
 	case *wire.Config:
 		c.applyConfig(m)
 	}
-	if !held && !c.guard.Fenced(entry) {
-		// Only a new connection renews a lapsed lease. A fenced entry has none
-		// to renew, and closing would lose the answer that tells it so.
+	if !held {
+		// Only a new connection renews a lapsed lease.
 		c.env.Disconnect(entry)
 	}
 }
--- a/process/entry/core_test.go
+++ b/process/entry/core_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/azurerouter/azurerouter/connection/logclient"
 	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/claims"
 	"github.com/azurerouter/azurerouter/request/job"
@@ -75,7 +76,7 @@
 	return f
 }
 
-func (f *fakeEnv) submit(t *testing.T, key string) *Reply {
+func (f *fakeEnv) parse(t *testing.T, key string) *job.Submission {
 	t.Helper()
 	at, _ := json.Marshal(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC))
 	body := fmt.Sprintf(`{"service":"card","team":"shop","key":%q,"submitted_at":%s,"tasks":[1]}`, key, at)
@@ -83,12 +84,48 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return sub
+}
+
+func (f *fakeEnv) submit(t *testing.T, key string) *Reply {
+	t.Helper()
 	reply := &Reply{}
-	f.core.Submit(sub, func(r Reply) { *reply = r })
+	f.core.Submit(f.parse(t, key), func(r Reply) { *reply = r })
 	f.settle(5)
 	return reply
 }
 
+// Guards against a job that is called lost, for good, by an entry that has no
+// agent to ask: the caller must be told that the outcome is unknown, and be able
+// to ask again.
+func TestRecoveryWithoutAgentsDecidesNothing(t *testing.T) {
+	f := newFake(t, []byte("1"))
+	f.core.AgentDisconnected(testAgent)
+	sub := f.parse(t, "orphan")
+	data, err := claims.EncodeRecord(claims.Record{Entry: 99, Nonce: 1, Pairs: []claims.Pair{{Key: sub.Hash, Digest: sub.Digest}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	page := logclient.Page{First: 1, Next: 2, Records: []logclient.Record{{Offset: 1, Time: f.now, Data: data}}}
+	if err := f.core.ClaimRecords(page); err != nil {
+		t.Fatal(err)
+	}
+	var reply Reply
+	f.core.Submit(sub, func(r Reply) { reply = r })
+	f.settle(3500) // beyond the silence of the owner and the default deadline
+	if reply.Refusal == nil || reply.Refusal.Run != refusal.RunUnknown {
+		t.Fatalf("reply %+v, want a refusal with an unknown outcome", reply)
+	}
+	f.core.AgentConnected(wire.Hello{Role: wire.RoleAgent, Incarnation: testAgent + 1, Name: "agent", Service: "card", Slots: 8})
+	f.core.Submit(f.parse(t, "orphan"), func(r Reply) { reply = r })
+	f.settle(10)
+	f.core.AgentReceived(testAgent+1, &wire.Fenced{Entry: 99, Tasks: []wire.HeldTask{{Key: sub.Hash, Count: 1, Outcome: job.OK, Output: []byte("1")}}})
+	f.settle(10)
+	if reply.Answer == nil || reply.Answer.State != job.Complete {
+		t.Fatalf("reply %+v, want the answer that the agent holds", reply)
+	}
+}
+
 // Guards against answers that fill the memory of an entry: the oldest are dropped,
 // and their keys are refused rather than run again.
 func TestHeldAnswersAreBounded(t *testing.T) {
--- a/process/entry/recovery.go
+++ b/process/entry/recovery.go
@@ -34,6 +34,8 @@
 	// alive is when an agent last said that it still hears the owner.
 	alive   time.Time
 	pending map[wire.Incarnation]bool
+	// askedAt is when the last agent was asked. Without one, nothing is known.
+	askedAt time.Time
 	tasks   map[job.KeyHash]map[int]wire.HeldTask
 }
 
@@ -122,6 +124,7 @@
 	c.peers.mu.Lock()
 	if r, ok := c.peers.recoveries[key]; ok {
 		r.pending[agent] = true
+		r.askedAt = c.env.Now()
 	}
 	c.peers.mu.Unlock()
 	c.env.SendAgent(agent, &wire.Fence{Entry: key.owner, SilentMS: wire.Milliseconds(OwnerSilence)})
@@ -206,7 +209,7 @@
 		refused := refusal.New(refusal.OwnerUnreachable, "recover", "the owner of the key is reachable only for its targets")
 		return Reply{Refusal: refused.Unknown().At(key.owner.String()).After(time.Second)}, true
 	}
-	if len(r.pending) > 0 && now.Sub(r.begun) < fenceTimeout {
+	if r.askedAt.IsZero() || len(r.pending) > 0 && now.Sub(r.askedAt) < fenceTimeout {
 		return Reply{}, false
 	}
 	results, ended := r.results(sub)
