Makefile: never take test results from the cache

Cause: package e2e builds the binary in a subprocess, so its cached result was reused although the commands had changed (seen: e2e (cached) after a change of publish). Change: -count=1.

--- a/Makefile
+++ b/Makefile
@@ -8,9 +8,10 @@
 # Tests listed in KNOWN-RED.txt fail because of a fault that is still open.
 KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
 
+# -count=1: package e2e builds the binary itself, which the test cache does not see.
 test:
 	@if [ -n "$(KNOWN_RED)" ]; then echo "not run, see KNOWN-RED.txt:"; grep '^test: ' KNOWN-RED.txt; fi
-	$(GO) test $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
+	$(GO) test -count=1 $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
 
 lint:
 	@unformatted="$$(gofmt -l $$(git ls-files '*.go'))"; \
