connection/peer: tell the other side that a connection is not needed

Ruled out: dialling in one direction only, since the incarnation behind a seed is not known. Change: a close with a code of its own, which Dial returns as ErrNotNeeded.

--- a/connection/peer/conn.go
+++ b/connection/peer/conn.go
@@ -39,6 +39,14 @@
 	applicationProtocol = "azurerouter/1"
 )
 
+// ErrNotNeeded marks the error with which Handler.Connected ends a connection to
+// a reachable peer that is connected already or is this process itself. Dial
+// returns an error of the same mark at the other side.
+var ErrNotNeeded = errors.New("connection not needed")
+
+// codeNotNeeded carries ErrNotNeeded to the other side.
+const codeNotNeeded quic.ApplicationErrorCode = 2
+
 // ErrClosed is returned by Send after the connection has ended.
 var ErrClosed = errors.New("connection closed")
 
@@ -103,7 +111,7 @@
 	}
 	if err := c.hearHello(); err != nil {
 		c.Close()
-		return nil, errors.Wrapf(err, "hello from %s", addr)
+		return nil, errors.Wrapf(markNotNeeded(err), "hello from %s", addr)
 	}
 	if err := h.Connected(c); err != nil {
 		c.Close()
@@ -113,6 +121,14 @@
 	return c, nil
 }
 
+func markNotNeeded(err error) error {
+	var closed *quic.ApplicationError
+	if errors.As(err, &closed) && closed.Remote && closed.ErrorCode == codeNotNeeded {
+		return errors.Mark(err, ErrNotNeeded)
+	}
+	return err
+}
+
 func newConn(connection *quic.Conn, stream *quic.Stream) *Conn {
 	return &Conn{connection: connection, stream: stream,
 		reader: bufio.NewReaderSize(stream, readBufferBytes), wake: make(chan struct{}, 1)}
--- a/connection/peer/listener.go
+++ b/connection/peer/listener.go
@@ -89,7 +89,14 @@
 		return
 	}
 	c := newConn(connection, stream)
-	if c.hearHello() != nil || c.sayHello(l.hello()) != nil || l.h.Connected(c) != nil {
+	if c.hearHello() != nil || c.sayHello(l.hello()) != nil {
+		c.Close()
+		return
+	}
+	if err := l.h.Connected(c); err != nil {
+		if errors.Is(err, ErrNotNeeded) {
+			connection.CloseWithError(codeNotNeeded, ErrNotNeeded.Error())
+		}
 		c.Close()
 		return
 	}
--- a/process/entry/daemon.go
+++ b/process/entry/daemon.go
@@ -218,7 +218,7 @@
 func (h *handler) Connected(c *peer.Conn) error {
 	d := (*Daemon)(h)
 	if c.Peer.Incarnation == d.self {
-		return errors.Mark(errors.New("dialled itself"), errNotNeeded)
+		return errors.Mark(errors.New("dialled itself"), peer.ErrNotNeeded)
 	}
 	conns := d.connsOf(c.Peer.Role)
 	if conns == nil {
@@ -229,7 +229,7 @@
 	if earlier != nil && c.Peer.Role == wire.RoleEntry {
 		// Two entries may dial each other at once; the first connection stays.
 		d.mu.Unlock()
-		return errors.Mark(errors.Newf("entry %s is connected already", c.Peer.Name), errNotNeeded)
+		return errors.Mark(errors.Newf("entry %s is connected already", c.Peer.Name), peer.ErrNotNeeded)
 	}
 	conns[c.Peer.Incarnation] = c
 	d.mu.Unlock()
--- a/process/entry/dial.go
+++ b/process/entry/dial.go
@@ -9,10 +9,6 @@
 	"github.com/azurerouter/azurerouter/connection/peer"
 )
 
-// errNotNeeded marks the end of a connection to a reachable entry that is
-// connected already or is this process itself.
-var errNotNeeded = errors.New("connection not needed")
-
 // dialEntries keeps a connection to every other entry.
 func (d *Daemon) dialEntries(ctx context.Context) error {
 	dialer := &peer.Dialer{Identity: d.identity, Hello: d.hello, Handler: (*handler)(d), Wanted: d.wanted,
@@ -21,7 +17,7 @@
 }
 
 func (d *Daemon) dialFailed(addr string, err error) {
-	if !errors.Is(err, errNotNeeded) {
+	if !errors.Is(err, peer.ErrNotNeeded) {
 		d.unreachable.Failed(addr, err)
 	}
 }
--- a/process/entry/report_test.go
+++ b/process/entry/report_test.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/azurerouter/azurerouter/connection/logclient"
+	"github.com/azurerouter/azurerouter/connection/peer"
 	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/observe"
 	"github.com/azurerouter/azurerouter/process/settings"
@@ -52,7 +53,7 @@
 func TestDialFailureAndExpiryAreLogged(t *testing.T) {
 	var log bytes.Buffer
 	d := newLoggedDaemon(t, &log)
-	d.dialFailed("127.0.0.1:8", errors.Wrap(errNotNeeded, "dial"))
+	d.dialFailed("127.0.0.1:8", errors.Wrap(peer.ErrNotNeeded, "dial"))
 	d.dialFailed("127.0.0.1:9", errors.New("connection refused"))
 	d.reportCertificate()
 	if strings.Contains(log.String(), "127.0.0.1:8") {
