entry: report violations found by the scheduler, show the retry budget

Cause: the scheduler counts calls that would have let a task run twice, but only its dump said so; the dump lacked the retry budget. Change: the entry passes such a count on as a violation of G1; retries_left per service.

--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -41,7 +41,7 @@
 				t.Errorf("%s, %s: %d tasks without an end, %d second ends", scenario.Name, policy, c.remaining, c.doubleEnds)
 			}
 			for _, e := range c.entries {
-				if n := e.scheduler.Dump().Violations; n != 0 {
+				if n := e.scheduler.Violations(); n != 0 {
 					t.Errorf("%s, %s: %d violations", scenario.Name, policy, n)
 				}
 			}
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -1,3 +1,5 @@
+// Package e2e runs the binary in separate processes, brings about failures and
+// counts the starts that the targets recorded.
 package e2e
 
 import (
--- a/process/entry/core.go
+++ b/process/entry/core.go
@@ -6,6 +6,7 @@
 package entry
 
 import (
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -107,6 +108,9 @@
 
 	dispatched atomic.Uint64
 	retried    atomic.Uint64
+	// reported is how many violations of the scheduler were passed on; it is
+	// under mu.
+	reported int
 }
 
 type counters struct {
@@ -237,5 +241,18 @@
 	for _, svc := range c.allServices() {
 		c.expireQueue(now, svc)
 		c.pump(now, svc)
+		c.reportViolations(svc)
+	}
+}
+
+// reportViolations passes on what the scheduler has refused because it would have
+// let a task run twice.
+func (c *Core) reportViolations(svc *service) {
+	svc.mu.Lock()
+	fresh := svc.scheduler.Violations() - svc.reported
+	svc.reported += fresh
+	svc.mu.Unlock()
+	if fresh > 0 {
+		c.env.Violated("G1", "schedule", "", fmt.Sprintf("%d calls for tasks that wait or run already in service %s", fresh, svc.name))
 	}
 }
--- a/process/entry/dump.go
+++ b/process/entry/dump.go
@@ -85,9 +85,9 @@
 	}
 	for _, svc := range c.allServices() {
 		svc.mu.Lock()
-		dump.Services[svc.name] = svc.scheduler.Dump()
+		dump.Services[svc.name] = svc.scheduler.Dump(c.env.Now())
 		svc.mu.Unlock()
-		queued, ejected := svc.load()
+		queued, ejected := svc.load(c.env.Now())
 		dump.Waiting += queued
 		dump.Ejected += len(ejected)
 	}
--- a/process/entry/metrics.go
+++ b/process/entry/metrics.go
@@ -48,7 +48,7 @@
 		tagged.Counter(observe.TasksDispatched).Inc(int64(now.dispatched[svc.name] - before.dispatched[svc.name]))
 		tagged.Counter(observe.TasksRetried).Inc(int64(now.retried[svc.name] - before.retried[svc.name]))
 		tagged.Gauge(observe.TasksOutstanding).Update(float64(outstanding[svc.name]))
-		queued, ejected := svc.load()
+		queued, ejected := svc.load(time.Now())
 		for _, name := range ejected {
 			now.ejected[name] = svc.name
 		}
@@ -109,9 +109,9 @@
 }
 
 // load returns the tasks that wait and the names of the ejected targets.
-func (s *service) load() (queued int, ejected []string) {
+func (s *service) load(now time.Time) (queued int, ejected []string) {
 	s.mu.Lock()
-	dump := s.scheduler.Dump()
+	dump := s.scheduler.Dump(now)
 	s.mu.Unlock()
 	for _, target := range dump.Targets {
 		if target.State == stateEjected {
--- a/process/scheduler/dump.go
+++ b/process/scheduler/dump.go
@@ -1,15 +1,21 @@
 package scheduler
 
-import "github.com/azurerouter/azurerouter/request/job"
+import (
+	"time"
+
+	"github.com/azurerouter/azurerouter/request/job"
+)
 
 // Dump is the state of a scheduler for operators.
 type Dump struct {
-	Policy        Policy       `json:"policy"`
-	WaitingUrgent int          `json:"waiting_urgent"`
-	WaitingBatch  int          `json:"waiting_batch"`
-	MeanRunMS     int64        `json:"mean_run_ms"`
-	Violations    int          `json:"violations"`
-	Targets       []TargetDump `json:"targets"`
+	Policy        Policy `json:"policy"`
+	WaitingUrgent int    `json:"waiting_urgent"`
+	WaitingBatch  int    `json:"waiting_batch"`
+	MeanRunMS     int64  `json:"mean_run_ms"`
+	// RetriesLeft is what is left of the retry budget, in retries.
+	RetriesLeft float64      `json:"retries_left"`
+	Violations  int          `json:"violations"`
+	Targets     []TargetDump `json:"targets"`
 }
 
 // TargetDump is what a scheduler knows of one target.
@@ -25,13 +31,18 @@
 
 var stateNames = map[healthState]string{healthy: "healthy", ejected: "ejected", readmitting: "readmitting"}
 
+// Violations returns how often a call would have let a task wait or run twice.
+// The call had no effect.
+func (s *Scheduler) Violations() int { return s.violations }
+
 // Dump returns the state of the queues and of the live targets.
-func (s *Scheduler) Dump() Dump {
+func (s *Scheduler) Dump(now time.Time) Dump {
 	d := Dump{
 		Policy:        s.settings.Policy,
 		WaitingUrgent: s.queue.waiting[job.Urgent],
 		WaitingBatch:  s.queue.waiting[job.Batch],
 		MeanRunMS:     s.runTime.value.Milliseconds(),
+		RetriesLeft:   s.budget.left(now, s.settings.RetryShare, s.settings.RetryMinimum),
 		Violations:    s.violations,
 	}
 	for _, t := range s.order {
--- a/process/scheduler/ejection_test.go
+++ b/process/scheduler/ejection_test.go
@@ -51,7 +51,7 @@
 
 func states(s *Scheduler) map[string]int {
 	count := map[string]int{}
-	for _, t := range s.Dump().Targets {
+	for _, t := range s.Dump(start).Targets {
 		count[t.State]++
 	}
 	return count
--- a/process/scheduler/model_test.go
+++ b/process/scheduler/model_test.go
@@ -159,7 +159,7 @@
 	if len(m.s.running) != len(m.running) {
 		t.Fatalf("%d tasks run, want %d", len(m.s.running), len(m.running))
 	}
-	if n := m.s.Dump().Violations; n != 0 {
+	if n := m.s.Violations(); n != 0 {
 		t.Fatalf("%d violations", n)
 	}
 	m.checkPool(t)
--- a/process/scheduler/retry.go
+++ b/process/scheduler/retry.go
@@ -45,14 +45,19 @@
 
 // take spends one retry, or reports false if the budget is used up.
 func (b *retryBudget) take(now time.Time, share float64, minimum int) bool {
-	allowed := max(float64(minimum), share*float64(b.successes.total(now)))
-	if float64(b.retries.total(now)) >= allowed {
+	if b.left(now, share, minimum) <= 0 {
 		return false
 	}
 	b.retries.add(now)
 	return true
 }
 
+// left returns how many retries may be spent now.
+func (b *retryBudget) left(now time.Time, share float64, minimum int) float64 {
+	allowed := max(float64(minimum), share*float64(b.successes.total(now)))
+	return allowed - float64(b.retries.total(now))
+}
+
 // averageWeight gives the last 50 values about two thirds of the weight.
 const averageWeight = 50
 
--- a/process/scheduler/scheduler_test.go
+++ b/process/scheduler/scheduler_test.go
@@ -99,7 +99,7 @@
 	random := newRandom()
 	next := 1
 	refill := func(now time.Time) []Assignment {
-		for s.Dump().WaitingUrgent < 8 {
+		for s.Dump(start).WaitingUrgent < 8 {
 			small := urgent(next, time.Hour)
 			small.Enqueued, small.Needs.MemoryMB = now, 1
 			mustAdmit(t, s, now, small)
