entry: check a promise of not run against the entry's own record

Change: such a refusal is weakened to unknown and counted. Ruled out: counting it as a violation, since a resubmission may rightly have started the key while the refusal was on its way. The new test fails without the change and passes with it.

--- a/process/entry/core.go
+++ b/process/entry/core.go
@@ -116,6 +116,8 @@
 type counters struct {
 	strayAnswers atomic.Uint64
 	recovered    atomic.Uint64
+	// promisesWithheld counts refusals as not run that were weakened.
+	promisesWithheld atomic.Uint64
 }
 
 // NewCore returns the state of a fresh entry incarnation. seed feeds the
--- a/process/entry/core_test.go
+++ b/process/entry/core_test.go
@@ -25,6 +25,7 @@
 	output []byte
 	offset uint64
 	later  []func()
+	silent bool // agents answer nothing
 	sent   []wire.Message
 }
 
@@ -43,7 +44,7 @@
 func (f *fakeEnv) SendAgent(agent wire.Incarnation, m wire.Message) {
 	f.sent = append(f.sent, m)
 	dispatch, ok := m.(*wire.Dispatch)
-	if !ok {
+	if !ok || f.silent {
 		return
 	}
 	answers := &wire.Answers{Agent: agent, Entry: dispatch.Entry}
@@ -126,6 +127,28 @@
 	}
 }
 
+// Guards against a refusal as not run while the job of the key is running, even
+// if the caller states that it has not sent the key before.
+func TestRefusalOfARunningKeyPromisesNothing(t *testing.T) {
+	f := newFake(t, nil)
+	f.silent = true
+	f.submit(t, "running")
+	f.core.Drain()
+	again := f.parse(t, "running")
+	again.First = true
+	var reply Reply
+	f.core.Submit(again, func(r Reply) { reply = r })
+	if reply.Refusal == nil || reply.Refusal.Code != refusal.Draining || reply.Refusal.Run != refusal.RunUnknown {
+		t.Errorf("reply %+v, want draining with an unknown outcome", reply.Refusal)
+	}
+	other := f.parse(t, "new")
+	other.First = true
+	f.core.Submit(other, func(r Reply) { reply = r })
+	if reply.Refusal == nil || reply.Refusal.Run != refusal.NotRun {
+		t.Errorf("reply %+v, want a refusal as not run", reply.Refusal)
+	}
+}
+
 // Guards against answers that fill the memory of an entry: the oldest are dropped,
 // and their keys are refused rather than run again.
 func TestHeldAnswersAreBounded(t *testing.T) {
--- a/process/entry/dump.go
+++ b/process/entry/dump.go
@@ -40,6 +40,9 @@
 	Recoveries    int              `json:"recoveries"`
 	StrayAnswers  uint64           `json:"stray_answers"`
 	Recovered     uint64           `json:"recovered"`
+	// PromisesWithheld counts refusals as not run that were weakened because of
+	// a start under the key.
+	PromisesWithheld uint64 `json:"promises_withheld"`
 }
 
 // ShardDump counts the jobs of a shard by phase.
@@ -75,7 +78,8 @@
 	dump := Dump{Incarnation: c.self.String(), Ready: "yes", FencedOff: c.FencedOff(),
 		ConfigOffset: c.peers.configOffset(), Queries: c.peers.pendingQueries(),
 		Services:     make(map[string]scheduler.Dump),
-		StrayAnswers: c.counters.strayAnswers.Load(), Recovered: c.counters.recovered.Load()}
+		StrayAnswers: c.counters.strayAnswers.Load(), Recovered: c.counters.recovered.Load(),
+		PromisesWithheld: c.counters.promisesWithheld.Load()}
 	dump.ActiveJobs = c.ActiveJobs()
 	if err := c.Ready(); err != nil {
 		dump.Ready = err.Error()
--- a/process/entry/submit.go
+++ b/process/entry/submit.go
@@ -14,6 +14,8 @@
 // cancelled, while a keyed one goes on, because its caller may resubmit.
 func (c *Core) Submit(sub *job.Submission, reply func(Reply)) (detach func()) {
 	now := c.env.Now()
+	deliver := reply
+	reply = func(r Reply) { deliver(c.withoutFalsePromise(sub, r)) }
 	if refused := c.admissible(sub); refused != nil {
 		reply(Reply{Refusal: unlessFirst(sub, refused)})
 		return func() {}
@@ -36,6 +38,25 @@
 	return refused.Unknown()
 }
 
+// withoutFalsePromise weakens a refusal as not run if this entry knows of a start
+// under the key: by an earlier call, whatever the caller states, or by one that
+// came while the refusal was on its way.
+func (c *Core) withoutFalsePromise(sub *job.Submission, r Reply) Reply {
+	if r.Refusal == nil || r.Refusal.Run != refusal.NotRun || !sub.Keyed() {
+		return r
+	}
+	s := c.shard(sub.Hash)
+	s.mu.Lock()
+	e, ok := s.jobs[sub.Hash]
+	mayHaveRun := ok && (e.phase == answered || e.phase == evicted || e.started())
+	s.mu.Unlock()
+	if mayHaveRun {
+		c.counters.promisesWithheld.Add(1)
+		r.Refusal.Unknown()
+	}
+	return r
+}
+
 func (c *Core) admissible(sub *job.Submission) *refusal.Error {
 	if err := c.Ready(); err != nil {
 		refused, _ := refusal.As(err)
