--- a/process/claims/machine_test.go
+++ b/process/claims/machine_test.go
@@ -353,18 +353,59 @@
 	},
 }
 
+// withoutIdleClaims drops claims without a result that cannot matter, because the
+// search takes time exponential in their number: those of entries that no
+// decision names as the owner, and all but the earliest of an entry. It returns
+// the number of decisions too.
+func withoutIdleClaims(history []porcupine.Operation) (kept []porcupine.Operation, decisions int) {
+	type claimant struct {
+		key   job.KeyHash
+		entry wire.Incarnation
+	}
+	owners, earliest := map[claimant]bool{}, map[claimant]int64{}
+	of := func(op porcupine.Operation) claimant {
+		c := op.Input.(*call)
+		return claimant{c.pair.Key, c.entry.self}
+	}
+	for _, op := range history {
+		if d := op.Output.(Decision); d.Verdict != 0 {
+			decisions++
+			owners[claimant{d.Key, d.Owner}] = true
+		} else if begin, ok := earliest[of(op)]; !ok || op.Call < begin {
+			earliest[of(op)] = op.Call
+		}
+	}
+	for _, op := range history {
+		if op.Output.(Decision).Verdict != 0 || owners[of(op)] && earliest[of(op)] == op.Call {
+			kept = append(kept, op)
+		}
+	}
+	return kept, decisions
+}
+
 // Guards against decisions that cannot be explained by one order of claims,
 // for example an owner that is seen and later replaced.
 func TestClaimsAreLinearizable(t *testing.T) {
+	decided := 0
+	defer func() {
+		if decided == 0 {
+			t.Error("no history held a decision, so the check could not fail")
+		}
+	}()
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine(t)
+		// The grid of an hour gives every submission of a key the same body. The
+		// run lasts far less than the window after the full hour.
+		m.log.now = m.log.now.Truncate(time.Hour)
 		t.Repeat(m.actions(time.Hour, time.Millisecond, 20*time.Millisecond))
 		for _, e := range m.entries {
 			for _, c := range e.waiting {
 				m.open(c)
 			}
 		}
-		if !porcupine.CheckOperations(keyModel, m.history) {
+		history, count := withoutIdleClaims(m.history)
+		decided += count
+		if !porcupine.CheckOperations(keyModel, history) {
 			t.Fatalf("history is not linearizable: %s", fmt.Sprint(m.history))
 		}
 	})
