--- /dev/null
+++ b/cmd/azurerouter/platform.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"io"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/run"
+
+	"github.com/azurerouter/azurerouter/platform"
+	"github.com/azurerouter/azurerouter/process/node"
+	"github.com/azurerouter/azurerouter/process/observe"
+	"github.com/azurerouter/azurerouter/process/runner"
+)
+
+// Bounds of the logs of a process on the platform.
+const (
+	logQueueLines      = 4096
+	logLinesPerSecond  = 1000
+	logRoutinePerSec   = 400
+	logCloseTimeout    = 200 * time.Millisecond
+	memoryShare        = 0.8
+	garbageCollectPerc = 100
+)
+
+// platformProcess is what the daemons on the platform have in common.
+type platformProcess struct {
+	settings  platform.Settings
+	observer  *observe.Observer
+	decisions *observe.Decisions
+	log       *observe.NonBlocking
+	metrics   string
+}
+
+// startPlatform reads the settings of the platform and opens the log.
+func startPlatform(metrics string, stdout io.Writer) (*platformProcess, error) {
+	path := os.Getenv(platform.SettingsVariable)
+	if path == "" {
+		return nil, errors.Newf("%s is not set, expected the path of the settings file", platform.SettingsVariable)
+	}
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		return nil, err
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryLimit)))
+	debug.SetGCPercent(garbageCollectPerc)
+	log := observe.NewNonBlocking(stdout, logQueueLines)
+	observer := observe.New(settings.Node, log)
+	p := &platformProcess{settings: settings, observer: observer, decisions: observer.Decisions(logLinesPerSecond, logRoutinePerSec),
+		log: log, metrics: metrics}
+	observer.Log.Info().Str("step", "start").Str("zone", settings.Zone).Str("settings", path).Msg("process starts")
+	return p, nil
+}
+
+// reload reads the settings again after SIGHUP. What is in use stays as it is:
+// addresses and identity of a process do not change while it runs.
+func (p *platformProcess) reload() {
+	_, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	p.observer.Log.Info().Err(err).Str("step", "reload").Msg("settings read again")
+}
+
+func (p *platformProcess) close() {
+	p.observer.Close()
+	p.log.Close(logCloseTimeout)
+}
+
+func runPlatformEntry(metrics string, stdout, stderr io.Writer) int {
+	p, err := startPlatform(metrics, stdout)
+	if err != nil {
+		return fail(stderr, "entry", err)
+	}
+	defer p.close()
+	store := platform.NewStore(p.settings.StoreAddr)
+	options := node.EntryOptions{Node: p.settings.Node, Zone: p.settings.Zone, LinkAddr: p.settings.LinkAddr, Seeds: p.settings.SeedLinks,
+		Grace: p.settings.Grace, CallerAddr: p.settings.CallerAddr, ReadyAddr: p.settings.ReadyAddr, ControlAddr: p.settings.ControlAddr,
+		MetricsAddr: p.metrics, Callers: callers, Ready: platform.ReadyHandler, Config: store, Directory: store}
+	e := node.NewEntry(options, p.observer, p.decisions)
+	return runDaemon("entry", stderr, p.reload, e.AddTo)
+}
+
+func callers(e *node.Entry) http.Handler {
+	return &platform.Callers{Table: e.Table, Dispatcher: e, Closing: e.Stopping, Answered: e.Answered}
+}
+
+func runPlatformAgent(metrics string, stdout, stderr io.Writer) int {
+	p, err := startPlatform(metrics, stdout)
+	if err != nil {
+		return fail(stderr, "agent", err)
+	}
+	defer p.close()
+	options := node.AgentOptions{Node: p.settings.Node, Zone: p.settings.Zone, Seeds: p.settings.SeedLinks, Grace: p.settings.Grace,
+		ControlAddr: p.settings.ControlAddr, Control: func(c *runner.Core) http.Handler { return platform.ControlHandler(c) },
+		MetricsAddr: p.metrics, Target: platform.NewTarget(p.settings.TargetAddr), Directory: platform.NewStore(p.settings.StoreAddr)}
+	a := node.NewAgent(options, p.observer, p.decisions)
+	return runDaemon("agent", stderr, p.reload, func(g *run.Group, stop <-chan struct{}) error { return a.AddTo(g, stop) })
+}
--- a/connection/peer/bench_test.go
+++ b/connection/peer/bench_test.go
@@ -7,11 +7,11 @@
 	"net"
 	"runtime"
 	"runtime/debug"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/azurerouter/azurerouter/connection/outbox"
 	"github.com/azurerouter/azurerouter/connection/wire"
 )
 
@@ -163,58 +163,24 @@
 // and the same batching of writes.
 type tcpConn struct {
 	net.Conn
-	mu    sync.Mutex
-	queue []byte
-	wake  chan struct{}
-	done  chan struct{}
+	outbox *outbox.Outbox
 }
 
 func serveTCP(conn net.Conn, received func(*tcpConn, wire.Message)) *tcpConn {
-	c := &tcpConn{Conn: conn, wake: make(chan struct{}, 1), done: make(chan struct{})}
-	go c.writeLoop()
+	c := &tcpConn{Conn: conn, outbox: outbox.New(maxQueuedBytes)}
+	go c.outbox.Run(conn)
 	go c.readLoop(received)
 	return c
 }
 
-func (c *tcpConn) Send(m wire.Message) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	queue, err := wire.Append(c.queue, m)
-	c.queue = queue
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
-	return err
-}
-
-func (c *tcpConn) writeLoop() {
-	var spare []byte
-	for {
-		select {
-		case <-c.wake:
-		case <-c.done:
-			return
-		}
-		c.mu.Lock()
-		batch := c.queue
-		c.queue = spare[:0]
-		c.mu.Unlock()
-		if _, err := c.Write(batch); err != nil {
-			return
-		}
-		if spare = batch; cap(spare) > maxSpareBytes {
-			spare = nil
-		}
-	}
-}
+func (c *tcpConn) Send(m wire.Message) error { return c.outbox.Put(m) }
 
 func (c *tcpConn) readLoop(received func(*tcpConn, wire.Message)) {
 	reader := bufio.NewReaderSize(c, readBufferBytes)
 	for {
 		m, err := wire.Read(reader)
 		if err != nil {
-			close(c.done)
+			c.outbox.Close()
 			c.Close()
 			return
 		}
--- a/connection/peer/conn.go
+++ b/connection/peer/conn.go
@@ -8,12 +8,12 @@
 	"context"
 	"crypto/tls"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/quic-go/quic-go"
 
+	"github.com/azurerouter/azurerouter/connection/outbox"
 	"github.com/azurerouter/azurerouter/connection/wire"
 )
 
@@ -31,10 +31,7 @@
 const (
 	// readBufferBytes holds small messages; larger payloads are read past the
 	// buffer. An entry holds one buffer per agent.
-	readBufferBytes = 4 << 10
-	// maxSpareBytes bounds the write buffer that an idle connection keeps after
-	// a burst.
-	maxSpareBytes       = 64 << 10
+	readBufferBytes     = 4 << 10
 	maxQueuedBytes      = 64 << 20
 	applicationProtocol = "azurerouter/1"
 )
@@ -48,7 +45,7 @@
 const codeNotNeeded quic.ApplicationErrorCode = 2
 
 // ErrClosed is returned by Send after the connection has ended.
-var ErrClosed = errors.New("connection closed")
+var ErrClosed = outbox.ErrClosed
 
 // Handler receives what happens on connections. Received and Disconnected are
 // called from the connection's own goroutine, in order.
@@ -73,10 +70,7 @@
 	stream     *quic.Stream
 	reader     *bufio.Reader
 
-	mu     sync.Mutex
-	queue  []byte
-	wake   chan struct{}
-	closed bool
+	outbox *outbox.Outbox
 }
 
 func quicConfig() *quic.Config {
@@ -131,7 +125,7 @@
 
 func newConn(connection *quic.Conn, stream *quic.Stream) *Conn {
 	return &Conn{connection: connection, stream: stream,
-		reader: bufio.NewReaderSize(stream, readBufferBytes), wake: make(chan struct{}, 1)}
+		reader: bufio.NewReaderSize(stream, readBufferBytes), outbox: outbox.New(maxQueuedBytes)}
 }
 
 func (c *Conn) sayHello(hello wire.Hello) error {
@@ -164,76 +158,36 @@
 // Send queues a message. Messages arrive in the order of the calls, or the
 // connection ends. Send does not wait for the network.
 func (c *Conn) Send(m wire.Message) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		return errors.Wrapf(ErrClosed, "send %s to %s", wire.KindName(m), c.Peer.Name)
+	err := c.outbox.Put(m)
+	if errors.Is(err, ErrClosed) {
+		c.connection.CloseWithError(1, "send queue closed")
 	}
-	queue, err := wire.Append(c.queue, m)
-	if err != nil {
-		return err
-	}
-	c.queue = queue
-	if len(queue) > maxQueuedBytes {
-		c.closed = true
-		c.connection.CloseWithError(1, "send queue full")
-		return errors.Wrapf(ErrClosed, "send queue to %s exceeds %d bytes", c.Peer.Name, maxQueuedBytes)
-	}
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
-	return nil
+	return errors.Wrapf(err, "peer %s", c.Peer.Name)
 }
 
 // Close ends the connection. Queued messages may be lost.
 func (c *Conn) Close() {
-	c.mu.Lock()
-	c.closed = true
-	c.mu.Unlock()
+	c.outbox.Close()
 	c.connection.CloseWithError(0, "")
 }
 
-func (c *Conn) isClosed() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closed
-}
-
 func (c *Conn) start(h Handler) {
+	context.AfterFunc(c.connection.Context(), c.outbox.Close)
 	go c.writeLoop()
 	go c.readLoop(h)
 }
 
-// writeLoop sends everything queued since its last write at once, so that a
-// burst of small messages shares packets.
 func (c *Conn) writeLoop() {
-	var spare []byte
-	for {
-		select {
-		case <-c.wake:
-		case <-c.connection.Context().Done():
-			return
-		}
-		c.mu.Lock()
-		batch := c.queue
-		c.queue = spare[:0]
-		c.mu.Unlock()
-		if _, err := c.stream.Write(batch); err != nil {
-			c.Close()
-			return
-		}
-		spare = batch
-		if cap(spare) > maxSpareBytes {
-			spare = nil
-		}
+	// The reader reports why a connection ended; a failed write ends it.
+	if err := c.outbox.Run(c.stream); err != nil {
+		c.Close()
 	}
 }
 
 func (c *Conn) readLoop(h Handler) {
 	for {
 		m, err := wire.Read(c.reader)
-		if err == nil && c.isClosed() {
+		if err == nil && c.outbox.Closed() {
 			err = ErrClosed
 		}
 		if err != nil {
--- a/connection/peer/peer_test.go
+++ b/connection/peer/peer_test.go
@@ -278,12 +278,11 @@
 	atEntry := newRecorder()
 	atEntry.onReceive = (*Conn).Close
 	c := mustDial(t, listen(t, id.TLS(), atEntry).Addr(), id.TLS(), "agent", newRecorder())
-	c.mu.Lock() // one write carries all messages
-	for i := range 100 {
-		c.queue, _ = wire.Append(c.queue, numbered(i, 0))
+	var burst []wire.Message // one write carries all messages
+	for i := range 101 {
+		burst = append(burst, numbered(i, 0))
 	}
-	c.mu.Unlock()
-	c.Send(numbered(100, 0))
+	c.outbox.Put(burst...)
 	atEntry.mustSee(t, "disconnected agent")
 	if got := atEntry.all(); !slices.Equal(got, []string{"connected agent", "0 from agent", "disconnected agent"}) {
 		t.Errorf("%d events: %q", len(got), got)
@@ -314,22 +313,6 @@
 func (disconnectOnly) Received(*Conn, wire.Message)         {}
 func (d disconnectOnly) Disconnected(_ *Conn, reason error) { d.ended <- reason }
 
-// Guards against connections that keep the memory of their largest burst.
-func TestIdleConnectionKeepsNoLargeBuffer(t *testing.T) {
-	id := identity(t, newTestAuthority(t), tomorrow())
-	atEntry := newRecorder()
-	c := mustDial(t, listen(t, id.TLS(), atEntry).Addr(), id.TLS(), "agent", newRecorder())
-	for i, size := range []int{8 << 20, 0, 0} { // the two buffers take turns
-		c.Send(numbered(i, size))
-		atEntry.mustSee(t, fmt.Sprintf("%d from agent", i))
-		c.mu.Lock()
-		if cap(c.queue) > maxSpareBytes {
-			t.Errorf("an idle connection keeps %d bytes after message %d", cap(c.queue), i)
-		}
-		c.mu.Unlock()
-	}
-}
-
 // Guards against a slow peer that makes a process keep messages without bound,
 // and against a message of excessive size that ends the connection for all
 // others.
--- a/connection/wire/codec.go
+++ b/connection/wire/codec.go
@@ -40,45 +40,63 @@
 	kindQueryReply
 	kindConfig
 	kindQuota
+	kindEntryHello
+	kindEntryMembers
+	kindRoutingUpdate
+	kindEnroll
+	kindOrders
+	kindAgentReport
 )
 
-func (*Hello) kind() kind      { return kindHello }
-func (*Members) kind() kind    { return kindMembers }
-func (*Heartbeat) kind() kind  { return kindHeartbeat }
-func (*Resume) kind() kind     { return kindResume }
-func (*Dispatch) kind() kind   { return kindDispatch }
-func (*Answers) kind() kind    { return kindAnswers }
-func (*Cancel) kind() kind     { return kindCancel }
-func (*Leaving) kind() kind    { return kindLeaving }
-func (*Fence) kind() kind      { return kindFence }
-func (*Fenced) kind() kind     { return kindFenced }
-func (*Query) kind() kind      { return kindQuery }
-func (*QueryReply) kind() kind { return kindQueryReply }
-func (*Config) kind() kind     { return kindConfig }
-func (*Quota) kind() kind      { return kindQuota }
+func (*Hello) kind() kind         { return kindHello }
+func (*Members) kind() kind       { return kindMembers }
+func (*Heartbeat) kind() kind     { return kindHeartbeat }
+func (*Resume) kind() kind        { return kindResume }
+func (*Dispatch) kind() kind      { return kindDispatch }
+func (*Answers) kind() kind       { return kindAnswers }
+func (*Cancel) kind() kind        { return kindCancel }
+func (*Leaving) kind() kind       { return kindLeaving }
+func (*Fence) kind() kind         { return kindFence }
+func (*Fenced) kind() kind        { return kindFenced }
+func (*Query) kind() kind         { return kindQuery }
+func (*QueryReply) kind() kind    { return kindQueryReply }
+func (*Config) kind() kind        { return kindConfig }
+func (*Quota) kind() kind         { return kindQuota }
+func (*EntryHello) kind() kind    { return kindEntryHello }
+func (*EntryMembers) kind() kind  { return kindEntryMembers }
+func (*RoutingUpdate) kind() kind { return kindRoutingUpdate }
+func (*Enroll) kind() kind        { return kindEnroll }
+func (*Orders) kind() kind        { return kindOrders }
+func (*AgentReport) kind() kind   { return kindAgentReport }
 
 var newMessage = map[kind]func() Message{
-	kindHello:      func() Message { return new(Hello) },
-	kindMembers:    func() Message { return new(Members) },
-	kindHeartbeat:  func() Message { return new(Heartbeat) },
-	kindResume:     func() Message { return new(Resume) },
-	kindDispatch:   func() Message { return new(Dispatch) },
-	kindAnswers:    func() Message { return new(Answers) },
-	kindCancel:     func() Message { return new(Cancel) },
-	kindLeaving:    func() Message { return new(Leaving) },
-	kindFence:      func() Message { return new(Fence) },
-	kindFenced:     func() Message { return new(Fenced) },
-	kindQuery:      func() Message { return new(Query) },
-	kindQueryReply: func() Message { return new(QueryReply) },
-	kindConfig:     func() Message { return new(Config) },
-	kindQuota:      func() Message { return new(Quota) },
+	kindHello:         func() Message { return new(Hello) },
+	kindMembers:       func() Message { return new(Members) },
+	kindHeartbeat:     func() Message { return new(Heartbeat) },
+	kindResume:        func() Message { return new(Resume) },
+	kindDispatch:      func() Message { return new(Dispatch) },
+	kindAnswers:       func() Message { return new(Answers) },
+	kindCancel:        func() Message { return new(Cancel) },
+	kindLeaving:       func() Message { return new(Leaving) },
+	kindFence:         func() Message { return new(Fence) },
+	kindFenced:        func() Message { return new(Fenced) },
+	kindQuery:         func() Message { return new(Query) },
+	kindQueryReply:    func() Message { return new(QueryReply) },
+	kindConfig:        func() Message { return new(Config) },
+	kindQuota:         func() Message { return new(Quota) },
+	kindEntryHello:    func() Message { return new(EntryHello) },
+	kindEntryMembers:  func() Message { return new(EntryMembers) },
+	kindRoutingUpdate: func() Message { return new(RoutingUpdate) },
+	kindEnroll:        func() Message { return new(Enroll) },
+	kindOrders:        func() Message { return new(Orders) },
+	kindAgentReport:   func() Message { return new(AgentReport) },
 }
 
 var kindNames = map[kind]string{
 	kindHello: "hello", kindMembers: "members", kindHeartbeat: "heartbeat", kindResume: "resume",
 	kindDispatch: "dispatch", kindAnswers: "answers", kindCancel: "cancel", kindLeaving: "leaving",
 	kindFence: "fence", kindFenced: "fenced", kindQuery: "query", kindQueryReply: "query_reply",
-	kindConfig: "config", kindQuota: "quota",
+	kindConfig: "config", kindQuota: "quota", kindEntryHello: "entry_hello", kindEntryMembers: "entry_members", kindRoutingUpdate: "routing_update", kindEnroll: "enroll", kindOrders: "orders", kindAgentReport: "agent_report",
 }
 
 // KindName returns the name of the message's type, for metrics and logs.
--- a/connection/wire/codec_test.go
+++ b/connection/wire/codec_test.go
@@ -11,13 +11,19 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/azurerouter/azurerouter/request/batch"
 	"github.com/azurerouter/azurerouter/request/job"
+	"github.com/azurerouter/azurerouter/version/routing"
 )
 
 // samples holds one message of each kind with every field set.
 func samples() []Message {
 	key := job.KeyHash{1, 2, 3}
 	load := Load{Running: 3, Queued: 4}
+	room := batch.Resources{MilliCPU: 16000, MemoryMiB: 32768, GPUs: 1}
+	run := batch.Run{Task: batch.Task{Job: "0123456789abcdef", Occurrence: 1, Step: 2, Index: 3}, Number: 4}
+	members := []EntryMember{{Name: "entry-1", Addr: "127.0.0.1:7001"}}
+	target := TargetState{Target: "t-1", Service: "card", Room: room, Labels: []string{"rack-1"}, Closed: ClosedFaulty, Probing: true, Revision: 6}
 	return []Message{
 		&Hello{Role: RoleAgent, Incarnation: math.MaxUint64, Name: "agent-1", Zone: "zone-a", PeerAddr: "127.0.0.1:7000",
 			Service: "card", Slots: 8, MemoryMB: 32768, Accelerators: 1, ConfigOffset: 5},
@@ -36,6 +42,17 @@
 		&QueryReply{ID: 1, Answer: []byte("{}"), Refusal: Refusal{Code: "deadline", Run: "no", Message: "m", Step: "s", RetryAfterMS: 1}},
 		&Config{Offset: 3, Files: []ConfigFile{{Name: "a.json", Version: 3, Content: []byte("{}")}}},
 		&Quota{Shares: []QuotaShare{{Team: "shop", Demand: 10.5, Loan: 2}}, Seq: 7, Echo: 6},
+		&EntryHello{Entry: 3, Name: "entry-1", Zone: "zone-a", Entries: members},
+		&EntryMembers{Entries: members},
+		&RoutingUpdate{Config: routing.Config{Version: 4, Queues: []routing.Queue{{Name: "q", Host: "h", PathPrefix: "/q/",
+			Service: "card", Priority: 1, MaxAttempts: 3, Stretch: 1.5, TargetLatency: 60, Timeout: 1500, Advised: true}},
+			Services: []routing.Service{{Name: "card", GuardsRoom: true}}, Limits: routing.Limits{HeaderBytes: 1, BodyBytes: 2,
+				HeaderTimeout: 3, IdleTimeout: 4}}},
+		&Enroll{Agent: 1, Node: "agent-1", Zone: "zone-a", Session: 2, Clock: 9, Target: target, Free: room,
+			Held: []RunReport{{Run: run, End: batch.EndDone, RanMS: 50}}},
+		&Orders{Sequence: 1, Echo: 9, Stops: []batch.Run{run}, Declined: true, Starts: []StartOrder{{Job: "j", Spec: "s", Step: 1,
+			Occurrence: 2, Demand: room, EstimateMS: 60, SlackMS: -5, Tasks: []StartTask{{Index: 3, Number: 1}}}}},
+		&AgentReport{Clock: 9, Handled: 1, Free: room, Runs: []RunReport{{Run: run, Refused: RefusedFull}}, Target: &target, Invitation: true},
 	}
 }
 
--- /dev/null
+++ b/process/dispatch/assign.go
@@ -0,0 +1,223 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/azurerouter/azurerouter/connection/wire"
+	"github.com/azurerouter/azurerouter/process/decision"
+	"github.com/azurerouter/azurerouter/request/batch"
+)
+
+// group is the tasks of one step of a job that wait for a target.
+type group struct {
+	job  *activeJob
+	step int
+	// late is set if the job can't meet its objective any more.
+	late  bool
+	start time.Time
+}
+
+// maxUnplaced bounds how many groups in a row may find no target before the
+// rest of the queue is left for later.
+const maxUnplaced = 8
+
+// outgoing collects the orders of one pass, one message for each target.
+type outgoing struct {
+	targets []*target
+	orders  map[*target]*wire.Orders
+}
+
+// assign sends waiting tasks to targets with room, the most urgent first.
+func (c *Core) assign(now time.Time, p *pool) {
+	queue := p.queue(now)
+	if len(queue) == 0 || !p.anyRoom(now) {
+		return
+	}
+	out := outgoing{orders: make(map[*target]*wire.Orders)}
+	unplaced := 0
+	for _, g := range queue {
+		if c.place(now, p, g, &out) {
+			unplaced = 0
+			continue
+		}
+		if unplaced++; unplaced >= maxUnplaced {
+			break
+		}
+	}
+	for _, t := range out.targets {
+		c.send(now, t, out.orders[t])
+	}
+}
+
+func (p *pool) anyRoom(now time.Time) bool {
+	for _, t := range p.targets {
+		if t.mayHaveRoom(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayHaveRoom reports whether the target takes orders and owes no invitation.
+func (t *target) mayHaveRoom(now time.Time) bool {
+	return t.takesOrders(now) && (t.fullAt.IsZero() || now.Sub(t.fullAt) > retryFull)
+}
+
+// queue returns the groups that wait, in the order in which they are served:
+// first those of jobs that can meet their objective, the least slack first.
+// This answers bursts, in which serving late jobs first would make all late.
+func (p *pool) queue(now time.Time) []group {
+	var queue []group
+	for _, j := range p.jobs {
+		for step := range j.steps {
+			if len(j.steps[step].ready) == 0 {
+				continue
+			}
+			start := j.latestStart(step)
+			queue = append(queue, group{job: j, step: step, start: start, late: start.Before(now)})
+		}
+	}
+	slices.SortFunc(queue, compareGroups)
+	return queue
+}
+
+func compareGroups(a, b group) int {
+	if a.late != b.late {
+		if a.late {
+			return 1
+		}
+		return -1
+	}
+	if by := a.start.Compare(b.start); by != 0 {
+		return by
+	}
+	return cmp.Or(cmp.Compare(a.job.Job.ID, b.job.Job.ID), cmp.Compare(a.step, b.step))
+}
+
+// place orders runs for as many tasks of a group as find room. It reports
+// whether any did.
+func (c *Core) place(now time.Time, p *pool, g group, out *outgoing) bool {
+	state := &g.job.steps[g.step]
+	placed := false
+	for len(state.ready) > 0 {
+		t := c.choose(now, p, g)
+		if t == nil {
+			return placed
+		}
+		c.order(now, p, g, t, out)
+		placed = true
+	}
+	return placed
+}
+
+// order asks a target for runs of as many tasks of the group as it has room
+// for. Few targets for a job mean few messages, and few jobs that are hit when
+// a target fails.
+func (c *Core) order(now time.Time, p *pool, g group, t *target, out *outgoing) {
+	j, state, step := g.job, &g.job.steps[g.step], g.job.Job.Steps[g.step]
+	start := wire.StartOrder{Job: j.Job.ID, Spec: j.Job.Spec, Step: g.step, Demand: step.Demand,
+		EstimateMS: step.Estimate.Milliseconds(), SlackMS: g.start.Sub(now).Milliseconds()}
+	room := t.expectedFree()
+	for len(state.ready) > 0 && state.allows(step, t) {
+		if len(start.Tasks) > 0 && (t.state.Probing || !step.Demand.FitsIn(room)) {
+			break
+		}
+		next := state.ready[0]
+		state.ready = state.ready[1:]
+		next.number++
+		r := &run{task: next, target: t, number: next.number, ordered: now, demand: step.Demand}
+		next.live = r
+		t.runs[r.name()] = r
+		p.countOnTarget(r, 1)
+		j.started++
+		start.Tasks = append(start.Tasks, wire.StartTask{Index: next.index, Number: next.number})
+		t.unheard = append(t.unheard, unheardOrder{t.sent + 1, step.Demand})
+		room = room.Sub(step.Demand)
+	}
+	c.counters.ordered.Add(uint64(len(start.Tasks)))
+	c.env.Decided(decision.Decision{Step: "place", Job: j.Job.ID, Peer: t.node, Outcome: "ordered", Age: now.Sub(t.heard),
+		Version: t.state.Revision, Routine: true, Inputs: []decision.Input{{Name: "step", Value: int64(g.step)},
+			{Name: "tasks", Value: int64(len(start.Tasks))}, {Name: "free_millicpu", Value: int64(t.free.MilliCPU)}, {Name: "slack_ms", Value: start.SlackMS}}})
+	if out.orders[t] == nil {
+		out.orders[t] = &wire.Orders{}
+		out.targets = append(out.targets, t)
+	}
+	out.orders[t].Starts = append(out.orders[t].Starts, start)
+}
+
+// allows reports whether the step may have another run on the target.
+func (s *stepState) allows(step batch.Step, t *target) bool {
+	return step.MaxPerTarget == 0 || s.perTarget[t.node] < step.MaxPerTarget
+}
+
+// choose returns the target for the next task of a group, or nil.
+func (c *Core) choose(now time.Time, p *pool, g group) *target {
+	step, state := g.job.Job.Steps[g.step], &g.job.steps[g.step]
+	avoid := state.ready[0].avoid
+	var best *target
+	var bestCost float64
+	for _, t := range p.targets {
+		if !t.mayHaveRoom(now) || !step.Demand.FitsIn(t.state.Room) || !state.allows(step, t) || !t.hasLabel(step.Label) {
+			continue
+		}
+		fits := step.Demand.FitsIn(t.expectedFree())
+		if len(t.unheard) > 0 && (!fits || t.state.Probing) {
+			continue
+		}
+		cost := c.cost(p, g, t)
+		if !fits {
+			cost += costGuess
+		}
+		if t.node == avoid {
+			cost += costAvoided
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = t, cost
+		}
+	}
+	return best
+}
+
+func (t *target) hasLabel(label string) bool {
+	return label == "" || slices.Contains(t.state.Labels, label)
+}
+
+// Weights of the choice of a target. Their unit is the duration of a task on a
+// target of usual speed.
+const (
+	// costAvoided keeps a task from the target where it failed last.
+	costAvoided = 10.0
+	// costGuess is for a target that was full when last heard. Asking it at
+	// least makes it send an invitation.
+	costGuess = 20.0
+	// costProbing keeps tasks from a target that may still be faulty.
+	costProbing = 5.0
+	// costOtherZone is for the longer way and the price of bytes between zones.
+	costOtherZone = 0.15
+	// costSplit is for a job that needs another target for the rest of its
+	// tasks.
+	costSplit = 0.3
+	// costRandom spreads the orders of entries that know the same.
+	costRandom = 0.3
+)
+
+func (c *Core) cost(p *pool, g group, t *target) float64 {
+	cost := p.speeds.of(t.node) + costRandom*p.random.Float64()
+	if t.state.Probing {
+		cost += costProbing
+	}
+	if t.zone != c.zone {
+		cost += costOtherZone
+	}
+	if !fitsAll(g.job.Job.Steps[g.step].Demand, len(g.job.steps[g.step].ready), t.expectedFree()) {
+		cost += costSplit
+	}
+	return cost
+}
+
+func fitsAll(demand batch.Resources, tasks int, free batch.Resources) bool {
+	all := batch.Resources{MilliCPU: demand.MilliCPU * tasks, MemoryMiB: demand.MemoryMiB * tasks, GPUs: demand.GPUs * tasks}
+	return all.FitsIn(free)
+}
--- /dev/null
+++ b/process/dispatch/core.go
@@ -0,0 +1,205 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/azurerouter/azurerouter/connection/wire"
+	"github.com/azurerouter/azurerouter/process/decision"
+	"github.com/azurerouter/azurerouter/request/batch"
+)
+
+// answerKept is how long the answer of a job is kept for a caller who sends the
+// job again; answersKept bounds their number.
+const (
+	answerKept  = 30 * time.Second
+	answersKept = 20000
+)
+
+// Core is the state of one entry incarnation. It is safe for concurrent use;
+// each service has a lock of its own, and the two tables that lead to them have
+// one each. A table's lock is never held while a service's is taken.
+type Core struct {
+	env  Env
+	self wire.Incarnation
+	zone string
+	seed uint64
+
+	poolsMu sync.RWMutex
+	pools   map[string]*pool
+
+	agentsMu sync.RWMutex
+	// agents says in which pool an agent is.
+	agents map[wire.Incarnation]*pool
+
+	nextWaiter atomic.Uint64
+	counters   counters
+}
+
+// pool is one service: its targets and the jobs that run on them.
+type pool struct {
+	service string
+	mu      sync.Mutex
+	random  *rand.Rand
+	targets map[wire.Incarnation]*target
+	jobs    map[batch.ID]*activeJob
+	answers map[batch.ID]keptAnswer
+	oldest  []batch.ID
+	speeds  speeds
+}
+
+type keptAnswer struct {
+	result Result
+	at     time.Time
+}
+
+// New returns the state of a fresh entry incarnation. seed feeds the choice of
+// targets.
+func New(env Env, self wire.Incarnation, zone string, seed uint64) *Core {
+	return &Core{env: env, self: self, zone: zone, seed: seed, pools: make(map[string]*pool),
+		agents: make(map[wire.Incarnation]*pool)}
+}
+
+func (c *Core) pool(service string) *pool {
+	c.poolsMu.RLock()
+	p := c.pools[service]
+	c.poolsMu.RUnlock()
+	if p != nil {
+		return p
+	}
+	c.poolsMu.Lock()
+	defer c.poolsMu.Unlock()
+	if p := c.pools[service]; p != nil {
+		return p
+	}
+	p = &pool{service: service, random: rand.New(rand.NewPCG(c.seed, uint64(len(c.pools)))),
+		targets: make(map[wire.Incarnation]*target), jobs: make(map[batch.ID]*activeJob), answers: make(map[batch.ID]keptAnswer)}
+	c.pools[service] = p
+	return p
+}
+
+func (c *Core) allPools() []*pool {
+	c.poolsMu.RLock()
+	defer c.poolsMu.RUnlock()
+	all := make([]*pool, 0, len(c.pools))
+	for _, p := range c.pools {
+		all = append(all, p)
+	}
+	return all
+}
+
+// Submit takes a job. reply is called once with the result, possibly before
+// Submit returns, unless the returned leave is called first. leave is for a
+// caller who no longer waits; a job without callers is stopped.
+func (c *Core) Submit(s Submission, reply func(Result)) (leave func()) {
+	p := c.pool(s.Service)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := c.env.Now()
+	c.counters.submitted.Add(1)
+	if kept, ok := p.answers[s.Job.ID]; ok && kept.result.Code != NotRun && kept.result.Code != GaveUp {
+		c.env.Decided(decision.Decision{Step: "accept", Job: s.Job.ID, Outcome: "answered_again", Age: now.Sub(kept.at)})
+		reply(kept.result)
+		return func() {}
+	}
+	j := p.jobs[s.Job.ID]
+	if j == nil {
+		if refusal, ok := c.admit(now, p, s); !ok {
+			c.refuse(s, refusal)
+			reply(refusal)
+			return func() {}
+		}
+		j = newActiveJob(now, s)
+		p.jobs[s.Job.ID] = j
+		c.env.Decided(decision.Decision{Step: "accept", Job: s.Job.ID, Outcome: "accepted", Peer: s.Queue, Version: s.Version,
+			Routine: true, Inputs: []decision.Input{{Name: "objective_ms", Value: s.Objective.Milliseconds()},
+				{Name: "patience_ms", Value: s.Patience.Milliseconds()}, {Name: "active_jobs", Value: int64(len(p.jobs))}}})
+	}
+	id := c.nextWaiter.Add(1)
+	j.waiters[id] = reply
+	c.assign(now, p)
+	return func() { c.leave(p, j, id) }
+}
+
+func (c *Core) refuse(s Submission, refusal Result) {
+	c.counters.ended(refusal)
+	c.env.Decided(decision.Decision{Step: "accept", Job: s.Job.ID, Peer: s.Queue, Outcome: "refused", Reason: string(refusal.Reason),
+		Version: s.Version, Inputs: []decision.Input{{Name: "retry_after_ms", Value: refusal.RetryAfter.Milliseconds()}}})
+}
+
+func (c *Core) leave(p *pool, j *activeJob, waiter uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, waits := j.waiters[waiter]; !waits {
+		return
+	}
+	delete(j.waiters, waiter)
+	if len(j.waiters) > 0 || j.ended {
+		return
+	}
+	now := c.env.Now()
+	c.env.Decided(decision.Decision{Step: "answer", Job: j.Job.ID, Outcome: "cancelled", Reason: "caller left",
+		Inputs: []decision.Input{{Name: "took_ms", Value: now.Sub(j.submitted).Milliseconds()}}})
+	c.counters.left.Add(1)
+	j.ended = true
+	delete(p.jobs, j.Job.ID)
+	c.stopRuns(now, p, j)
+	c.assign(now, p)
+}
+
+// remember keeps the answer of a job for a repeated submission.
+func (p *pool) remember(now time.Time, id batch.ID, result Result) {
+	if _, known := p.answers[id]; !known {
+		p.oldest = append(p.oldest, id)
+	}
+	p.answers[id] = keptAnswer{result, now}
+	for len(p.oldest) > 0 && (len(p.oldest) > answersKept || now.Sub(p.answers[p.oldest[0]].at) > answerKept) {
+		delete(p.answers, p.oldest[0])
+		p.oldest = p.oldest[1:]
+	}
+}
+
+// ActiveJobs returns the number of jobs that have not been answered.
+func (c *Core) ActiveJobs() int {
+	active := 0
+	for _, p := range c.allPools() {
+		p.mu.Lock()
+		active += len(p.jobs)
+		p.mu.Unlock()
+	}
+	return active
+}
+
+// GiveUpAll answers every job, for a process that must end.
+func (c *Core) GiveUpAll() {
+	for _, p := range c.allPools() {
+		p.mu.Lock()
+		now := c.env.Now()
+		for _, j := range p.jobs {
+			c.end(now, p, j, unfinished(j, ReasonStopping))
+		}
+		p.mu.Unlock()
+	}
+}
+
+// unfinished is the result of a job that can't be completed here.
+func unfinished(j *activeJob, reason Reason) Result {
+	if j.started > 0 {
+		return Result{Code: GaveUp, Reason: reason}
+	}
+	return Result{Code: NotRun, Reason: reason, RetryAfter: retryAfterUnknown}
+}
+
+// Tick does what is due. It is to be called every few milliseconds.
+func (c *Core) Tick() {
+	for _, p := range c.allPools() {
+		p.mu.Lock()
+		now := c.env.Now()
+		c.checkTargets(now, p)
+		c.checkJobs(now, p)
+		c.assign(now, p)
+		p.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/process/dispatch/dump.go
@@ -0,0 +1,92 @@
+package dispatch
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/azurerouter/azurerouter/connection/wire"
+	"github.com/azurerouter/azurerouter/request/batch"
+)
+
+// maxDumpTargets bounds the targets of one service in a dump.
+const maxDumpTargets = 1000
+
+// Dump is a copy of the state for operators.
+type Dump struct {
+	Services []ServiceDump `json:"services"`
+	Counts   Counts        `json:"counts"`
+}
+
+// ServiceDump is the state of one service.
+type ServiceDump struct {
+	Service string       `json:"service"`
+	Jobs    int          `json:"jobs"`
+	Waiting int          `json:"waiting_tasks"`
+	Targets []TargetDump `json:"targets"`
+}
+
+// TargetDump is what the entry believes of one target.
+type TargetDump struct {
+	Node      string          `json:"node"`
+	Connected bool            `json:"connected"`
+	Closed    wire.Closed     `json:"closed,omitempty"`
+	Free      batch.Resources `json:"free"`
+	Runs      int             `json:"runs"`
+	HeardMS   int64           `json:"heard_ms_ago"`
+	Slowness  float64         `json:"slowness"`
+}
+
+// Dump returns a copy of the state.
+func (c *Core) Dump() Dump {
+	dump := Dump{Counts: c.Counts()}
+	for _, p := range c.allPools() {
+		dump.Services = append(dump.Services, c.dumpPool(p))
+	}
+	return dump
+}
+
+func (c *Core) dumpPool(p *pool) ServiceDump {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := c.env.Now()
+	d := ServiceDump{Service: p.service, Jobs: len(p.jobs)}
+	for _, g := range p.queue(now) {
+		d.Waiting += len(g.job.steps[g.step].ready)
+	}
+	for _, t := range p.targets {
+		if len(d.Targets) == maxDumpTargets {
+			break
+		}
+		d.Targets = append(d.Targets, TargetDump{Node: t.node, Connected: t.connected, Closed: t.state.Closed, Free: t.free, Runs: len(t.runs),
+			HeardMS: now.Sub(t.heard).Milliseconds(), Slowness: p.speeds.of(t.node)})
+	}
+	slices.SortFunc(d.Targets, func(a, b TargetDump) int { return strings.Compare(a.Node, b.Node) })
+	return d
+}
+
+// Serving reports whether any agent is heard.
+func (c *Core) Serving() bool {
+	for _, p := range c.allPools() {
+		p.mu.Lock()
+		heard := p.anyHeard(c.env.Now())
+		p.mu.Unlock()
+		if heard {
+			return true
+		}
+	}
+	return false
+}
+
+// Waiting returns how many jobs of a queue have not started a task.
+func (c *Core) Waiting(service, queue string) int {
+	p := c.pool(service)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	waiting := 0
+	for _, j := range p.jobs {
+		if j.Queue == queue && j.started == 0 {
+			waiting++
+		}
+	}
+	return waiting
+}
--- /dev/null
+++ b/process/node/links.go
@@ -0,0 +1,129 @@
+// Package node runs entries and agents as processes on instances of the
+// platform: it connects the decisions of packages dispatch and runner to the
+// network, the clock and the platform's adapter.
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/azurerouter/azurerouter/connection/wire"
+)
+
+// Times of the connections to entries.
+const (
+	redialMin = 100 * time.Millisecond
+	redialMax = 2 * time.Second
+	// forgetAfter is when an entry that can't be reached is no longer dialled,
+	// unless the settings name it.
+	forgetAfter = time.Minute
+)
+
+// dialer keeps one connection to each known entry.
+type dialer struct {
+	self string
+	// connect dials an entry and returns after the connection has ended. It
+	// reports whether the connection was established.
+	connect func(ctx context.Context, addr string) bool
+	// unreachable and reached are told when an entry can't be dialled and when
+	// it can again.
+	unreachable func(addr string, since time.Time)
+
+	mu    sync.Mutex
+	known map[string]wire.EntryMember
+	seeds map[string]bool
+	ctx   context.Context
+	wait  sync.WaitGroup
+}
+
+func newDialer(self string, seeds []string) *dialer {
+	d := &dialer{self: self, known: make(map[string]wire.EntryMember), seeds: make(map[string]bool)}
+	for _, seed := range seeds {
+		d.seeds[seed] = true
+	}
+	return d
+}
+
+// run dials until the context ends.
+func (d *dialer) run(ctx context.Context) {
+	d.mu.Lock()
+	d.ctx = ctx
+	d.mu.Unlock()
+	var seeds []wire.EntryMember
+	for seed := range d.seeds {
+		seeds = append(seeds, wire.EntryMember{Addr: seed})
+	}
+	d.add(seeds)
+	<-ctx.Done()
+	d.wait.Wait()
+}
+
+// add begins to dial the entries that are not known yet. It reports whether
+// there were any.
+func (d *dialer) add(members []wire.EntryMember) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	fresh := false
+	for _, m := range members {
+		if m.Addr == "" || m.Addr == d.self || d.ctx == nil {
+			continue
+		}
+		before, known := d.known[m.Addr]
+		if known {
+			if before.Name == "" {
+				d.known[m.Addr] = m
+			}
+			continue
+		}
+		fresh = true
+		d.known[m.Addr] = m
+		d.wait.Add(1)
+		go d.keep(d.ctx, m.Addr)
+	}
+	return fresh
+}
+
+// members returns the known entries.
+func (d *dialer) members() []wire.EntryMember {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	members := make([]wire.EntryMember, 0, len(d.known))
+	for _, m := range d.known {
+		members = append(members, m)
+	}
+	return members
+}
+
+func (d *dialer) keep(ctx context.Context, addr string) {
+	defer d.wait.Done()
+	backoff, reached := redialMin, time.Now()
+	for ctx.Err() == nil {
+		if d.connect(ctx, addr) {
+			backoff, reached = redialMin, time.Now()
+		} else {
+			d.unreachable(addr, reached)
+			backoff = min(2*backoff, redialMax)
+		}
+		if time.Since(reached) > forgetAfter && !d.isSeed(addr) {
+			d.forget(addr)
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(backoff):
+		}
+	}
+}
+
+func (d *dialer) isSeed(addr string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.seeds[addr]
+}
+
+func (d *dialer) forget(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.known, addr)
+}
--- a/process/observe/admin.go
+++ b/process/observe/admin.go
@@ -26,8 +26,18 @@
 	return a.execute, a.interrupt
 }
 
+// PrivateNetwork returns the same actor for an address of a private network in
+// which only the platform and the operators can reach it.
+func PrivateNetwork(addr string, observer *Observer, dump func() any, ready func() error) (execute func() error, interrupt func(error)) {
+	a := newAdmin(addr, observer, dump, ready)
+	a.private = true
+	return a.execute, a.interrupt
+}
+
 type admin struct {
-	addr     string
+	addr string
+	// private allows an address that other machines can reach.
+	private  bool
 	observer *Observer
 	dumper   *dumper
 	ready    func() error
@@ -61,7 +71,7 @@
 }
 
 func (a *admin) execute() error {
-	if err := checkLoopback(a.addr); err != nil {
+	if err := checkLoopback(a.addr); err != nil && !a.private {
 		return err
 	}
 	listener, err := net.Listen("tcp", a.addr)
--- a/process/observe/names.go
+++ b/process/observe/names.go
@@ -64,6 +64,31 @@
 
 	// ConfigOffset is the configuration version in force.
 	ConfigOffset = "config_offset"
+	// DecisionsOmitted counts decisions that were left out of the log.
+	DecisionsOmitted = "decisions_omitted"
+	// JobsSubmitted counts jobs that callers handed in.
+	JobsSubmitted = "jobs_submitted"
+	// JobsEnded counts jobs by TagCode.
+	JobsEnded = "jobs_ended"
+	// JobsActive is the number of jobs that have not been answered.
+	JobsActive = "jobs_active"
+	// RunsOrdered counts runs that an entry ordered from agents.
+	RunsOrdered = "runs_ordered"
+	// RunsTurnedBack counts runs that agents refused, by TagReason.
+	RunsTurnedBack = "runs_turned_back"
+	// RunsLost counts runs that ended with their target or agent.
+	RunsLost = "runs_lost"
+	// RunsStarted counts runs that an agent sent to its target.
+	RunsStarted = "runs_started"
+	// RunsEnded counts ends of runs at an agent, by TagOutcome.
+	RunsEnded = "runs_ended"
+	// RunsHeld is the number of runs that may be alive at a target.
+	RunsHeld = "runs_held"
+	// CallerResponses counts responses to callers, by TagStatus.
+	CallerResponses = "caller_responses"
+	// RoutingVersion is the version of the routing configuration in force.
+	RoutingVersion = "routing_version"
+
 	// ConfigFaults is the number of faults in the configuration in force.
 	ConfigFaults = "config_faults"
 )
@@ -81,4 +106,5 @@
 	TagReason    = "reason"
 	TagStream    = "stream"
 	TagResult    = "result"
+	TagStatus    = "status"
 )
--- /dev/null
+++ b/process/runner/dump.go
@@ -0,0 +1,34 @@
+package runner
+
+import (
+	"maps"
+
+	"github.com/azurerouter/azurerouter/connection/wire"
+	"github.com/azurerouter/azurerouter/request/batch"
+)
+
+// Dump is a copy of the state for operators.
+type Dump struct {
+	Target   string          `json:"target"`
+	Service  string          `json:"service"`
+	Closed   wire.Closed     `json:"closed,omitempty"`
+	Probing  bool            `json:"probing,omitempty"`
+	Room     batch.Resources `json:"room"`
+	Free     batch.Resources `json:"free"`
+	Runs     int             `json:"runs"`
+	Sessions int             `json:"sessions"`
+	Fence    uint64          `json:"fence"`
+	Seen     uint64          `json:"ends_seen"`
+	Counters Counters        `json:"counters"`
+}
+
+// Dump returns a copy of the state.
+func (c *Core) Dump() Dump {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counters := c.counters
+	counters.Refused, counters.Ended = maps.Clone(counters.Refused), maps.Clone(counters.Ended)
+	counters.Closed = maps.Clone(counters.Closed)
+	return Dump{Target: c.target.id, Service: c.target.service, Closed: c.closed(), Probing: c.health.probing, Room: c.target.room,
+		Free: c.free(), Runs: len(c.runs), Sessions: len(c.sessions), Fence: c.fence, Seen: c.target.seen, Counters: counters}
+}
--- /dev/null
+++ b/process/runner/hold.go
@@ -0,0 +1,322 @@
+package runner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/azurerouter/azurerouter/connection/wire"
+	"github.com/azurerouter/azurerouter/process/decision"
+	"github.com/azurerouter/azurerouter/request/batch"
+)
+
+// Times of the calls that hold the lease.
+const (
+	// holdWait is how long a target may wait for an end before it answers.
+	holdWait = 150 * time.Millisecond
+	// unreachableAfter is when a target that does not answer takes no new runs
+	// and its lease is no longer renewed.
+	unreachableAfter = 400 * time.Millisecond
+	// missingLimit is in how many answers in a row a confirmed run may be
+	// absent. One answer may be older than the confirmation.
+	missingLimit = 2
+)
+
+// target is what the agent knows of the target beside it.
+type target struct {
+	id       string
+	service  string
+	born     int64
+	sequence uint64
+	room     batch.Resources
+	labels   []string
+	draining bool
+
+	clockKnown bool
+	clock      TargetClock
+	clockAt    time.Time
+	// heard is when the target last answered a hold.
+	heard       time.Time
+	unreachable bool
+	// leaseUntil is the end of the longest lease that was asked for, by the
+	// agent's clock.
+	leaseUntil time.Time
+	seen       uint64
+}
+
+// heardClock notes a reading of the target's clock.
+func (t *target) heardClock(now time.Time, clock TargetClock) {
+	if clock > t.clock {
+		t.clock, t.clockAt, t.clockKnown = clock, now, true
+	}
+}
+
+// leaseFrom returns the end of a lease that starts now, by the target's clock.
+func (c *Core) leaseFrom(now time.Time) TargetClock {
+	c.target.leaseUntil = later(c.target.leaseUntil, now.Add(wire.RunLease))
+	return c.target.clock + TargetClock((now.Sub(c.target.clockAt) + wire.RunLease).Milliseconds())
+}
+
+// Reported takes what the target says of itself. It reports false if the report
+// is older than what is known.
+func (c *Core) Reported(r TargetReport) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.env.Now()
+	if c.target.id != "" && c.olderThanKnown(r) {
+		return false
+	}
+	if r.Target != c.target.id || (r.Born != 0 && r.Born != c.target.born) {
+		c.adopt(now, r)
+	}
+	was := c.target
+	c.target.service, c.target.sequence = r.Service, r.Sequence
+	c.target.room, c.target.labels = r.Room, r.Labels
+	c.target.draining = c.target.draining || r.Draining
+	if was.service != r.Service || was.room != r.Room || was.draining != c.target.draining || !slices.Equal(was.labels, r.Labels) {
+		c.changed()
+		c.env.Decided(decision.Decision{Step: "target_report", Peer: r.Target, Outcome: reportOutcome(c.target.draining),
+			Version: r.Sequence, Inputs: []decision.Input{{Name: "room_millicpu", Value: int64(r.Room.MilliCPU)}}})
+	}
+	c.invite(now)
+	c.flush(now)
+	return true
+}
+
+func reportOutcome(draining bool) string {
+	if draining {
+		return "draining"
+	}
+	return "serving"
+}
+
+// olderThanKnown reports whether a report was sent before the newest one. A
+// report may be delayed beyond the end of its target's life.
+func (c *Core) olderThanKnown(r TargetReport) bool {
+	if r.Born != 0 && c.target.born != 0 && r.Born != c.target.born {
+		return r.Born < c.target.born
+	}
+	return r.Target == c.target.id && r.Sequence <= c.target.sequence
+}
+
+// adopt begins with a new life of the target.
+func (c *Core) adopt(now time.Time, r TargetReport) {
+	if c.target.id != "" {
+		c.loseRuns(now, "target was replaced")
+	}
+	c.target = target{id: r.Target, born: r.Born, heard: now}
+	c.health = health{}
+	c.changed()
+	c.env.Decided(decision.Decision{Step: "target", Peer: r.Target, Outcome: "adopted", Version: r.Sequence})
+	c.env.Look()
+}
+
+// Deregistered takes the target's word that it ends.
+func (c *Core) Deregistered(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.target.id != id {
+		return
+	}
+	c.target.draining = true
+	c.changed()
+	c.env.Decided(decision.Decision{Step: "target", Peer: id, Outcome: "deregistered"})
+	c.flush(c.env.Now())
+}
+
+// targetReplaced forgets a target whose address another one has taken.
+func (c *Core) targetReplaced(now time.Time, cause string) {
+	c.loseRuns(now, cause)
+	c.target = target{}
+	c.changed()
+}
+
+// loseRuns ends the runs that died with their target.
+func (c *Core) loseRuns(now time.Time, cause string) {
+	if len(c.runs) == 0 {
+		return
+	}
+	c.env.Decided(decision.Decision{Step: "target", Peer: c.target.id, Outcome: "runs_lost", Reason: cause,
+		Inputs: []decision.Input{{Name: "runs", Value: int64(len(c.runs))}}})
+	for _, h := range c.runs {
+		c.finish(now, h, batch.EndLost)
+	}
+}
+
+// NextHold returns the next call that holds the lease. wait is false for a call
+// that must be answered at once. It reports false while there is no target.
+func (c *Core) NextHold(wait bool) (HoldCall, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.target.id == "" {
+		return HoldCall{}, false
+	}
+	now := c.env.Now()
+	call := HoldCall{Target: c.target.id, Fence: c.fence, Seen: c.target.seen}
+	if c.target.clockKnown && !c.target.unreachable && len(c.runs) > 0 {
+		call.LeaseUntil = c.leaseFrom(now)
+	}
+	if wait && c.target.clockKnown {
+		call.Wait = holdWait
+	}
+	return call, true
+}
+
+// HoldFailed takes a hold without a usable answer.
+func (c *Core) HoldFailed(call HoldCall, verdict Verdict) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if call.Target != c.target.id {
+		return
+	}
+	now := c.env.Now()
+	switch verdict {
+	case VerdictFenced:
+		if c.fence <= call.Fence {
+			c.fence = call.Fence + fenceStep
+		}
+	case VerdictOtherTarget:
+		c.targetReplaced(now, "another target answers at the address")
+	}
+	c.flush(now)
+}
+
+// checkTarget notes a target that has stopped answering, and ends its runs once
+// their lease has passed for certain.
+func (c *Core) checkTarget(now time.Time) {
+	if c.target.id == "" {
+		return
+	}
+	silent := now.Sub(c.target.heard)
+	if !c.target.unreachable && silent > unreachableAfter {
+		c.target.unreachable = true
+		c.changed()
+		c.env.Decided(decision.Decision{Step: "judge_target", Peer: c.target.id, Outcome: "closed",
+			Reason: string(wire.ClosedUnreachable), Age: silent, Inputs: []decision.Input{{Name: "runs", Value: int64(len(c.runs))}}})
+	}
+	if c.target.unreachable && now.Sub(c.target.leaseUntil) > leaseSpan-wire.RunLease {
+		for _, h := range c.runs {
+			c.finish(now, h, batch.EndLapsed)
+		}
+	}
+}
+
+// HoldAnswered takes the target's list of what runs and what has ended.
+func (c *Core) HoldAnswered(call HoldCall, answer HoldAnswer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if call.Target != c.target.id {
+		return
+	}
+	now := c.env.Now()
+	if answer.Born != 0 && answer.Born != c.target.born {
+		if c.target.born != 0 {
+			c.targetReborn(now, answer.Born)
+		}
+		c.target.born = answer.Born
+	}
+	known := c.target.clockKnown
+	c.target.heardClock(now, answer.Clock)
+	c.target.heard = now
+	if c.target.unreachable || !known {
+		c.reachable(now)
+	}
+	c.noteEnds(now, answer.Ended)
+	c.noteRunning(now, answer)
+	c.checkProgress(now)
+	c.invite(now)
+	c.flush(now)
+}
+
+// targetReborn handles a target that started again under its identity.
+func (c *Core) targetReborn(now time.Time, born int64) {
+	c.loseRuns(now, "target started again")
+	fresh := target{id: c.target.id, born: born, service: c.target.service, room: c.target.room, labels: c.target.labels, heard: now}
+	c.target = fresh
+	c.health = health{}
+	c.changed()
+}
+
+func (c *Core) reachable(now time.Time) {
+	if c.target.unreachable {
+		c.env.Decided(decision.Decision{Step: "judge_target", Peer: c.target.id, Outcome: "open", Reason: "target answers again"})
+	}
+	c.target.unreachable = false
+	c.changed()
+}
+
+func (c *Core) noteEnds(now time.Time, ended []EndedRun) {
+	for _, e := range ended {
+		if e.Number <= c.target.seen {
+			continue
+		}
+		c.target.seen = e.Number
+		if h := c.runs[e.Run]; h != nil {
+			h.seen = true
+			c.finish(now, h, e.End)
+		}
+	}
+}
+
+func (c *Core) noteRunning(now time.Time, answer HoldAnswer) {
+	running := make(map[batch.Run]bool, len(answer.Running))
+	foreign := 0
+	for _, row := range answer.Running {
+		running[row.Run] = true
+		h := c.runs[row.Run]
+		if h == nil {
+			foreign++
+			c.stopForeign(row.Run)
+			continue
+		}
+		if !h.seen {
+			c.startConfirmed(h, answer.Clock)
+		}
+		h.missing = 0
+		if row.Percent != h.percent {
+			h.percent, h.percentAt = row.Percent, now
+		}
+	}
+	c.clean = c.clean || foreign == 0
+	for _, h := range c.runs {
+		if !running[h.run] {
+			c.noteMissing(now, h, answer.Clock)
+		}
+	}
+}
+
+// stopForeign stops a run of an earlier agent incarnation, or one that was
+// withdrawn and started late.
+func (c *Core) stopForeign(run batch.Run) {
+	c.counters.Foreign++
+	c.env.Decided(decision.Decision{Step: "run", Job: run.Task.Job, Run: run, Peer: c.target.id, Outcome: "stopped",
+		Reason: "not ordered by this agent"})
+	c.env.Stop(StopCall{Target: c.target.id, Run: run, Fence: c.fence})
+}
+
+func (c *Core) noteMissing(now time.Time, h *held, clock TargetClock) {
+	switch {
+	case h.stopClock > 0 && clock > h.stopClock:
+		c.finish(now, h, batch.EndStopped)
+	case h.state == stateRunning && clock > h.startClock:
+		if h.missing++; h.missing >= missingLimit {
+			c.finish(now, h, batch.EndLapsed)
+		}
+	}
+}
+
+// checkProgress stops runs that stand still, so that they can run elsewhere.
+func (c *Core) checkProgress(now time.Time) {
+	stalled := 0
+	for _, h := range c.runs {
+		if h.state != stateRunning || now.Sub(h.percentAt) <= stallLimit(h.estimate) {
+			continue
+		}
+		stalled++
+		c.env.Decided(decision.Decision{Step: "run", Job: h.run.Task.Job, Run: h.run, Peer: c.target.id, Outcome: "stopped",
+			Reason: "no progress", Age: now.Sub(h.percentAt), Inputs: []decision.Input{{Name: "percent", Value: int64(h.percent)}}})
+		c.stop(now, h, wire.RefusedStopped)
+	}
+	if stalled > 0 {
+		c.judge(now, func() { c.health.stalled(now) })
+	}
+}
