dispatch: refuse at arrival what would be late, finish begun jobs first

Cause: with two of eleven targets gone and a burst, targets were full all the time (14 to 16 runs on the large, 10 on the small ones, from run ends of the agents), so what counts is which jobs run. Jobs that had become late held tasks, were answered after three times their objective, or were given up with part of their tasks done, which callers send again.

Ruled out: idle room.

Change: a job whose expected wait exceeds its slack is refused at arrival; an unstarted job that has become late is refused while timely ones wait; jobs are given up when no useful answer is possible (three times the objective); begun jobs come first, then slack plus 100 ms for each step of priority.

--- a/connection/wire/run.go
+++ b/connection/wire/run.go
@@ -120,8 +120,8 @@
 	Demand     batch.Resources `cbor:"5,keyasint"`
 	// EstimateMS is the caller's estimate of one task.
 	EstimateMS int64 `cbor:"6,keyasint"`
-	// SlackMS is the time left until the task must start for its job to meet
-	// its latency objective. It orders the entries that wait for room.
+	// SlackMS orders the entries that wait for room, the lowest first. It grows
+	// with the time left until the task must start.
 	SlackMS int64       `cbor:"7,keyasint"`
 	Tasks   []StartTask `cbor:"8,keyasint"`
 }
--- a/process/dispatch/admit.go
+++ b/process/dispatch/admit.go
@@ -14,6 +14,15 @@
 	// isolatedAfter is when an entry that hears no agent gives its jobs up, so
 	// that the callers try another entry. Until then agents may reconnect.
 	isolatedAfter = wire.LostAfter
+	// startGrace is how long a fresh process takes jobs before it has heard of
+	// a target. Agents find a new entry within this time.
+	startGrace = time.Second
+	// lateFactor times the objective is when an answer is of no use to the
+	// caller any more.
+	lateFactor = 3
+	// hopeShare of the estimated work left must fit into the time left.
+	// Estimates are far off, so a job is given up only with some certainty.
+	hopeShare = 0.75
 )
 
 // admit reports whether a new job is taken, and the refusal if not.
@@ -22,6 +31,9 @@
 		return Result{Code: NotRun, Reason: ReasonUnsupported, RetryAfter: retryAfterUnknown}, false
 	}
 	if !p.anyHeard(now) {
+		if now.Sub(c.started) <= startGrace {
+			return Result{}, true
+		}
 		return Result{Code: NotRun, Reason: ReasonNoTargets, RetryAfter: retryAfterUnknown}, false
 	}
 	for number := range s.Job.Steps {
@@ -29,9 +41,38 @@
 			return Result{Code: NotRun, Reason: ReasonTooLarge, RetryAfter: retryAfterUnknown}, false
 		}
 	}
+	slack := s.Objective - s.Job.LongestChain()
+	turn := now.Add(slack + time.Duration(s.Priority)*priorityStep)
+	if wait := p.expectedWait(now, turn); wait > slack {
+		return Result{Code: NotRun, Reason: ReasonOverloaded, RetryAfter: wait}, false
+	}
 	return Result{}, true
 }
 
+// expectedWait returns how long a timely task with the given turn waits for the
+// tasks that are served before it. The processor time in use by the
+// entry's own runs is the rate at which its queue is worked off.
+func (p *pool) expectedWait(now, turn time.Time) time.Duration {
+	inUse := 0
+	for _, t := range p.targets {
+		for _, r := range t.runs {
+			inUse += r.demand.MilliCPU
+		}
+	}
+	var ahead float64
+	for _, g := range p.queue(now) {
+		if g.rank == rankLate || (g.rank == rankTimely && g.turn.After(turn)) {
+			break
+		}
+		step := g.job.Job.Steps[g.step]
+		ahead += float64(len(g.job.steps[g.step].ready)*step.Demand.MilliCPU) * float64(step.Estimate)
+	}
+	if ahead == 0 || inUse == 0 {
+		return 0
+	}
+	return time.Duration(ahead / float64(inUse))
+}
+
 func unsupported(s Submission) string {
 	if s.Job.Unsupported != "" {
 		return s.Job.Unsupported
@@ -64,16 +105,33 @@
 	return false
 }
 
-// checkJobs ends the jobs that can't be completed any more.
+// checkJobs ends the jobs that can't be completed any more, and in an overload
+// those that have not started and are too late for their objective: work on
+// them would make other jobs late.
 func (c *Core) checkJobs(now time.Time, p *pool) {
-	isolated := !p.anyHeard(now)
+	isolated := !p.anyHeard(now) && now.Sub(c.started) > startGrace
+	overloaded := p.timelyWaiting(now)
 	for _, j := range p.jobs {
 		switch {
 		case isolated:
 			c.end(now, p, j, unfinished(j, ReasonIsolated))
-		case j.hasReady() && now.Add(j.remaining()/2).After(j.deadline):
-			// Estimates are far off; half of one is what even a fast target needs.
+		case !j.hasReady():
+		case now.Add(time.Duration(hopeShare * float64(j.remaining()))).After(j.useless):
 			c.end(now, p, j, unfinished(j, ReasonDeadline))
+		case overloaded && j.started == 0 && j.latestStart(0).Before(now):
+			c.end(now, p, j, unfinished(j, ReasonOverloaded))
+		}
+	}
+}
+
+// timelyWaiting reports whether tasks wait that can still be in time.
+func (p *pool) timelyWaiting(now time.Time) bool {
+	for _, j := range p.jobs {
+		for number := range j.steps {
+			if len(j.steps[number].ready) > 0 && !j.latestStart(number).Before(now) {
+				return true
+			}
 		}
 	}
+	return false
 }
--- a/process/dispatch/assign.go
+++ b/process/dispatch/assign.go
@@ -14,11 +14,30 @@
 type group struct {
 	job  *activeJob
 	step int
-	// late is set if the job can't meet its objective any more.
-	late  bool
+	rank rank
+	// start is when the step must start for the job to meet its objective.
 	start time.Time
+	// turn orders the groups of one rank.
+	turn time.Time
 }
 
+// rank is the first criterion of the order in which groups are served.
+type rank int
+
+const (
+	// rankBegun: tasks of the job have started. What has been begun is finished
+	// first, because a job is as late as its last task.
+	rankBegun rank = iota
+	// rankTimely: the job can still meet its objective.
+	rankTimely
+	// rankLate: it can't. Serving late jobs first would make all others late.
+	rankLate
+)
+
+// priorityStep is by how much the tasks of a queue may be overtaken by those of
+// a queue with the next higher priority.
+const priorityStep = 100 * time.Millisecond
+
 // maxUnplaced bounds how many groups in a row may find no target before the
 // rest of the queue is left for later.
 const maxUnplaced = 8
@@ -66,8 +85,7 @@
 }
 
 // queue returns the groups that wait, in the order in which they are served:
-// first those of jobs that can meet their objective, the least slack first.
-// This answers bursts, in which serving late jobs first would make all late.
+// by rank and then the least slack first. This answers bursts.
 func (p *pool) queue(now time.Time) []group {
 	var queue []group
 	for _, j := range p.jobs {
@@ -75,25 +93,35 @@
 			if len(j.steps[step].ready) == 0 {
 				continue
 			}
-			start := j.latestStart(step)
-			queue = append(queue, group{job: j, step: step, start: start, late: start.Before(now)})
+			queue = append(queue, newGroup(now, j, step))
 		}
 	}
 	slices.SortFunc(queue, compareGroups)
 	return queue
 }
 
-func compareGroups(a, b group) int {
-	if a.late != b.late {
-		if a.late {
-			return 1
-		}
-		return -1
+func newGroup(now time.Time, j *activeJob, step int) group {
+	g := group{job: j, step: step, rank: rankTimely, start: j.latestStart(step)}
+	g.turn = g.start.Add(time.Duration(j.Priority) * priorityStep)
+	switch {
+	case j.started > 0:
+		g.rank = rankBegun
+	case g.start.Before(now):
+		g.rank = rankLate
 	}
-	if by := a.start.Compare(b.start); by != 0 {
-		return by
-	}
-	return cmp.Or(cmp.Compare(a.job.Job.ID, b.job.Job.ID), cmp.Compare(a.step, b.step))
+	return g
+}
+
+func compareGroups(a, b group) int {
+	return cmp.Or(cmp.Compare(a.rank, b.rank), a.turn.Compare(b.turn), cmp.Compare(a.job.Job.ID, b.job.Job.ID), cmp.Compare(a.step, b.step))
+}
+
+// rankGap separates the ranks in the slack that is told to an agent.
+const rankGap = 10 * time.Second
+
+// slack tells an agent where a group stands among those of other entries.
+func (g group) slack(now time.Time) time.Duration {
+	return g.turn.Sub(now) + time.Duration(g.rank)*rankGap
 }
 
 // place orders runs for as many tasks of a group as find room. It reports
@@ -118,7 +146,7 @@
 func (c *Core) order(now time.Time, p *pool, g group, t *target, out *outgoing) {
 	j, state, step := g.job, &g.job.steps[g.step], g.job.Job.Steps[g.step]
 	start := wire.StartOrder{Job: j.Job.ID, Spec: j.Job.Spec, Step: g.step, Demand: step.Demand,
-		EstimateMS: step.Estimate.Milliseconds(), SlackMS: g.start.Sub(now).Milliseconds()}
+		EstimateMS: step.Estimate.Milliseconds(), SlackMS: g.slack(now).Milliseconds()}
 	room := t.expectedFree()
 	for len(state.ready) > 0 && state.allows(step, t) {
 		if len(start.Tasks) > 0 && (t.state.Probing || !step.Demand.FitsIn(room)) {
--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -22,10 +22,11 @@
 // each service has a lock of its own, and the two tables that lead to them have
 // one each. A table's lock is never held while a service's is taken.
 type Core struct {
-	env  Env
-	self wire.Incarnation
-	zone string
-	seed uint64
+	env     Env
+	started time.Time
+	self    wire.Incarnation
+	zone    string
+	seed    uint64
 
 	poolsMu sync.RWMutex
 	pools   map[string]*pool
@@ -58,7 +59,7 @@
 // New returns the state of a fresh entry incarnation. seed feeds the choice of
 // targets.
 func New(env Env, self wire.Incarnation, zone string, seed uint64) *Core {
-	return &Core{env: env, self: self, zone: zone, seed: seed, pools: make(map[string]*pool),
+	return &Core{env: env, started: env.Now(), self: self, zone: zone, seed: seed, pools: make(map[string]*pool),
 		agents: make(map[wire.Incarnation]*pool)}
 }
 
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -12,9 +12,10 @@
 	Submission
 	submitted time.Time
 	objective time.Time
-	deadline  time.Time
-	steps     []stepState
-	waiters   map[uint64]func(Result)
+	// useless is when the caller has left or an answer is of no use.
+	useless time.Time
+	steps   []stepState
+	waiters map[uint64]func(Result)
 	// mayHaveRun is set once a start was ordered and not refused.
 	started int
 	ended   bool
@@ -68,7 +69,7 @@
 func (r *run) name() batch.Run { return batch.Run{Task: r.task.name(), Number: r.number} }
 
 func newActiveJob(now time.Time, s Submission) *activeJob {
-	j := &activeJob{Submission: s, submitted: now, objective: now.Add(s.Objective), deadline: now.Add(s.Patience),
+	j := &activeJob{Submission: s, submitted: now, objective: now.Add(s.Objective), useless: now.Add(min(s.Patience, lateFactor*s.Objective)),
 		waiters: make(map[uint64]func(Result)), steps: make([]stepState, len(s.Job.Steps))}
 	for number, step := range s.Job.Steps {
 		state := &j.steps[number]
--- a/process/node/links.go
+++ b/process/node/links.go
@@ -13,8 +13,8 @@
 
 // Times of the connections to entries.
 const (
-	redialMin = 100 * time.Millisecond
-	redialMax = 2 * time.Second
+	redialMin = 30 * time.Millisecond
+	redialMax = 500 * time.Millisecond
 	// forgetAfter is when an entry that can't be reached is no longer dialled,
 	// unless the settings name it.
 	forgetAfter = time.Minute
