runner, dispatch: entries tell what waits, agents invite; look before a stop

A start without an answer cost 60 ms and a stop even if it had been carried out.

Change: each message of an entry says whether tasks wait, how urgent the first and how small the smallest is; an agent with room invites the entry with the lowest slack. No order is sent on a guess. What an answer lacks counts only if it was asked for after the event.

--- a/connection/wire/codec_test.go
+++ b/connection/wire/codec_test.go
@@ -50,7 +50,7 @@
 				HeaderTimeout: 3, IdleTimeout: 4}}},
 		&Enroll{Agent: 1, Node: "agent-1", Zone: "zone-a", Session: 2, Clock: 9, Target: target, Free: room,
 			Held: []RunReport{{Run: run, End: batch.EndDone, RanMS: 50}}},
-		&Orders{Sequence: 1, Echo: 9, Stops: []batch.Run{run}, Declined: true, Starts: []StartOrder{{Job: "j", Spec: "s", Step: 1,
+		&Orders{Sequence: 1, Echo: 9, Stops: []batch.Run{run}, Waiting: &Waiting{SlackMS: -1, Smallest: room}, Starts: []StartOrder{{Job: "j", Spec: "s", Step: 1,
 			Occurrence: 2, Demand: room, EstimateMS: 60, SlackMS: -5, Tasks: []StartTask{{Index: 3, Number: 1}}}}},
 		&AgentReport{Clock: 9, Handled: 1, Free: room, Runs: []RunReport{{Run: run, Refused: RefusedFull}}, Target: &target, Invitation: true},
 	}
--- a/connection/wire/run.go
+++ b/connection/wire/run.go
@@ -107,8 +107,18 @@
 	Echo   int64        `cbor:"2,keyasint"`
 	Starts []StartOrder `cbor:"3,keyasint,omitempty"`
 	Stops  []batch.Run  `cbor:"4,keyasint,omitempty"`
-	// Declined answers an invitation for which the entry has no task.
-	Declined bool `cbor:"5,keyasint,omitempty"`
+	// Waiting describes the tasks of the entry that wait for room, if there
+	// are any. It replaces what an earlier message said.
+	Waiting *Waiting `cbor:"5,keyasint,omitempty"`
+}
+
+// Waiting describes tasks that wait for room. An agent with enough room for the
+// smallest of them invites the entry with the lowest SlackMS.
+type Waiting struct {
+	// SlackMS is that of the most urgent task; see StartOrder.
+	SlackMS int64 `cbor:"1,keyasint"`
+	// Smallest is the demand of the smallest task.
+	Smallest batch.Resources `cbor:"2,keyasint"`
 }
 
 // StartOrder asks for runs of tasks of one step of a job.
@@ -144,7 +154,7 @@
 
 // Values of RefusedStart.
 const (
-	// RefusedFull: no room; the agent sends an invitation when there is room.
+	// RefusedFull: no room.
 	RefusedFull RefusedStart = "full"
 	// RefusedClosed: the target takes no new runs.
 	RefusedClosed RefusedStart = "closed"
@@ -182,7 +192,7 @@
 	Free    batch.Resources `cbor:"3,keyasint"`
 	Runs    []RunReport     `cbor:"4,keyasint,omitempty"`
 	Target  *TargetState    `cbor:"5,keyasint,omitempty"`
-	// Invitation tells an entry that was refused for lack of room that there
-	// is room now.
+	// Invitation tells an entry whose tasks wait that there is room now. The
+	// entry answers with orders, which may be empty.
 	Invitation bool `cbor:"6,keyasint,omitempty"`
 }
--- a/process/dispatch/assign.go
+++ b/process/dispatch/assign.go
@@ -51,7 +51,7 @@
 // assign sends waiting tasks to targets with room, the most urgent first.
 func (c *Core) assign(now time.Time, p *pool) {
 	queue := p.queue(now)
-	if len(queue) == 0 || !p.anyRoom(now) {
+	if len(queue) == 0 {
 		return
 	}
 	out := outgoing{orders: make(map[*target]*wire.Orders)}
@@ -65,23 +65,59 @@
 			break
 		}
 	}
+	waiting := p.waiting(now)
 	for _, t := range out.targets {
+		out.orders[t].Waiting = waiting
 		c.send(now, t, out.orders[t])
 	}
+	if waiting != nil {
+		c.tellWaiting(now, p, waiting)
+	}
 }
 
-func (p *pool) anyRoom(now time.Time) bool {
-	for _, t := range p.targets {
-		if t.mayHaveRoom(now) {
-			return true
+// waiting describes the tasks that found no room, or returns nil.
+func (p *pool) waiting(now time.Time) *wire.Waiting {
+	queue := p.queue(now)
+	if len(queue) == 0 {
+		return nil
+	}
+	w := &wire.Waiting{SlackMS: queue[0].slack(now).Milliseconds(), Smallest: queue[0].demand()}
+	for _, g := range queue {
+		if demand := g.demand(); demand.FitsIn(w.Smallest) {
+			w.Smallest = demand
 		}
 	}
-	return false
+	return w
 }
 
-// mayHaveRoom reports whether the target takes orders and owes no invitation.
-func (t *target) mayHaveRoom(now time.Time) bool {
-	return t.takesOrders(now) && (t.fullAt.IsZero() || now.Sub(t.fullAt) > retryFull)
+// waitingFor renews what a target has been told.
+func (p *pool) waitingFor(now time.Time, t *target) *wire.Waiting {
+	if !t.told {
+		return nil
+	}
+	return p.waiting(now)
+}
+
+func (g group) demand() batch.Resources { return g.job.Job.Steps[g.step].Demand }
+
+// tellWaiting asks targets to invite this entry when they have room.
+func (c *Core) tellWaiting(now time.Time, p *pool, waiting *wire.Waiting) {
+	told := 0
+	for _, t := range p.targets {
+		if t.told {
+			told++
+		}
+	}
+	for _, t := range p.targets {
+		if told >= maxTold {
+			return
+		}
+		if t.told || !t.takesOrders(now) {
+			continue
+		}
+		c.send(now, t, &wire.Orders{Waiting: waiting})
+		told++
+	}
 }
 
 // queue returns the groups that wait, in the order in which they are served:
@@ -148,8 +184,8 @@
 	start := wire.StartOrder{Job: j.Job.ID, Spec: j.Job.Spec, Step: g.step, Demand: step.Demand,
 		EstimateMS: step.Estimate.Milliseconds(), SlackMS: g.slack(now).Milliseconds()}
 	room := t.expectedFree()
-	for len(state.ready) > 0 && state.allows(step, t) {
-		if len(start.Tasks) > 0 && (t.state.Probing || !step.Demand.FitsIn(room)) {
+	for len(state.ready) > 0 && step.Demand.FitsIn(room) && state.allows(step, t) {
+		if len(start.Tasks) > 0 && t.state.Probing {
 			break
 		}
 		next := state.ready[0]
@@ -187,17 +223,14 @@
 	var best *target
 	var bestCost float64
 	for _, t := range p.targets {
-		if !t.mayHaveRoom(now) || !step.Demand.FitsIn(t.state.Room) || !state.allows(step, t) || !t.hasLabel(step.Label) {
+		if !t.takesOrders(now) || !step.Demand.FitsIn(t.state.Room) || !state.allows(step, t) || !t.hasLabel(step.Label) {
 			continue
 		}
 		fits := step.Demand.FitsIn(t.expectedFree())
-		if len(t.unheard) > 0 && (!fits || t.state.Probing) {
+		if !fits || (t.state.Probing && len(t.unheard) > 0) {
 			continue
 		}
 		cost := c.cost(p, g, t)
-		if !fits {
-			cost += costGuess
-		}
 		if t.node == avoid {
 			cost += costAvoided
 		}
@@ -217,9 +250,6 @@
 const (
 	// costAvoided keeps a task from the target where it failed last.
 	costAvoided = 10.0
-	// costGuess is for a target that was full when last heard. Asking it at
-	// least makes it send an invitation.
-	costGuess = 20.0
 	// costProbing keeps tasks from a target that may still be faulty.
 	costProbing = 5.0
 	// costOtherZone is for the longer way and the price of bytes between zones.
--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -108,7 +108,7 @@
 	j := p.jobs[s.Job.ID]
 	if j == nil {
 		if refusal, ok := c.admit(now, p, s); !ok {
-			c.refuse(s, refusal)
+			c.refuse(now, p, s, refusal)
 			reply(refusal)
 			return func() {}
 		}
@@ -124,10 +124,26 @@
 	return func() { c.leave(p, j, id) }
 }
 
-func (c *Core) refuse(s Submission, refusal Result) {
+func (c *Core) refuse(now time.Time, p *pool, s Submission, refusal Result) {
 	c.counters.ended(refusal)
 	c.env.Decided(decision.Decision{Step: "accept", Job: s.Job.ID, Peer: s.Queue, Outcome: "refused", Reason: string(refusal.Reason),
-		Version: s.Version, Inputs: []decision.Input{{Name: "retry_after_ms", Value: refusal.RetryAfter.Milliseconds()}}})
+		Version: s.Version, Inputs: append(p.loadInputs(now),
+			decision.Input{Name: "retry_after_ms", Value: refusal.RetryAfter.Milliseconds()},
+			decision.Input{Name: "slack_ms", Value: (s.Objective - s.Job.LongestChain()).Milliseconds()})})
+}
+
+// loadInputs describes the load of a service for a decision.
+func (p *pool) loadInputs(now time.Time) []decision.Input {
+	open, largest := 0, 0
+	for _, t := range p.targets {
+		if !t.takesOrders(now) {
+			continue
+		}
+		open++
+		largest = max(largest, t.expectedFree().MilliCPU)
+	}
+	return []decision.Input{{Name: "active_jobs", Value: int64(len(p.jobs))}, {Name: "open_targets", Value: int64(open)},
+		{Name: "largest_free_millicpu", Value: int64(largest)}}
 }
 
 func (c *Core) leave(p *pool, j *activeJob, waiter uint64) {
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -163,10 +163,14 @@
 	delete(p.jobs, j.Job.ID)
 	p.remember(now, j.Job.ID, result)
 	c.counters.ended(result)
+	inputs := []decision.Input{{Name: "took_ms", Value: now.Sub(j.submitted).Milliseconds()},
+		{Name: "objective_ms", Value: j.Objective.Milliseconds()}}
+	if result.Code != Completed {
+		inputs = append(inputs, p.loadInputs(now)...)
+		inputs = append(inputs, decision.Input{Name: "retry_after_ms", Value: result.RetryAfter.Milliseconds()})
+	}
 	c.env.Decided(decision.Decision{Step: "answer", Job: j.Job.ID, Outcome: string(result.Code), Reason: string(result.Reason),
-		Version: j.Version, Routine: result.Code == Completed,
-		Inputs: []decision.Input{{Name: "took_ms", Value: now.Sub(j.submitted).Milliseconds()},
-			{Name: "objective_ms", Value: j.Objective.Milliseconds()}, {Name: "retry_after_ms", Value: result.RetryAfter.Milliseconds()}}})
+		Version: j.Version, Routine: result.Code == Completed, Inputs: inputs})
 	if result.Code != Completed {
 		c.stopRuns(now, p, j)
 	}
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -19,7 +19,7 @@
 	case r == nil:
 		if report.End == "" && report.Refused == "" {
 			// A run that the entry has given up on.
-			c.send(now, t, &wire.Orders{Stops: []batch.Run{report.Run}})
+			c.send(now, t, &wire.Orders{Stops: []batch.Run{report.Run}, Waiting: p.waitingFor(now, t)})
 		}
 	case report.Refused != "":
 		c.runRefused(now, p, r, report.Refused)
@@ -51,8 +51,6 @@
 	c.env.Decided(decision.Decision{Step: "place", Job: j.Job.ID, Run: r.name(), Peer: t.node, Outcome: "turned_back",
 		Reason: string(reason), Age: now.Sub(r.ordered), Routine: reason == wire.RefusedFull})
 	switch reason {
-	case wire.RefusedFull:
-		t.fullAt = now
 	case wire.RefusedSession:
 		t.sessionRefused = true
 	case wire.RefusedSuperseded:
@@ -103,6 +101,6 @@
 	}
 	r.stopping = true
 	if r.target.connected {
-		c.send(now, r.target, &wire.Orders{Stops: []batch.Run{r.name()}})
+		c.send(now, r.target, &wire.Orders{Stops: []batch.Run{r.name()}, Waiting: p.waitingFor(now, r.target)})
 	}
 }
--- a/process/dispatch/target.go
+++ b/process/dispatch/target.go
@@ -12,9 +12,9 @@
 const (
 	// silentAfter is when an agent that is not heard gets no new orders.
 	silentAfter = 2*wire.PulseInterval + 50*time.Millisecond
-	// retryFull is when a target that refused for lack of room may be asked
-	// again without an invitation, in case the invitation was lost.
-	retryFull = 250 * time.Millisecond
+	// maxTold is how many targets are told that tasks wait. More would only
+	// send more invitations for the same tasks.
+	maxTold = 16
 )
 
 // target is what an entry knows of one agent and the target beside it.
@@ -34,9 +34,8 @@
 	sent    uint64
 	// lastSent is when the last message went out.
 	lastSent time.Time
-	// fullAt is when the target last refused for lack of room and owes an
-	// invitation; zero if it does not.
-	fullAt time.Time
+	// told is set while the agent knows that tasks of this entry wait.
+	told bool
 	// sessionRefused is set once the agent has ended the session.
 	sessionRefused bool
 	runs           map[batch.Run]*run
@@ -82,7 +81,7 @@
 	}
 	t.node, t.zone, t.session = m.Node, m.Zone, m.Session
 	t.connected, t.sessionRefused, t.heard, t.echo = true, false, now, m.Clock
-	t.state, t.free, t.unheard, t.sent, t.fullAt = m.Target, m.Free, nil, 0, time.Time{}
+	t.state, t.free, t.unheard, t.sent, t.told = m.Target, m.Free, nil, 0, false
 	c.env.Decided(decision.Decision{Step: "agent", Peer: m.Node, Outcome: "enrolled", Reason: string(m.Target.Closed),
 		Version: m.Target.Revision, Inputs: []decision.Input{{Name: "runs", Value: int64(len(t.runs))}, {Name: "free_millicpu", Value: int64(m.Free.MilliCPU)}}})
 	c.reconcile(now, p, t, m.Held)
@@ -197,12 +196,10 @@
 	for _, report := range m.Runs {
 		c.runReported(now, p, t, report)
 	}
-	if m.Invitation {
-		t.fullAt = time.Time{}
-	}
+	sent := t.sent
 	c.assign(now, p)
-	if m.Invitation && now.Sub(t.lastSent) > 0 {
-		c.send(now, t, &wire.Orders{Declined: true})
+	if m.Invitation && t.sent == sent {
+		c.send(now, t, &wire.Orders{Waiting: p.waiting(now)})
 	}
 }
 
@@ -248,6 +245,7 @@
 func (c *Core) send(now time.Time, t *target, m *wire.Orders) {
 	t.sent++
 	m.Sequence, m.Echo = t.sent, t.echo
+	t.told = m.Waiting != nil
 	t.lastSent = now
 	c.env.Send(t.agent, m)
 }
@@ -257,7 +255,7 @@
 func (c *Core) checkTargets(now time.Time, p *pool) {
 	for agent, t := range p.targets {
 		if t.connected && now.Sub(t.lastSent) >= wire.PulseInterval {
-			c.send(now, t, &wire.Orders{})
+			c.send(now, t, &wire.Orders{Waiting: p.waitingFor(now, t)})
 		}
 		if now.Sub(t.heard) <= wire.LostAfter {
 			continue
--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -86,16 +86,21 @@
 	// seen is set once the target has confirmed the run.
 	seen      bool
 	startedAt time.Time
-	// startClock is the target's clock when it confirmed the start.
-	startClock TargetClock
-	// stopSent and stopClock are the last request to stop the run, and the
-	// target's clock when it confirmed one.
+	// confirmed is when the target confirmed the start.
+	confirmed time.Time
+	// unanswered is when a start without an answer was noticed.
+	unanswered time.Time
+	// stopSent is the last request to stop the run, stopped when the target
+	// confirmed one.
 	stopSent  time.Time
-	stopClock TargetClock
+	stopped   time.Time
 	refusal   wire.RefusedStart
 	percent   int
 	percentAt time.Time
-	missing   int
+	// missing counts answers of the target that lack the confirmed run,
+	// fenced the starts that were refused for a low fencing token.
+	missing int
+	fenced  int
 }
 
 // session is what the agent keeps of one entry incarnation.
@@ -112,7 +117,8 @@
 	recent   []recentReport
 	revision uint64
 	waiting  bool
-	// slackAt is when the most urgent refused task should have started.
+	// slackAt is when the most urgent waiting task should start, demand that
+	// of the smallest one.
 	slackAt time.Time
 	demand  batch.Resources
 }
@@ -205,10 +211,8 @@
 			c.startOrdered(now, s, order, task)
 		}
 	}
-	if orders.Declined && c.invited == entry {
-		c.reservedUntil = time.Time{}
-	}
-	if c.invited == entry && len(orders.Starts) > 0 {
+	s.wait(now, orders.Waiting)
+	if c.invited == entry {
 		c.reservedUntil = time.Time{}
 	}
 	c.invite(now)
--- a/process/runner/env.go
+++ b/process/runner/env.go
@@ -65,6 +65,8 @@
 	Seen uint64
 	// Wait is how long the target may wait for an end.
 	Wait time.Duration
+	// Asked is when the call was made, by the agent's clock.
+	Asked time.Time
 }
 
 // RunningRun is one row of the runs at a target.
--- a/process/runner/hold.go
+++ b/process/runner/hold.go
@@ -16,8 +16,7 @@
 	// unreachableAfter is when a target that does not answer takes no new runs
 	// and its lease is no longer renewed.
 	unreachableAfter = 400 * time.Millisecond
-	// missingLimit is in how many answers in a row a confirmed run may be
-	// absent. One answer may be older than the confirmation.
+	// missingLimit is how many answers that lack a confirmed run end it.
 	missingLimit = 2
 )
 
@@ -151,7 +150,7 @@
 		return HoldCall{}, false
 	}
 	now := c.env.Now()
-	call := HoldCall{Target: c.target.id, Fence: c.fence, Seen: c.target.seen}
+	call := HoldCall{Target: c.target.id, Fence: c.fence, Seen: c.target.seen, Asked: now}
 	if c.target.clockKnown && !c.target.unreachable && len(c.runs) > 0 {
 		call.LeaseUntil = c.leaseFrom(now)
 	}
@@ -221,7 +220,7 @@
 		c.reachable(now)
 	}
 	c.noteEnds(now, answer.Ended)
-	c.noteRunning(now, answer)
+	c.noteRunning(now, call, answer)
 	c.checkProgress(now)
 	c.invite(now)
 	c.flush(now)
@@ -257,7 +256,7 @@
 	}
 }
 
-func (c *Core) noteRunning(now time.Time, answer HoldAnswer) {
+func (c *Core) noteRunning(now time.Time, call HoldCall, answer HoldAnswer) {
 	running := make(map[batch.Run]bool, len(answer.Running))
 	foreign := 0
 	for _, row := range answer.Running {
@@ -269,7 +268,7 @@
 			continue
 		}
 		if !h.seen {
-			c.startConfirmed(h, answer.Clock)
+			c.startConfirmed(now, h)
 		}
 		h.missing = 0
 		if row.Percent != h.percent {
@@ -279,7 +278,7 @@
 	c.clean = c.clean || foreign == 0
 	for _, h := range c.runs {
 		if !running[h.run] {
-			c.noteMissing(now, h, answer.Clock)
+			c.noteMissing(now, h, call.Asked)
 		}
 	}
 }
@@ -293,11 +292,19 @@
 	c.env.Stop(StopCall{Target: c.target.id, Run: run, Fence: c.fence})
 }
 
-func (c *Core) noteMissing(now time.Time, h *held, clock TargetClock) {
+// noteMissing handles a run that an answer lacks. Only an answer that was asked
+// for after an event says anything about what followed it.
+func (c *Core) noteMissing(now time.Time, h *held, asked time.Time) {
 	switch {
-	case h.stopClock > 0 && clock > h.stopClock:
-		c.finish(now, h, batch.EndStopped)
-	case h.state == stateRunning && clock > h.startClock:
+	case h.state == stateStopping:
+		if !h.stopped.IsZero() && asked.After(h.stopped) {
+			c.finish(now, h, batch.EndStopped)
+		}
+	case h.state == stateStarting:
+		if !h.unanswered.IsZero() && asked.After(h.unanswered) {
+			c.withdraw(now, h)
+		}
+	case asked.After(h.confirmed):
 		if h.missing++; h.missing >= missingLimit {
 			c.finish(now, h, batch.EndLapsed)
 		}
--- a/process/runner/start.go
+++ b/process/runner/start.go
@@ -19,7 +19,7 @@
 func (c *Core) startOrdered(now time.Time, s *session, order wire.StartOrder, task wire.StartTask) {
 	run := order.Run(task)
 	if reason := c.refusal(now, s, order, run); reason != "" {
-		c.refuse(now, s, order, run, reason)
+		c.tell(now, s, wire.RunReport{Run: run, Refused: reason})
 		return
 	}
 	h := &held{run: run, entry: s.entry, demand: order.Demand, startedAt: now, percentAt: now,
@@ -51,14 +51,12 @@
 	return ""
 }
 
-func (c *Core) refuse(now time.Time, s *session, order wire.StartOrder, run batch.Run, reason wire.RefusedStart) {
-	if reason == wire.RefusedFull {
-		slackAt := now.Add(time.Duration(order.SlackMS) * time.Millisecond)
-		if !s.waiting || slackAt.Before(s.slackAt) {
-			s.waiting, s.slackAt, s.demand = true, slackAt, order.Demand
-		}
+// wait notes which tasks of an entry wait for room.
+func (s *session) wait(now time.Time, w *wire.Waiting) {
+	s.waiting = w != nil
+	if w != nil {
+		s.slackAt, s.demand = now.Add(time.Duration(w.SlackMS)*time.Millisecond), w.Smallest
 	}
-	c.tell(now, s, wire.RunReport{Run: run, Refused: reason})
 }
 
 // tell queues a report for an entry and keeps it for a reconnection.
@@ -85,7 +83,7 @@
 	}
 	switch answer.Verdict {
 	case VerdictDone:
-		c.startConfirmed(h, answer.Clock)
+		c.startConfirmed(now, h)
 	case VerdictUnanswered:
 		c.startUnanswered(now, h)
 	case VerdictFenced:
@@ -99,20 +97,26 @@
 	c.flush(now)
 }
 
-func (c *Core) startConfirmed(h *held, clock TargetClock) {
-	h.seen, h.startClock = true, clock
+func (c *Core) startConfirmed(now time.Time, h *held) {
+	h.seen, h.confirmed, h.unanswered = true, now, time.Time{}
 	if h.state == stateStarting {
 		h.state = stateRunning
 	}
 	c.health.started()
 }
 
-// startUnanswered withdraws a start that may still be carried out. A stop makes
-// the target refuse the run from then on.
+// startUnanswered looks whether a start without an answer was carried out.
 func (c *Core) startUnanswered(now time.Time, h *held) {
 	if h.seen || h.state == stateStopping {
 		return
 	}
+	h.unanswered = now
+	c.env.Look()
+}
+
+// withdraw gives up a start that has not been carried out but still may be. A
+// stop makes the target refuse the run from then on.
+func (c *Core) withdraw(now time.Time, h *held) {
 	c.env.Decided(decision.Decision{Step: "start", Job: h.run.Task.Job, Run: h.run, Peer: c.target.id,
 		Outcome: "withdrawn", Reason: "target did not answer", Age: now.Sub(h.startedAt)})
 	c.stop(now, h, wire.RefusedUnanswered)
@@ -123,8 +127,8 @@
 		c.fence = call.Fence + fenceStep
 		c.env.Decided(decision.Decision{Step: "fence", Peer: c.target.id, Outcome: "raised", Version: c.fence})
 	}
-	h.missing++
-	if h.missing > maxFenceRetries || h.state != stateStarting {
+	h.fenced++
+	if h.fenced > maxFenceRetries || h.state != stateStarting {
 		c.startRefused(now, h, VerdictFenced)
 		return
 	}
@@ -199,14 +203,18 @@
 
 func (c *Core) retryStops(now time.Time) {
 	for _, h := range c.runs {
-		if h.state == stateStopping && now.Sub(h.stopSent) >= stopRetry {
-			if h.stopClock == 0 {
-				c.sendStop(now, h)
-				continue
-			}
-			h.stopSent = now
-			c.env.Look()
+		if !h.unanswered.IsZero() && h.state == stateStarting && now.Sub(h.unanswered) >= stopRetry {
+			c.withdraw(now, h)
+		}
+		if h.state != stateStopping || now.Sub(h.stopSent) < stopRetry {
+			continue
+		}
+		if h.stopped.IsZero() {
+			c.sendStop(now, h)
+			continue
 		}
+		h.stopSent = now
+		c.env.Look()
 	}
 }
 
@@ -222,7 +230,7 @@
 	switch answer.Verdict {
 	case VerdictDone:
 		if h := c.runs[call.Run]; h != nil {
-			h.stopClock = max(answer.Clock, 1)
+			h.stopped = now
 		}
 		c.env.Look()
 	case VerdictFenced:
@@ -264,8 +272,9 @@
 	}
 }
 
-// invite tells the entry with the most urgent refused task that fits that there
-// is room. The room is kept for it for a moment.
+// invite tells the entry with the most urgent waiting tasks that there is room
+// for at least the smallest of them. Others are not invited until it has
+// answered, or for a moment.
 func (c *Core) invite(now time.Time) {
 	if now.Before(c.reservedUntil) {
 		return
@@ -283,7 +292,6 @@
 	if best == nil {
 		return
 	}
-	best.waiting = false
 	c.invited, c.reservedUntil = best.entry, now.Add(reservation)
 	c.report(now, best, true)
 }
