platform, node: look the target up after a restart instead of waiting for its report

Change: an agent that starts beside a running target asks it for its incarnation and the platform's list of machines for its room. The first start of the whole system does not ask: there is time before traffic.

--- a/cmd/azurerouter/platform.go
+++ b/cmd/azurerouter/platform.go
@@ -94,6 +94,9 @@
 	options := node.AgentOptions{Node: p.settings.Node, Zone: p.settings.Zone, Seeds: p.settings.SeedLinks, Grace: p.settings.Grace,
 		ControlAddr: p.settings.ControlAddr, Control: func(c *runner.Core) http.Handler { return platform.ControlHandler(c) },
 		MetricsAddr: p.metrics, Target: platform.NewTarget(p.settings.TargetAddr), Directory: platform.NewStore(p.settings.StoreAddr)}
+	if !p.settings.FirstStart && p.settings.MachinesAddr != "" {
+		options.Find = platform.NewFinder(p.settings.TargetAddr, p.settings.MachinesAddr).Find
+	}
 	a := node.NewAgent(options, p.observer, p.decisions)
 	return runDaemon("agent", stderr, p.reload, func(g *run.Group, stop <-chan struct{}) error { return a.AddTo(g, stop) })
 }
--- a/process/node/agent.go
+++ b/process/node/agent.go
@@ -61,6 +61,9 @@
 	MetricsAddr string
 	Target      TargetClient
 	Directory   Directory
+	// Find asks others for the target's report, after a restart beside a
+	// target that has reported long ago; nil to wait for its next report.
+	Find func(ctx context.Context) (runner.TargetReport, error)
 }
 
 // Agent runs a runner.Core as a process.
@@ -244,6 +247,7 @@
 	actor(func(ctx context.Context) error { return every(ctx, tickInterval, a.core.Tick) })
 	actor(func(ctx context.Context) error { a.dialer.run(ctx); return nil })
 	actor(a.holdLease)
+	actor(a.findTarget)
 	actor(a.searchEntries)
 	actor(func(ctx context.Context) error { return a.leaveOn(ctx, stop) })
 	actor(newAgentMetrics(a.observer, a.core).report)
@@ -254,6 +258,19 @@
 	return nil
 }
 
+// findTarget asks once for a target that is there already.
+func (a *Agent) findTarget(ctx context.Context) error {
+	if a.options.Find != nil {
+		report, err := a.options.Find(ctx)
+		a.observer.Log.Info().Err(err).Str("step", "find_target").Str("peer", report.Target).Msg("target looked up")
+		if err == nil {
+			a.core.Found(report)
+		}
+	}
+	<-ctx.Done()
+	return nil
+}
+
 func (a *Agent) holdLease(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if a.hold(true) {
--- a/process/runner/hold.go
+++ b/process/runner/hold.go
@@ -55,6 +55,17 @@
 	return c.target.clock + TargetClock((now.Sub(c.target.clockAt) + wire.RunLease).Milliseconds())
 }
 
+// Found takes what others know of a target that has not reported yet. Its own
+// reports come after it.
+func (c *Core) Found(r TargetReport) {
+	c.mu.Lock()
+	known := c.target.id != ""
+	c.mu.Unlock()
+	if !known {
+		c.Reported(r)
+	}
+}
+
 // Reported takes what the target says of itself. It reports false if the report
 // is older than what is known.
 func (c *Core) Reported(r TargetReport) bool {
