stream, dispatch: dial again after 200 ms; keep jobs while no target is open

Cause: after power_off_all agents came back 0.3 s before the entries. The jobs of that time were refused as overloaded, since timely jobs waited too.

Jobs are refused for overload only while a target is open. The test fails without the second change (refused after 0.2 s).

--- a/connection/stream/stream.go
+++ b/connection/stream/stream.go
@@ -21,8 +21,10 @@
 const (
 	// IdleTimeout ends a connection whose peer sends nothing. It is several
 	// times the interval at which both sides send.
-	IdleTimeout  = 4 * wire.SessionTTL
-	dialTimeout  = time.Second
+	IdleTimeout = 4 * wire.SessionTTL
+	// dialTimeout is shorter than the second after which a lost opening packet
+	// is sent again: a new attempt finds a machine that has come back sooner.
+	dialTimeout  = 200 * time.Millisecond
 	writeTimeout = 2 * time.Second
 )
 
--- a/process/dispatch/admit.go
+++ b/process/dispatch/admit.go
@@ -124,7 +124,7 @@
 // them would make other jobs late.
 func (c *Core) checkJobs(now time.Time, p *pool) {
 	isolated := !p.anyHeard(now) && now.Sub(c.started) > startGrace
-	overloaded := p.timelyWaiting(now)
+	overloaded := p.anyOpen(now) && p.timelyWaiting(now)
 	for _, j := range p.jobsInOrder() {
 		switch {
 		case isolated:
@@ -138,6 +138,16 @@
 	}
 }
 
+// anyOpen reports whether a target takes orders.
+func (p *pool) anyOpen(now time.Time) bool {
+	for _, t := range p.ordered {
+		if t.takesOrders(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // timelyWaiting reports whether tasks wait that can still be in time.
 func (p *pool) timelyWaiting(now time.Time) bool {
 	for _, j := range p.jobs {
--- a/process/dispatch/overload_test.go
+++ b/process/dispatch/overload_test.go
@@ -128,3 +128,27 @@
 		t.Errorf("%.2f in time, expected 0.9 or more", share)
 	}
 }
+
+// Guards against jobs that are refused for overload right after a restart of
+// everything, when no target is known yet but will be in a moment.
+func TestJobsWaitForTheFirstTarget(t *testing.T) {
+	c := newCluster(t, 7, 1, equalRooms(2, 16000))
+	for _, l := range c.links {
+		l.cut = true
+	}
+	var callers []*caller
+	for range 5 {
+		callers = append(callers, c.call(c.submission("line", 2, 200*time.Millisecond, 1000, 1), 0))
+		c.run(20 * time.Millisecond)
+	}
+	c.run(300 * time.Millisecond)
+	for _, l := range c.links {
+		l.cut = false
+	}
+	c.run(time.Second)
+	for _, k := range callers {
+		if k.result == nil || k.result.Code != dispatch.Completed {
+			t.Errorf("%+v after %v", k.result, k.took)
+		}
+	}
+}
