--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -30,6 +30,9 @@
 	// memberInterval is how often entries tell each other which entries they
 	// know, which also keeps the connection from being idle.
 	memberInterval = time.Second
+	// configGrace is how long after the start of a process callers wait for the
+	// first configuration. The store answers within a few milliseconds.
+	configGrace = 500 * time.Millisecond
 )
 
 // ConfigSource is where the operator publishes the routing configuration.
@@ -66,6 +69,9 @@
 	table     atomic.Pointer[routing.Table]
 	stopping  atomic.Bool
 	metrics   *entryMetrics
+	started   time.Time
+	// configured is closed when the first configuration is in force.
+	configured chan struct{}
 
 	mu     sync.Mutex
 	agents map[wire.Incarnation]*processLink
@@ -84,7 +90,7 @@
 // NewEntry prepares an entry process. It opens nothing yet.
 func NewEntry(options EntryOptions, observer *observe.Observer, decisions *observe.Decisions) *Entry {
 	e := &Entry{options: options, observer: observer, decisions: decisions, self: wire.NewIncarnation(),
-		agents: make(map[wire.Incarnation]*processLink), peers: make(map[*processLink]bool)}
+		started: time.Now(), configured: make(chan struct{}), agents: make(map[wire.Incarnation]*processLink), peers: make(map[*processLink]bool)}
 	e.Core = dispatch.New((*entryEnv)(e), e.self, options.Zone, uint64(time.Now().UnixNano()))
 	e.metrics = newEntryMetrics(observer, e)
 	e.dialer = newDialer(options.LinkAddr, options.Seeds)
@@ -98,6 +104,21 @@
 // Table returns the routing in force, or nil.
 func (e *Entry) Table() *routing.Table { return e.table.Load() }
 
+// AwaitTable returns the routing in force. A process that has just started
+// waits for its first one for a moment; after that it returns nil.
+func (e *Entry) AwaitTable(ctx context.Context) *routing.Table {
+	if table := e.Table(); table != nil {
+		return table
+	}
+	ctx, cancel := context.WithDeadline(ctx, e.started.Add(configGrace))
+	defer cancel()
+	select {
+	case <-ctx.Done():
+	case <-e.configured:
+	}
+	return e.Table()
+}
+
 // Stopping reports whether the process is about to end.
 func (e *Entry) Stopping() bool { return e.stopping.Load() }
 
@@ -248,6 +269,9 @@
 			return
 		}
 		if e.table.CompareAndSwap(before, table) {
+			if before == nil {
+				close(e.configured)
+			}
 			break
 		}
 	}
