runner: repeat starts without an answer, hold with several calls while answers get lost

Cause: while 5 to 7 % of the calls to targets get no answer (applied_late), each agent lost about three holds a second.

Ruled out: overload alone. The targets were full only because ends were not seen.

Change: a start is idempotent and is sent again after 20 ms, twice, before the agent looks and withdraws. After a lost answer three holds of 40 ms wait at the target for 3 s in place of one of 150 ms. The test fails with one hold (0.93 in time).

--- a/process/dispatch/cluster_test.go
+++ b/process/dispatch/cluster_test.go
@@ -19,7 +19,9 @@
 	step          = time.Millisecond
 	linkDelay     = time.Millisecond
 	tick          = 15 * time.Millisecond
-	orderTimeout  = 25 * time.Millisecond
+	orderTimeout  = 20 * time.Millisecond
+	holdSlack     = 40 * time.Millisecond
+	maxHolds      = 3
 	idleTimeout   = 2 * time.Second
 	redial        = 30 * time.Millisecond
 	resendAfter   = 1300 * time.Millisecond
@@ -70,10 +72,16 @@
 	core     *runner.Core
 	executor *executor.Executor
 	sequence uint64
-	// hold is the call that waits at the executor.
-	hold     *runner.HoldCall
-	holdEnds time.Time
-	inbox    []func()
+	// holds are the calls that wait at the executor.
+	holds []waitingHold
+	inbox []func()
+}
+
+type waitingHold struct {
+	call runner.HoldCall
+	ends time.Time
+	// lost calls get no answer.
+	lost bool
 }
 
 // link is the connection of an agent to an entry. Messages are delayed by a cut
@@ -122,7 +130,7 @@
 
 func (c *cluster) startAgent(a *agentNode) {
 	a.node = node{alive: true, id: wire.Incarnation(c.random.Uint64())}
-	a.hold, a.inbox = nil, nil
+	a.holds, a.inbox = nil, nil
 	a.core = runner.New((*agentEnv)(a), runner.Options{Agent: a.id, Node: a.name, Zone: "zone-0", Fence: uint64(c.now.UnixMilli())})
 	a.report()
 }
@@ -236,30 +244,42 @@
 	a.core.HoldAnswered(call, answer)
 }
 
-// holdLease keeps one call waiting at the executor.
+// holdLease keeps calls waiting at the executor.
 func (a *agentNode) holdLease() {
-	if a.hold == nil {
-		call, ok := a.core.NextHold(true)
-		if !ok || a.executor.Crashed {
-			return
+	waiting := a.holds
+	a.holds = nil
+	for _, h := range waiting {
+		switch {
+		case a.executor.Crashed || h.lost && a.c.now.After(h.ends.Add(holdSlack)):
+			a.core.HoldFailed(h.call, runner.VerdictUnanswered)
+		case !h.lost && (a.executor.HasEnds(h.call.Seen) || a.c.now.After(h.ends)):
+			h.call.LeaseUntil = 0 // the lease was renewed when the call arrived
+			a.answerHold(h.call)
+		default:
+			a.holds = append(a.holds, h)
 		}
-		if answer, verdict := a.executor.Hold(a.c.now, call); verdict != runner.VerdictDone || len(answer.Ended) > 0 || call.Wait == 0 {
-			a.answerHold(call)
+	}
+	for len(a.holds) == 0 || (a.core.Lossy() && len(a.holds) < maxHolds) {
+		if !a.newHold() {
 			return
 		}
-		a.hold, a.holdEnds = &call, a.c.now.Add(call.Wait)
-		return
 	}
-	if a.executor.Crashed {
-		a.hold = nil
-		return
+}
+
+// newHold makes a call and reports whether it waits at the executor.
+func (a *agentNode) newHold() bool {
+	call, ok := a.core.NextHold(true)
+	if !ok || a.executor.Crashed {
+		return false
 	}
-	if a.executor.HasEnds(a.hold.Seen) || a.c.now.After(a.holdEnds) {
-		call := *a.hold
-		call.LeaseUntil = 0 // the lease was renewed when the call arrived
-		a.hold = nil
+	lost := a.c.random.Float64() < a.c.lateShare
+	answer, verdict := a.executor.Hold(a.c.now, call)
+	if !lost && (verdict != runner.VerdictDone || len(answer.Ended) > 0 || call.Wait == 0) {
 		a.answerHold(call)
+		return false
 	}
+	a.holds = append(a.holds, waitingHold{call, a.c.now.Add(call.Wait), lost})
+	return true
 }
 
 func (c *cluster) closeLink(l *link) {
--- a/process/dispatch/overload_test.go
+++ b/process/dispatch/overload_test.go
@@ -24,6 +24,10 @@
 	{"line", 100, 2, 200 * time.Millisecond, 1},
 }
 
+// ledgerCapacity is how many jobs a second nine targets of 32 cores can run: a
+// job takes 0.58 s of 3.1 cores on average.
+const ledgerCapacity = 9 * 32000 / 3100 / 0.58
+
 // outcome counts what the callers of one kind got.
 type outcome struct {
 	asked, inTime, late, refused, refusedPromptly int
@@ -95,8 +99,7 @@
 func TestOverloadServesWhatCanBeInTime(t *testing.T) {
 	c := newCluster(t, 5, 3, equalRooms(9, 32000))
 	c.run(500 * time.Millisecond)
-	const capacity = 9 * 32000 / 3100 / 0.58 // jobs a second: task-seconds of a job are 0.58
-	outcomes := play(c, 5*time.Second, 1.5*capacity)
+	outcomes := play(c, 5*time.Second, 1.5*ledgerCapacity)
 	all := sum(outcomes)
 	t.Logf("all: %+v", all)
 	for name, o := range outcomes {
@@ -121,8 +124,7 @@
 func TestHighLoadIsServed(t *testing.T) {
 	c := newCluster(t, 6, 3, equalRooms(9, 32000))
 	c.run(500 * time.Millisecond)
-	const capacity = 9 * 32000 / 3100 / 0.58
-	all := sum(play(c, 5*time.Second, 0.8*capacity))
+	all := sum(play(c, 5*time.Second, 0.8*ledgerCapacity))
 	t.Logf("all: %+v", all)
 	if share := float64(all.inTime) / float64(all.asked); share < 0.9 {
 		t.Errorf("%.2f in time, expected 0.9 or more", share)
@@ -152,3 +154,16 @@
 		}
 	}
 }
+
+// Guards against lost answers of targets that hold up whole jobs: a start that
+// is not repeated soon, or ends that are not seen while one call hangs.
+func TestLostAnswersDelayLittle(t *testing.T) {
+	c := newCluster(t, 8, 3, equalRooms(9, 32000))
+	c.run(500 * time.Millisecond)
+	c.lateShare = 0.06
+	all := sum(play(c, 5*time.Second, 0.6*ledgerCapacity))
+	t.Logf("all: %+v", all)
+	if share := float64(all.inTime) / float64(all.asked); share < 0.95 {
+		t.Errorf("%.2f in time, expected 0.95 or more", share)
+	}
+}
--- a/process/node/agent.go
+++ b/process/node/agent.go
@@ -26,6 +26,8 @@
 	stopMargin = 700 * time.Millisecond
 	// stopPoll is how often a stopping process looks whether it may end.
 	stopPoll = 10 * time.Millisecond
+	// maxHolds is how many calls wait at a target whose answers get lost.
+	maxHolds = 3
 	// targetPoll is the pause before the next look for a target to hold.
 	targetPoll = 20 * time.Millisecond
 	// directoryInterval is how often a process that is connected to no entry
@@ -238,7 +240,9 @@
 	}
 	actor(func(ctx context.Context) error { return every(ctx, tickInterval, a.core.Tick) })
 	actor(func(ctx context.Context) error { a.dialer.run(ctx); return nil })
-	actor(a.holdLease)
+	for n := range maxHolds {
+		actor(func(ctx context.Context) error { return a.holdLease(ctx, n) })
+	}
 	actor(a.findTarget)
 	actor(a.searchEntries)
 	actor(func(ctx context.Context) error { return a.leaveOn(ctx, stop) })
@@ -263,9 +267,11 @@
 	return nil
 }
 
-func (a *Agent) holdLease(ctx context.Context) error {
+// holdLease keeps a call waiting at the target. Only the first of several does
+// so while no answers get lost.
+func (a *Agent) holdLease(ctx context.Context, n int) error {
 	for ctx.Err() == nil {
-		if a.hold(true) {
+		if (n == 0 || a.core.Lossy()) && a.hold(true) {
 			continue
 		}
 		select {
--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -54,6 +54,8 @@
 	// foreign are runs of others at the target, with the time of the last
 	// request to stop them.
 	foreign map[batch.Run]time.Time
+	// lossyUntil is until when calls to the target are expected to get lost.
+	lossyUntil time.Time
 	// lookAsked is set while a look at the target is on its way.
 	lookAsked bool
 	invited   wire.Incarnation
@@ -106,6 +108,8 @@
 	// fenced the starts that were refused for a low fencing token.
 	missing int
 	fenced  int
+	// asked counts the starts without an answer.
+	asked int
 }
 
 // session is what the agent keeps of one entry incarnation.
--- a/process/runner/hold.go
+++ b/process/runner/hold.go
@@ -13,6 +13,11 @@
 const (
 	// holdWait is how long a target may wait for an end before it answers.
 	holdWait = 150 * time.Millisecond
+	// lossyWait takes its place while answers get lost, because an end is not
+	// seen before the next answer.
+	lossyWait = 40 * time.Millisecond
+	// lossyFor is for how long after a lost answer more are expected.
+	lossyFor = 3 * time.Second
 	// unreachableAfter is when a target that does not answer takes no new runs
 	// and its lease is no longer renewed.
 	unreachableAfter = 400 * time.Millisecond
@@ -168,10 +173,23 @@
 	}
 	if wait && c.target.clockKnown {
 		call.Wait = holdWait
+		if c.lossy(now) {
+			call.Wait = lossyWait
+		}
 	}
 	return call, true
 }
 
+// Lossy reports whether answers of the target get lost, so that several holds
+// should be under way at a time.
+func (c *Core) Lossy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lossy(c.env.Now())
+}
+
+func (c *Core) lossy(now time.Time) bool { return now.Before(c.lossyUntil) }
+
 // HoldFailed takes a hold without a usable answer.
 func (c *Core) HoldFailed(call HoldCall, verdict Verdict) {
 	c.mu.Lock()
@@ -181,6 +199,8 @@
 	}
 	now := c.env.Now()
 	switch verdict {
+	case VerdictUnanswered:
+		c.lossyUntil = now.Add(lossyFor)
 	case VerdictFenced:
 		if c.fence <= call.Fence {
 			c.fence = call.Fence + fenceStep
--- a/process/runner/start.go
+++ b/process/runner/start.go
@@ -13,6 +13,9 @@
 // step covers a time of day that was set back by a minute.
 const fenceStep = 60_000
 
+// maxStartRetries bounds the retries of one start without an answer.
+const maxStartRetries = 2
+
 // maxFenceRetries bounds the retries of one start with a higher token.
 const maxFenceRetries = 8
 
@@ -85,7 +88,7 @@
 	case VerdictDone:
 		c.startConfirmed(now, h)
 	case VerdictUnanswered:
-		c.startUnanswered(now, h)
+		c.startUnanswered(now, h, call)
 	case VerdictFenced:
 		c.startFenced(now, h, call)
 	case VerdictOtherTarget:
@@ -105,11 +108,19 @@
 	c.health.started()
 }
 
-// startUnanswered looks whether a start without an answer was carried out.
-func (c *Core) startUnanswered(now time.Time, h *held) {
+// startUnanswered asks again for a start without an answer: a run that is there
+// already is confirmed. After some attempts it looks what became of the run.
+func (c *Core) startUnanswered(now time.Time, h *held, call StartCall) {
+	c.lossyUntil = now.Add(lossyFor)
 	if h.seen || h.state == stateStopping {
 		return
 	}
+	h.asked++
+	if h.asked <= maxStartRetries {
+		call.Fence, call.LeaseUntil = c.fence, c.leaseFrom(now)
+		c.env.Start(call)
+		return
+	}
 	h.unanswered = now
 	c.look()
 }
