--- a/process/dispatch/overload_test.go
+++ b/process/dispatch/overload_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/azurerouter/azurerouter/process/dispatch"
+	"github.com/azurerouter/azurerouter/standin/executor"
 )
 
 // jobKind is a kind of job of the payout ledger.
@@ -167,3 +168,28 @@
 		t.Errorf("%.2f in time, expected 0.95 or more", share)
 	}
 }
+
+// Guards against sound jobs that are late because of a target that is slow, that
+// fails or that stands still, while its own reports say that it is well.
+func TestFaultyTargetsAreAvoided(t *testing.T) {
+	faulty := map[string]func(*executor.Executor){
+		"slow":  func(e *executor.Executor) { e.Slow = 8 },
+		"fails": func(e *executor.Executor) { e.FailAll = true },
+		"hangs": func(e *executor.Executor) { e.Hang = true },
+	}
+	for name, spoil := range faulty {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 9, 3, equalRooms(9, 32000))
+			c.run(500 * time.Millisecond)
+			spoil(c.agents[4].executor)
+			all := sum(play(c, 5*time.Second, 0.6*ledgerCapacity))
+			t.Logf("all: %+v", all)
+			if share := float64(all.inTime) / float64(all.asked); share < 0.975 {
+				t.Errorf("%.3f in time, expected 0.975 or more", share)
+			}
+			if answered := all.inTime + all.late + all.refused; answered != all.asked {
+				t.Errorf("%d of %d callers have an answer", answered, all.asked)
+			}
+		})
+	}
+}
--- a/process/runner/health.go
+++ b/process/runner/health.go
@@ -20,11 +20,6 @@
 	// run; it doubles with each failed probe.
 	minClosed = 400 * time.Millisecond
 	maxClosed = 1600 * time.Millisecond
-	// stallAfter is how long a run may show no progress.
-	stallAfter = 250 * time.Millisecond
-	// stallShare of the estimate of a run is added to stallAfter, because the
-	// progress is shown in whole percent.
-	stallShare = 0.15
 )
 
 // health judges a target by the outcomes of its runs. It answers faults that
@@ -40,9 +35,16 @@
 	probing   bool
 }
 
-// done notes a run that completed.
-func (h *health) done() {
-	*h = health{}
+// done notes a run that completed. A probe that was slow does not open the
+// target, a run that was started before it was closed says nothing.
+func (h *health) done(now time.Time, slow bool) {
+	switch {
+	case h.closed != "":
+	case h.probing && slow:
+		h.close(now, wire.ClosedStalled)
+	default:
+		*h = health{}
+	}
 }
 
 // failed notes a failed run.
@@ -100,9 +102,3 @@
 	h.closed, h.probing = "", true
 	return true
 }
-
-// stallLimit returns how long a run of the estimated duration may show no
-// progress.
-func stallLimit(estimate time.Duration) time.Duration {
-	return stallAfter + time.Duration(stallShare*float64(estimate))
-}
--- a/process/runner/hold.go
+++ b/process/runner/hold.go
@@ -357,20 +357,3 @@
 		}
 	}
 }
-
-// checkProgress stops runs that stand still, so that they can run elsewhere.
-func (c *Core) checkProgress(now time.Time) {
-	stalled := 0
-	for _, h := range batch.InOrder(c.runs) {
-		if h.state != stateRunning || now.Sub(h.percentAt) <= stallLimit(h.estimate) {
-			continue
-		}
-		stalled++
-		c.env.Decided(decision.Decision{Step: "run", Job: h.run.Task.Job, Run: h.run, Peer: c.target.id, Outcome: "stopped",
-			Reason: "no progress", Age: now.Sub(h.percentAt), Inputs: []decision.Input{{Name: "percent", Value: int64(h.percent)}}})
-		c.stop(now, h, wire.RefusedStopped)
-	}
-	if stalled > 0 {
-		c.judge(now, func() { c.health.stalled(now) })
-	}
-}
--- a/process/runner/start.go
+++ b/process/runner/start.go
@@ -25,7 +25,7 @@
 		c.tell(now, s, wire.RunReport{Run: run, Refused: reason})
 		return
 	}
-	h := &held{run: run, entry: s.entry, demand: order.Demand, startedAt: now, percentAt: now,
+	h := &held{run: run, entry: s.entry, demand: order.Demand, startedAt: now,
 		estimate: time.Duration(order.EstimateMS) * time.Millisecond}
 	c.runs[run] = h
 	c.used = c.used.Add(h.demand)
@@ -102,6 +102,7 @@
 
 func (c *Core) startConfirmed(now time.Time, h *held) {
 	h.seen, h.confirmed, h.unanswered = true, now, time.Time{}
+	h.percentAt = now
 	if h.state == stateStarting {
 		h.state = stateRunning
 	}
@@ -277,7 +278,8 @@
 		Routine: end == batch.EndDone, Inputs: []decision.Input{{Name: "ran_ms", Value: report.RanMS}}})
 	switch end {
 	case batch.EndDone:
-		c.judge(now, c.health.done)
+		slow := h.estimate > 0 && ran > time.Duration(slowFactor*float64(h.estimate))
+		c.judge(now, func() { c.health.done(now, slow) })
 	case batch.EndFailed:
 		c.judge(now, func() { c.health.failed(now, h.run.Task.Job) })
 	}
