dispatch: a refused session ends with its enrolment; lost runs may have run

The refusals came again with the next enrolment and marked the new sessions as refused: open_targets stayed 0 and the entry refused all its jobs as overloaded. Besides, runs that an agent no longer held counted as never started, so that a job whose runs had been stopped could be refused as not run.

Ruled out: overload; the load was a third of the room, and the other entries served.

Change: the mark is cleared after an enrolment; runs that are no longer held count as lost, not as refused; an agent keeps the reports of an ended session for the next. Callers of an entry that is not ready are told to close their connection, so that the balancer can send them elsewhere.

--- a/cmd/azurerouter/platform.go
+++ b/cmd/azurerouter/platform.go
@@ -82,7 +82,7 @@
 }
 
 func callers(e *node.Entry) http.Handler {
-	return &platform.Callers{Table: e.AwaitTable, Dispatcher: e, Closing: e.Stopping, Answered: e.Answered}
+	return &platform.Callers{Table: e.AwaitTable, Dispatcher: e, Closing: e.Leaving, Answered: e.Answered}
 }
 
 func runPlatformAgent(metrics string, stdout, stderr io.Writer) int {
--- a/process/dispatch/faults_test.go
+++ b/process/dispatch/faults_test.go
@@ -183,3 +183,53 @@
 		t.Errorf("%d runs of a frozen entry after its session", got)
 	}
 }
+
+// Guards against an entry that thinks its sessions refused after it was frozen,
+// and serves nothing although all agents have enrolled again.
+func TestEntryServesAgainAfterAFreeze(t *testing.T) {
+	c := newCluster(t, 4, 2, equalRooms(3, 16000))
+	c.run(500 * time.Millisecond)
+	for range 10 {
+		c.call(c.submission("q", 4, 400*time.Millisecond, 1000, 0), 0)
+	}
+	c.run(50 * time.Millisecond)
+	c.entries[0].frozen = true
+	c.run(1200 * time.Millisecond)
+	c.entries[0].frozen = false
+	c.step()       // what has arrived meanwhile makes the agents look alive
+	for range 12 { // ordered from all agents before the entry learns that its sessions have ended
+		c.call(c.submission("q", 4, 100*time.Millisecond, 1000, 0), 0)
+	}
+	c.run(500 * time.Millisecond)
+	var callers []*caller
+	for range 5 {
+		callers = append(callers, c.call(c.submission("q", 2, 100*time.Millisecond, 1000, 0), 0))
+	}
+	c.run(time.Second)
+	for _, k := range callers {
+		if k.result == nil || k.result.Code != dispatch.Completed || k.took > k.s.Objective {
+			t.Errorf("%+v after %v", k.result, k.took)
+		}
+	}
+}
+
+// Guards against a refusal that says that a job has not run though its runs were
+// started and then stopped with the session.
+func TestLostRunsAreNotReportedAsNotRun(t *testing.T) {
+	c := newCluster(t, 5, 1, equalRooms(1, 16000))
+	c.run(500 * time.Millisecond)
+	s := c.submission("q", 2, 900*time.Millisecond, 1000, 0)
+	var got []dispatch.Result
+	c.entries[0].core.Submit(s, func(r dispatch.Result) { got = append(got, r) })
+	c.run(50 * time.Millisecond)
+	c.links[0].cut = true
+	c.run(wire.SessionTTL + 200*time.Millisecond)
+	c.agents[0].executor.Room.MilliCPU = 0 // the task finds no room again
+	c.agents[0].report()
+	c.closeLink(c.links[0])
+	c.links[0].cut = false
+	c.run(8 * time.Second)
+	if len(got) != 1 || got[0].Code != dispatch.GaveUp {
+		t.Errorf("%+v, expected %s", got, dispatch.GaveUp)
+	}
+}
--- a/process/dispatch/target.go
+++ b/process/dispatch/target.go
@@ -80,11 +80,13 @@
 		p.addTarget(t)
 	}
 	t.node, t.zone, t.session = m.Node, m.Zone, m.Session
-	t.connected, t.sessionRefused, t.heard, t.echo = true, false, now, m.Clock
+	t.connected, t.heard, t.echo = true, now, m.Clock
 	t.state, t.free, t.unheard, t.sent, t.told = m.Target, m.Free, nil, 0, false
 	c.env.Decided(decision.Decision{Step: "agent", Peer: m.Node, Outcome: "enrolled", Reason: string(m.Target.Closed),
 		Version: m.Target.Revision, Inputs: []decision.Input{{Name: "runs", Value: int64(len(t.runs))}, {Name: "free_millicpu", Value: int64(m.Free.MilliCPU)}}})
 	c.reconcile(now, p, t, m.Held)
+	// Refusals among the held reports are of earlier sessions.
+	t.sessionRefused = false
 	c.send(now, t, &wire.Orders{})
 	c.assign(now, p)
 }
@@ -110,7 +112,8 @@
 	delete(c.agents, agent)
 }
 
-// reconcile ends the runs that an agent no longer holds.
+// reconcile ends the runs that an agent no longer holds. They may have run
+// before their session ended.
 func (c *Core) reconcile(now time.Time, p *pool, t *target, held []wire.RunReport) {
 	alive := make(map[batch.Run]bool, len(held))
 	for _, report := range held {
@@ -118,7 +121,7 @@
 	}
 	for _, r := range batch.InOrder(t.runs) {
 		if !alive[r.name()] {
-			c.runRefused(now, p, r, wire.RefusedSession)
+			c.runEnded(now, p, r, batch.EndLost)
 		}
 	}
 	for _, report := range held {
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -119,8 +119,10 @@
 	return e.Table()
 }
 
-// Stopping reports whether the process is about to end.
-func (e *Entry) Stopping() bool { return e.stopping.Load() }
+// Leaving reports whether callers should connect to another entry: this one
+// ends, or can't serve them for now. The balancer sends new connections
+// elsewhere, but open ones stay until they are closed.
+func (e *Entry) Leaving() bool { return e.Ready() != nil }
 
 // Answered counts a response to a caller.
 func (e *Entry) Answered(status int, took time.Duration) { e.metrics.answered(status, took) }
--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -169,7 +169,11 @@
 	s := c.sessions[entry]
 	if s == nil || (s.ended && !c.holdsRunsOf(entry)) {
 		c.nextID++
-		s = &session{entry: entry, id: c.nextID, expiry: now.Add(wire.SessionTTL)}
+		fresh := &session{entry: entry, id: c.nextID, expiry: now.Add(wire.SessionTTL)}
+		if s != nil {
+			fresh.recent = s.recent
+		}
+		s = fresh
 		c.sessions[entry] = s
 	}
 	s.connected, s.handled, s.waiting = true, 0, false
