dispatch: a process that was stopped waits for its agents like a fresh one

Change: after half a second without a tick the second of grace that a fresh process has begins anew. The test fails without it.

--- a/process/dispatch/admit.go
+++ b/process/dispatch/admit.go
@@ -15,9 +15,6 @@
 	// isolatedAfter is when an entry that hears no agent gives its jobs up, so
 	// that the callers try another entry. Until then agents may reconnect.
 	isolatedAfter = wire.LostAfter
-	// startGrace is how long a fresh process takes jobs before it has heard of
-	// a target. Agents find a new entry within this time.
-	startGrace = time.Second
 	// lateFactor times the objective is when an answer is of no use to the
 	// caller any more.
 	lateFactor = 3
@@ -35,7 +32,7 @@
 		return Result{Code: NotRun, Reason: ReasonUnsupported, RetryAfter: retryAfterUnknown}, false
 	}
 	if !p.anyHeard(now) {
-		if now.Sub(c.started) <= startGrace {
+		if c.wake.recent(now) {
 			return Result{}, true
 		}
 		return Result{Code: NotRun, Reason: ReasonNoTargets, RetryAfter: retryAfterUnknown}, false
@@ -123,7 +120,7 @@
 // those that have not started and are too late for their objective: work on
 // them would make other jobs late.
 func (c *Core) checkJobs(now time.Time, p *pool) {
-	isolated := !p.anyHeard(now) && now.Sub(c.started) > startGrace
+	isolated := !p.anyHeard(now) && !c.wake.recent(now)
 	overloaded := p.anyOpen(now) && p.timelyWaiting(now)
 	for _, j := range p.jobsInOrder() {
 		switch {
--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -25,11 +25,11 @@
 // each service has a lock of its own, and the two tables that lead to them have
 // one each. A table's lock is never held while a service's is taken.
 type Core struct {
-	env     Env
-	started time.Time
-	self    wire.Incarnation
-	zone    string
-	seed    uint64
+	env  Env
+	wake wakeup
+	self wire.Incarnation
+	zone string
+	seed uint64
 
 	poolsMu sync.RWMutex
 	pools   map[string]*pool
@@ -64,8 +64,9 @@
 // New returns the state of a fresh entry incarnation. seed feeds the choice of
 // targets.
 func New(env Env, self wire.Incarnation, zone string, seed uint64) *Core {
-	return &Core{env: env, started: env.Now(), self: self, zone: zone, seed: seed, pools: make(map[string]*pool),
-		agents: make(map[wire.Incarnation]*pool)}
+	c := &Core{env: env, self: self, zone: zone, seed: seed, pools: make(map[string]*pool), agents: make(map[wire.Incarnation]*pool)}
+	c.wake.start(env.Now())
+	return c
 }
 
 func (c *Core) pool(service string) *pool {
@@ -104,6 +105,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := c.env.Now()
+	c.wake.note(now)
 	c.counters.submitted.Add(1)
 	if kept, ok := p.answers[s.Job.ID]; ok && kept.result.Code != NotRun && kept.result.Code != GaveUp {
 		c.env.Decided(decision.Decision{Step: "accept", Job: s.Job.ID, Outcome: "answered_again", Age: now.Sub(kept.at)})
@@ -233,6 +235,7 @@
 
 // Tick does what is due. It is to be called every few milliseconds.
 func (c *Core) Tick() {
+	c.wake.note(c.env.Now())
 	for _, p := range c.allPools() {
 		p.mu.Lock()
 		now := c.env.Now()
--- a/process/dispatch/faults_test.go
+++ b/process/dispatch/faults_test.go
@@ -233,3 +233,23 @@
 		t.Errorf("%+v, expected %s", got, dispatch.GaveUp)
 	}
 }
+
+// Guards against an entry that was frozen for seconds and refuses what callers
+// have sent meanwhile, a moment before its agents are back.
+func TestJobsWaitForAgentsAfterAFreeze(t *testing.T) {
+	c := newCluster(t, 6, 1, equalRooms(2, 16000))
+	c.run(500 * time.Millisecond)
+	c.entries[0].frozen = true
+	c.run(3 * time.Second)
+	c.entries[0].frozen = false
+	var callers []*caller
+	for range 4 {
+		callers = append(callers, c.call(c.submission("q", 2, 200*time.Millisecond, 1000, 0), 0))
+	}
+	c.run(2 * time.Second)
+	for _, k := range callers {
+		if k.result == nil || k.result.Code != dispatch.Completed {
+			t.Errorf("%+v after %v", k.result, k.took)
+		}
+	}
+}
