check: settings files of the platform

Cause: a fault in the platform's settings showed only when a process started.

Change: azurerouter check -platform FILE names file, line or field and what was expected, and prints what a process takes from the file. The recorded help of the command changes with it.

--- a/cmd/azurerouter/check.go
+++ b/cmd/azurerouter/check.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/azurerouter/azurerouter/version/config"
@@ -13,7 +14,8 @@
 
 Checks the settings files (*.json, *.jsonc) in DIR and prints what is wrong with
 them, one fault per line. Exits with 0 if there is no fault, 1 if there is one,
-and 2 if DIR cannot be read.
+and 2 if DIR cannot be read. With -platform FILE in place of DIR it checks the
+settings that the platform gives to a process.
 `
 
 // runCheck is the subcommand check. It returns the exit code.
@@ -21,6 +23,13 @@
 	flags := newFlags("check", checkUsage)
 	printMerged := flags.Bool("print", false,
 		"print every merged value with its unit and the file that sets it (no unit, default false)")
+	settings := flags.String("platform", "", "check this `file` with the platform's settings of a process")
+	if platformOnly(args) {
+		if code, ok := parseFlags(flags, args, 0, stdout, stderr); !ok {
+			return code
+		}
+		return checkPlatform(*settings, stdout, stderr)
+	}
 	dir, code := parseFolderArgs(flags, args, stdout, stderr)
 	if dir == "" {
 		return code
@@ -42,6 +51,12 @@
 	return exitOK
 }
 
+// platformOnly reports whether the arguments ask for the check of a settings
+// file of the platform, which takes no folder.
+func platformOnly(args []string) bool {
+	return len(args) > 0 && strings.HasPrefix(strings.TrimLeft(args[0], "-"), "platform")
+}
+
 // parseFolderArgs parses flags before and after the one folder argument. An
 // empty folder means that the command ends with the exit code.
 func parseFolderArgs(flags *flag.FlagSet, args []string, stdout, stderr io.Writer) (dir string, code int) {
--- /dev/null
+++ b/cmd/azurerouter/check_platform.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/azurerouter/azurerouter/platform"
+)
+
+// checkPlatform checks a settings file of the platform and prints what a process
+// takes from it.
+func checkPlatform(path string, stdout, stderr io.Writer) int {
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		fmt.Fprintln(stderr, "check:", err)
+		return exitFailed
+	}
+	values := []struct{ name, value string }{
+		{"instance", s.Node}, {"availability zone", s.Zone}, {"callers", s.CallerAddr}, {"readiness", s.ReadyAddr},
+		{"control", s.ControlAddr}, {"links", s.LinkAddr}, {"seeds", fmt.Sprint(s.SeedLinks)}, {"store", s.StoreAddr},
+		{"machines", s.MachinesAddr}, {"target", s.TargetAddr}, {"grace", s.Grace.String()},
+		{"memory", fmt.Sprintf("%d MiB", s.MemoryLimit>>20)},
+	}
+	for _, v := range values {
+		if v.value != "" {
+			fmt.Fprintf(stdout, "%-18s %s\n", v.name, v.value)
+		}
+	}
+	return exitOK
+}
