--- a/process/dispatch/assign.go
+++ b/process/dispatch/assign.go
@@ -202,8 +202,8 @@
 	}
 	c.counters.ordered.Add(uint64(len(start.Tasks)))
 	c.env.Decided(decision.Decision{Step: "place", Job: j.Job.ID, Peer: t.node, Outcome: "ordered", Age: now.Sub(t.heard),
-		Version: t.state.Revision, Routine: true, Inputs: []decision.Input{{Name: "step", Value: int64(g.step)},
-			{Name: "tasks", Value: int64(len(start.Tasks))}, {Name: "free_millicpu", Value: int64(t.free.MilliCPU)}, {Name: "slack_ms", Value: start.SlackMS}}})
+		Version: t.state.Revision, Routine: true, Inputs: []decision.Input{{Name: "job_step", Value: int64(g.step)},
+			{Name: "tasks", Value: int64(len(start.Tasks))}, {Name: "free_millicpu", Value: int64(t.free.MilliCPU)}, {Name: "slack_ms", Value: g.start.Sub(now).Milliseconds()}}})
 	if out.orders[t] == nil {
 		out.orders[t] = &wire.Orders{}
 		out.targets = append(out.targets, t)
@@ -231,7 +231,7 @@
 			continue
 		}
 		cost := c.cost(p, g, t)
-		if t.node == avoid {
+		if slices.Contains(avoid, t.node) {
 			cost += costAvoided
 		}
 		if best == nil || cost < bestCost {
@@ -248,7 +248,7 @@
 // Weights of the choice of a target. Their unit is the duration of a task on a
 // target of usual speed.
 const (
-	// costAvoided keeps a task from the target where it failed last.
+	// costAvoided keeps a task from the targets where it did not get done.
 	costAvoided = 10.0
 	// costProbing keeps tasks from a target that may still be faulty.
 	costProbing = 5.0
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -16,11 +16,11 @@
 	useless time.Time
 	steps   []stepState
 	waiters map[uint64]func(Result)
-	// mayHaveRun is set once a start was ordered and not refused.
+	// started counts the runs that were ordered and not refused.
 	started int
 	ended   bool
-	// tailEstimate is the estimated time from the start of each step to the end
-	// of the job.
+	// tail is the estimated time from the start of each step to the end of the
+	// job.
 	tail []time.Duration
 }
 
@@ -46,8 +46,8 @@
 	done   bool
 	// live is the run that may be alive, or nil.
 	live *run
-	// avoid is the node where the task failed last.
-	avoid string
+	// avoid holds the nodes where a run of the task did not get done.
+	avoid []string
 }
 
 // run is a run that may be alive at a target.
@@ -58,8 +58,7 @@
 	ordered time.Time
 	// stopping is set once the entry wants no result of the run.
 	stopping bool
-	// lostAt is when the run has ended for certain, if its agent is silent.
-	demand batch.Resources
+	demand   batch.Resources
 }
 
 func (t *task) name() batch.Task {
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -56,7 +56,7 @@
 	case wire.RefusedSuperseded:
 		r.task.number += supersededStep
 	case wire.RefusedByTarget, wire.RefusedUnanswered:
-		r.task.avoid = t.node
+		r.task.avoid = append(r.task.avoid, t.node)
 	}
 	if !j.ended {
 		r.task.requeue()
@@ -83,13 +83,13 @@
 		return
 	case batch.EndFailed:
 		r.task.failed++
-		r.task.avoid = r.target.node
+		r.task.avoid = append(r.task.avoid, r.target.node)
 		if r.task.failed >= j.MaxAttempts {
 			c.end(now, p, j, Result{Code: Failed, Reason: ReasonAttempts})
 			return
 		}
 	default:
-		r.task.avoid = r.target.node
+		r.task.avoid = append(r.task.avoid, r.target.node)
 	}
 	r.task.requeue()
 }
--- a/process/node/agent.go
+++ b/process/node/agent.go
@@ -93,11 +93,7 @@
 	a := &Agent{options: options, observer: observer, decisions: decisions, entries: make(map[wire.Incarnation]*entryLink)}
 	a.core = runner.New((*agentEnv)(a), runner.Options{Agent: wire.NewIncarnation(), Node: options.Node, Zone: options.Zone,
 		Fence: uint64(time.Now().UnixMilli())})
-	a.dialer = newDialer("", options.Seeds)
-	a.dialer.connect = a.connect
-	a.dialer.unreachable = func(addr string, since time.Time) {
-		observer.Log.Info().Str("step", "dial").Str("peer", addr).Int64("age_ms", time.Since(since).Milliseconds()).Msg("entry unreachable")
-	}
+	a.dialer = newDialer("", options.Seeds, observer.Log, a.connect)
 	return a
 }
 
--- a/process/node/links.go
+++ b/process/node/links.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/azurerouter/azurerouter/connection/wire"
 )
 
@@ -26,9 +28,7 @@
 	// connect dials an entry and returns after the connection has ended. It
 	// reports whether the connection was established.
 	connect func(ctx context.Context, addr string) bool
-	// unreachable and reached are told when an entry can't be dialled and when
-	// it can again.
-	unreachable func(addr string, since time.Time)
+	log     zerolog.Logger
 
 	mu    sync.Mutex
 	known map[string]wire.EntryMember
@@ -37,8 +37,8 @@
 	wait  sync.WaitGroup
 }
 
-func newDialer(self string, seeds []string) *dialer {
-	d := &dialer{self: self, known: make(map[string]wire.EntryMember), seeds: make(map[string]bool)}
+func newDialer(self string, seeds []string, log zerolog.Logger, connect func(context.Context, string) bool) *dialer {
+	d := &dialer{self: self, connect: connect, log: log, known: make(map[string]wire.EntryMember), seeds: make(map[string]bool)}
 	for _, seed := range seeds {
 		d.seeds[seed] = true
 	}
@@ -98,12 +98,15 @@
 func (d *dialer) keep(ctx context.Context, addr string) {
 	defer d.wait.Done()
 	backoff, reached := redialMin, time.Now()
+	lost := false
 	for ctx.Err() == nil {
 		if d.connect(ctx, addr) {
-			backoff, reached = redialMin, time.Now()
+			backoff, reached, lost = redialMin, time.Now(), false
 		} else {
-			d.unreachable(addr, reached)
-			backoff = min(2*backoff, redialMax)
+			if !lost {
+				d.log.Info().Str("step", "dial").Str("peer", addr).Msg("entry unreachable")
+			}
+			backoff, lost = min(2*backoff, redialMax), true
 		}
 		if time.Since(reached) > forgetAfter && !d.isSeed(addr) {
 			d.forget(addr)
--- /dev/null
+++ b/request/batch/batch_test.go
@@ -0,0 +1,38 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Guards against jobs that no scheduler could end.
+func TestCheckRefusesMalformedJobs(t *testing.T) {
+	good := Step{Tasks: 2}
+	cases := map[string][]Step{
+		"no steps":           {},
+		"no tasks":           {{}},
+		"too many tasks":     {{Tasks: MaxTasks}, good},
+		"own step":           {{Tasks: 1, After: []int{0}}},
+		"later step":         {{Tasks: 1, After: []int{1}}, good},
+		"negative resources": {{Tasks: 1, Demand: Resources{MilliCPU: -1}}},
+	}
+	for name, steps := range cases {
+		if err := (Job{Steps: steps}).Check(); !errors.Is(err, ErrInvalid) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if err := (Job{Steps: []Step{good, {Tasks: 1, After: []int{0}}}}).Check(); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against an objective that counts steps that run side by side.
+func TestLongestChain(t *testing.T) {
+	j := Job{Steps: []Step{{Estimate: time.Second}, {Estimate: 3 * time.Second}, {Estimate: 5 * time.Second, After: []int{0}},
+		{Estimate: time.Second, After: []int{1, 2}}}}
+	if got := j.LongestChain(); got != 7*time.Second {
+		t.Errorf("%v, expected 7s", got)
+	}
+}
