--- a/demo/operations.sh
+++ b/demo/operations.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs the set-up of docs/operations.md on loopback until it gets SIGTERM or
+# Runs the set-up of docs/OPERATIONS.md on loopback until it gets SIGTERM or
 # SIGINT: the log stand-in, entry-a, agent-1 and agent-2 in zone-1, entry-b,
 # agent-3 and agent-4 in zone-2, a target stand-in for each agent. The folder
 # has the settings, keys, logs (NAME.log) and process ids (NAME.pid).
