outbox: write nothing after Close; remove what nothing uses, count dropped log lines

Cause: TestPutIsBounded hung once, for ten minutes: Run chose between a pending wake-up and Close at random and wrote what Close promises to drop.

Change: Run looks whether the outbox is closed before it writes. The session number of an enrolment, the count of refused starts and an unused method go. Lines that nobody reads in time are counted in log_lines_dropped. A process says so at its start if callers send jobs again sooner than runs of a lost entry stop.

--- a/cmd/azurerouter/platform.go
+++ b/cmd/azurerouter/platform.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 
+	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/platform"
 	"github.com/azurerouter/azurerouter/process/node"
 	"github.com/azurerouter/azurerouter/process/observe"
@@ -18,10 +19,13 @@
 
 // Bounds of the logs of a process on the platform.
 const (
-	logQueueLines      = 4096
-	logLinesPerSecond  = 1000
-	logRoutinePerSec   = 400
-	logCloseTimeout    = 200 * time.Millisecond
+	logQueueLines     = 4096
+	logLinesPerSecond = 1000
+	logRoutinePerSec  = 400
+	logCloseTimeout   = 200 * time.Millisecond
+	// stopAllowance is the time in which an agent stops the runs of an entry
+	// whose session has ended.
+	stopAllowance      = 200 * time.Millisecond
 	memoryShare        = 0.8
 	garbageCollectPerc = 100
 )
@@ -49,9 +53,14 @@
 	debug.SetGCPercent(garbageCollectPerc)
 	log := observe.NewNonBlocking(stdout, logQueueLines)
 	observer := observe.New(settings.Node, log)
+	log.CountIn(observer.Metrics.Counter(observe.LogLinesDropped))
 	p := &platformProcess{settings: settings, observer: observer, decisions: observer.Decisions(logLinesPerSecond, logRoutinePerSec),
 		log: log, metrics: metrics}
 	observer.Log.Info().Str("step", "start").Str("zone", settings.Zone).Str("settings", path).Msg("process starts")
+	if settings.ResendAfter <= wire.SessionTTL+stopAllowance {
+		observer.Log.Warn().Str("step", "start").Int64("resend_after_ms", settings.ResendAfter.Milliseconds()).
+			Msg("callers send jobs again before the runs of a lost entry have stopped")
+	}
 	return p, nil
 }
 
--- a/connection/outbox/outbox.go
+++ b/connection/outbox/outbox.go
@@ -102,9 +102,12 @@
 			return nil
 		}
 		o.mu.Lock()
-		batch := o.queue
+		batch, closed := o.queue, o.closed
 		o.queue = spare[:0]
 		o.mu.Unlock()
+		if closed {
+			return nil
+		}
 		if _, err := w.Write(batch); err != nil {
 			return err
 		}
--- a/connection/stream/stream.go
+++ b/connection/stream/stream.go
@@ -33,8 +33,8 @@
 	maxQueuedBytes  = 8 << 20
 )
 
-// Handler receives what happens on one connection. All calls but the one of the
-// constructor come from the connection's own goroutine, in order.
+// Handler receives what happens on one connection, in order, from the
+// connection's own goroutine.
 type Handler interface {
 	// Received is called for each message of the peer.
 	Received(m wire.Message)
--- a/connection/wire/codec_test.go
+++ b/connection/wire/codec_test.go
@@ -48,7 +48,7 @@
 			Service: "card", Priority: 1, MaxAttempts: 3, Stretch: 1.5, TargetLatency: 60, Timeout: 1500, Advised: true}},
 			Services: []routing.Service{{Name: "card", GuardsRoom: true}}, Limits: routing.Limits{HeaderBytes: 1, BodyBytes: 2,
 				HeaderTimeout: 3, IdleTimeout: 4}}},
-		&Enroll{Agent: 1, Node: "agent-1", Zone: "zone-a", Session: 2, Clock: 9, Target: target, Free: room,
+		&Enroll{Agent: 1, Node: "agent-1", Zone: "zone-a", Clock: 9, Target: target, Free: room,
 			Held: []RunReport{{Run: run, End: batch.EndDone, RanMS: 50}}},
 		&Orders{Sequence: 1, Echo: 9, Stops: []batch.Run{run}, Waiting: &Waiting{SlackMS: -1, Smallest: room}, Starts: []StartOrder{{Job: "j", Spec: "s", Step: 1,
 			Occurrence: 2, Demand: room, EstimateMS: 60, SlackMS: -5, Tasks: []StartTask{{Index: 3, Number: 1}}}}},
--- a/connection/wire/run.go
+++ b/connection/wire/run.go
@@ -90,12 +90,11 @@
 	// Node names the instance; it outlives the agent's incarnation.
 	Node string `cbor:"2,keyasint"`
 	Zone string `cbor:"3,keyasint"`
-	// Session tells the sessions of the agent with this entry apart.
-	Session uint64          `cbor:"4,keyasint"`
-	Clock   int64           `cbor:"5,keyasint"`
-	Target  TargetState     `cbor:"6,keyasint"`
-	Free    batch.Resources `cbor:"7,keyasint"`
-	Held    []RunReport     `cbor:"8,keyasint,omitempty"`
+	// Clock is that of AgentReport.
+	Clock  int64           `cbor:"4,keyasint"`
+	Target TargetState     `cbor:"5,keyasint"`
+	Free   batch.Resources `cbor:"6,keyasint"`
+	Held   []RunReport     `cbor:"7,keyasint,omitempty"`
 }
 
 // Orders is a message of an entry to an agent. Without content it only renews
--- a/process/dispatch/target.go
+++ b/process/dispatch/target.go
@@ -19,10 +19,9 @@
 
 // target is what an entry knows of one agent and the target beside it.
 type target struct {
-	agent   wire.Incarnation
-	node    string
-	zone    string
-	session uint64
+	agent wire.Incarnation
+	node  string
+	zone  string
 	// connected is false while the agent may reconnect.
 	connected bool
 	state     wire.TargetState
@@ -79,7 +78,7 @@
 		t = &target{agent: m.Agent, runs: make(map[batch.Run]*run)}
 		p.addTarget(t)
 	}
-	t.node, t.zone, t.session = m.Node, m.Zone, m.Session
+	t.node, t.zone = m.Node, m.Zone
 	t.connected, t.heard, t.echo = true, now, m.Clock
 	t.state, t.free, t.unheard, t.sent, t.told = m.Target, m.Free, nil, 0, false
 	c.env.Decided(decision.Decision{Step: "agent", Peer: m.Node, Outcome: "enrolled", Reason: string(m.Target.Closed),
--- a/process/observe/names.go
+++ b/process/observe/names.go
@@ -66,6 +66,8 @@
 	ConfigOffset = "config_offset"
 	// DecisionsOmitted counts decisions that were left out of the log.
 	DecisionsOmitted = "decisions_omitted"
+	// LogLinesDropped counts log lines that nobody read in time.
+	LogLinesDropped = "log_lines_dropped"
 	// JobsSubmitted counts jobs that callers handed in.
 	JobsSubmitted = "jobs_submitted"
 	// JobsEnded counts jobs by TagCode.
--- a/process/observe/nonblocking.go
+++ b/process/observe/nonblocking.go
@@ -4,6 +4,8 @@
 	"io"
 	"sync/atomic"
 	"time"
+
+	"github.com/uber-go/tally/v4"
 )
 
 // NonBlocking is a writer that never waits for the one below it. Lines that do
@@ -13,7 +15,7 @@
 	lines   chan []byte
 	done    chan struct{}
 	dropped atomic.Uint64
-	written atomic.Uint64
+	counter atomic.Pointer[tally.Counter]
 }
 
 // NewNonBlocking returns a writer with a queue of the given number of lines.
@@ -28,11 +30,21 @@
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
-		w.dropped.Add(1)
+		w.drop()
 	}
 	return len(line), nil
 }
 
+// CountIn also counts dropped lines in a metric from now on.
+func (w *NonBlocking) CountIn(counter tally.Counter) { w.counter.Store(&counter) }
+
+func (w *NonBlocking) drop() {
+	w.dropped.Add(1)
+	if counter := w.counter.Load(); counter != nil {
+		(*counter).Inc(1)
+	}
+}
+
 // Dropped returns how many lines were dropped since the start.
 func (w *NonBlocking) Dropped() uint64 { return w.dropped.Load() }
 
@@ -41,10 +53,8 @@
 	for line := range w.lines {
 		if _, err := w.out.Write(line); err != nil {
 			// Nothing can be logged about a log that can't be written.
-			w.dropped.Add(1)
-			continue
+			w.drop()
 		}
-		w.written.Add(1)
 	}
 }
 
--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -43,7 +43,6 @@
 	fence    uint64
 	leaving  bool
 	sessions map[wire.Incarnation]*session
-	nextID   uint64
 	runs     map[batch.Run]*held
 	used     batch.Resources
 	target   target
@@ -115,7 +114,6 @@
 // session is what the agent keeps of one entry incarnation.
 type session struct {
 	entry     wire.Incarnation
-	id        uint64
 	connected bool
 	ended     bool
 	// expiry is when the session ends unless the entry echoes a newer clock.
@@ -168,8 +166,7 @@
 	now := c.env.Now()
 	s := c.sessions[entry]
 	if s == nil || (s.ended && !c.holdsRunsOf(entry)) {
-		c.nextID++
-		fresh := &session{entry: entry, id: c.nextID, expiry: now.Add(wire.SessionTTL)}
+		fresh := &session{entry: entry, expiry: now.Add(wire.SessionTTL)}
 		if s != nil {
 			fresh.recent = s.recent
 		}
@@ -178,7 +175,7 @@
 	}
 	s.connected, s.handled, s.waiting = true, 0, false
 	s.pending, s.lastSent, s.revision = nil, now, c.revision
-	enroll := &wire.Enroll{Agent: c.options.Agent, Node: c.options.Node, Zone: c.options.Zone, Session: s.id,
+	enroll := &wire.Enroll{Agent: c.options.Agent, Node: c.options.Node, Zone: c.options.Zone,
 		Clock: now.UnixMicro(), Target: c.targetState(), Free: c.free()}
 	for _, recent := range s.recent {
 		enroll.Held = append(enroll.Held, recent.report)
--- a/process/runner/health.go
+++ b/process/runner/health.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"slices"
 	"time"
 
 	"github.com/azurerouter/azurerouter/connection/wire"
@@ -14,8 +15,6 @@
 	failedJobsLimit = 2
 	// failureWindow is how far apart failures in a row may be.
 	failureWindow = 3 * time.Second
-	// refusedLimit is how many starts in a row an unwell target refuses.
-	refusedLimit = 1
 	// minClosed and maxClosed bound the time for which a faulty target takes no
 	// run; it doubles with each failed probe.
 	minClosed = 400 * time.Millisecond
@@ -27,7 +26,6 @@
 type health struct {
 	failedJobs  []batch.ID
 	lastFailure time.Time
-	refused     int
 
 	closed    wire.Closed
 	closedFor time.Duration
@@ -57,10 +55,8 @@
 		h.failedJobs = nil
 	}
 	h.lastFailure = now
-	for _, known := range h.failedJobs {
-		if known == job {
-			return
-		}
+	if slices.Contains(h.failedJobs, job) {
+		return
 	}
 	h.failedJobs = append(h.failedJobs, job)
 	if len(h.failedJobs) >= failedJobsLimit {
@@ -68,17 +64,8 @@
 	}
 }
 
-// started notes an accepted start.
-func (h *health) started() { h.refused = 0 }
-
-// unwell notes a start that the target refused because it is not well, or did
-// not answer.
-func (h *health) unwell(now time.Time) {
-	h.refused++
-	if h.refused >= refusedLimit || h.probing {
-		h.close(now, wire.ClosedFaulty)
-	}
-}
+// unwell notes a start that the target refused because it is not well.
+func (h *health) unwell(now time.Time) { h.close(now, wire.ClosedFaulty) }
 
 // stalled notes that runs make no progress.
 func (h *health) stalled(now time.Time) { h.close(now, wire.ClosedStalled) }
@@ -90,7 +77,7 @@
 	h.closedFor = min(max(minClosed, 2*h.closedFor), maxClosed)
 	h.closed, h.probing = reason, false
 	h.reopenAt = now.Add(h.closedFor)
-	h.failedJobs, h.refused = nil, 0
+	h.failedJobs = nil
 }
 
 // tick reopens the target for one run at a time when its time has passed. It
--- a/process/runner/start.go
+++ b/process/runner/start.go
@@ -106,7 +106,6 @@
 	if h.state == stateStarting {
 		h.state = stateRunning
 	}
-	c.health.started()
 }
 
 // startUnanswered asks again for a start without an answer: a run that is there
@@ -157,7 +156,7 @@
 	case VerdictInvalid:
 		reason = wire.RefusedInvalid
 	case VerdictUnhealthy:
-		c.closeIfUnwell(now)
+		c.judge(now, func() { c.health.unwell(now) })
 	case VerdictNoRoom:
 		c.look()
 	}
@@ -168,10 +167,6 @@
 	c.tell(now, c.sessions[h.entry], wire.RunReport{Run: h.run, Refused: reason})
 }
 
-func (c *Core) closeIfUnwell(now time.Time) {
-	c.judge(now, func() { c.health.unwell(now) })
-}
-
 // judge applies an observation to the health of the target and notes a change.
 func (c *Core) judge(now time.Time, observe func()) {
 	before := c.health.closed
