--- a/process/dispatch/admit.go
+++ b/process/dispatch/admit.go
@@ -18,12 +18,12 @@
 	// lateFactor times the objective is when an answer is of no use to the
 	// caller any more.
 	lateFactor = 3
-	// overtaken times the wait for the tasks ahead is expected in an overload,
+	// waitFactor times the wait for the tasks ahead is expected in an overload,
 	// because more urgent ones arrive meanwhile.
-	overtaken = 2
-	// hopeShare of the estimated work left must fit into the time left.
+	waitFactor = 2
+	// requiredShare of the estimated work left must fit into the time left.
 	// Estimates are far off, so a job is given up only with some certainty.
-	hopeShare = 0.75
+	requiredShare = 0.75
 )
 
 // admit reports whether a new job is taken, and the refusal if not.
@@ -44,7 +44,7 @@
 	}
 	slack := s.Objective - s.Job.LongestChain()
 	turn := now.Add(slack + time.Duration(s.Priority)*priorityStep)
-	if wait := p.expectedWait(now, turn); overtaken*wait > slack && !p.roomFor(now, s.Job.Steps[0]) {
+	if wait := p.expectedWait(now, turn); waitFactor*wait > slack && !p.roomFor(now, s.Job.Steps[0]) {
 		return Result{Code: NotRun, Reason: ReasonOverloaded, RetryAfter: wait}, false
 	}
 	return Result{}, true
@@ -127,7 +127,7 @@
 		case isolated:
 			c.end(now, p, j, unfinished(j, ReasonIsolated))
 		case !j.hasReady():
-		case now.Add(time.Duration(hopeShare * float64(j.remaining()))).After(j.useless):
+		case now.Add(time.Duration(requiredShare * float64(j.remaining()))).After(j.useless):
 			c.end(now, p, j, unfinished(j, ReasonDeadline))
 		case overloaded && j.started == 0 && j.latestStart(0).Before(now):
 			c.end(now, p, j, unfinished(j, ReasonOverloaded))
