node: order nothing on a new connection before its enrolment is taken

A replay with logs did not break it; the reading of its lines and of the code gave one race: the new connection was entered before the core took the enrolment, so that an order between the two ran, was missing from the enrolment, and was started again elsewhere.

Change: the core is told that the agent is disconnected before the connection is switched. The test holds the core's part: nothing is ordered in between.

--- a/process/dispatch/faults_test.go
+++ b/process/dispatch/faults_test.go
@@ -253,3 +253,21 @@
 		}
 	}
 }
+
+// Guards against an order that goes out on a new connection of an agent before
+// its enrolment has been taken: the run would be missing from the enrolment,
+// count as lost and be started again while it runs.
+func TestNothingIsOrderedBetweenConnectionAndEnrolment(t *testing.T) {
+	c := newCluster(t, 9, 1, equalRooms(1, 16000))
+	c.run(500 * time.Millisecond)
+	l := c.links[0]
+	l.entry.core.Disconnected(l.agent.id, nil) // what node does before it switches the connection
+	l.toAgent = nil
+	c.call(c.submission("q", 2, 200*time.Millisecond, 1000, 0), 0)
+	l.entry.core.Tick()
+	for _, d := range l.toAgent {
+		if orders, ok := d.m.(*wire.Orders); ok && len(orders.Starts) > 0 {
+			t.Errorf("%d starts were ordered", len(orders.Starts))
+		}
+	}
+}
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -163,6 +163,7 @@
 	errNoConfig = errors.New("no configuration yet")
 	errStopping = errors.New("stopping")
 	errNoAgents = errors.New("no agent connected")
+	errReplaced = errors.New("the agent has a new connection")
 )
 
 // Ready returns why the balancer should send no new connections, or nil.
--- a/process/node/entrylinks.go
+++ b/process/node/entrylinks.go
@@ -55,6 +55,10 @@
 
 func (e *Entry) enrolled(l *processLink, m *wire.Enroll) {
 	l.agent = m.Agent
+	// No order may go out on the new connection before the core has compared
+	// what the agent holds with what was ordered: it would count as lost and
+	// run twice.
+	e.Core.Disconnected(m.Agent, errReplaced)
 	e.mu.Lock()
 	before := e.agents[m.Agent]
 	e.agents[m.Agent] = l
