dispatch: order nothing for 60 ms after a freeze

An entry that runs again reads requests of callers who have left before it reads that they have left, and started their tasks beside the entry that serves them now.

Change: a process that was stopped orders nothing for 60 ms. The test fails without it.

--- a/process/dispatch/assign.go
+++ b/process/dispatch/assign.go
@@ -50,8 +50,9 @@
 
 // assign sends waiting tasks to targets with room, the most urgent first.
 func (c *Core) assign(now time.Time, p *pool) {
+	c.wake.note(now)
 	queue := p.queue(now)
-	if len(queue) == 0 {
+	if len(queue) == 0 || c.wake.settling(now) {
 		return
 	}
 	out := outgoing{orders: make(map[*target]*wire.Orders)}
--- a/process/dispatch/faults_test.go
+++ b/process/dispatch/faults_test.go
@@ -271,3 +271,22 @@
 		}
 	}
 }
+
+// Guards against an entry that runs again after a freeze and starts a job whose
+// caller has left meanwhile and handed it in elsewhere.
+func TestNothingIsOrderedRightAfterAFreeze(t *testing.T) {
+	c := newCluster(t, 10, 1, equalRooms(1, 16000))
+	c.run(500 * time.Millisecond)
+	c.entries[0].frozen = true
+	c.run(1200 * time.Millisecond)
+	c.entries[0].frozen = false
+	c.step()
+	leave := c.entries[0].core.Submit(c.submission("q", 2, 200*time.Millisecond, 1000, 0), func(dispatch.Result) {})
+	for range 30 {
+		c.step()
+		if got := len(c.agents[0].executor.Running()); got > 0 {
+			t.Fatalf("%d runs", got)
+		}
+	}
+	leave()
+}
--- a/process/dispatch/wakeup.go
+++ b/process/dispatch/wakeup.go
@@ -12,6 +12,9 @@
 	startGrace = time.Second
 	// stoppedGap is the time without a tick after which a process was stopped.
 	stoppedGap = 500 * time.Millisecond
+	// settleTime is how long a process that was stopped orders nothing. By then
+	// it has read which of its callers have left and may be served elsewhere.
+	settleTime = 60 * time.Millisecond
 )
 
 // wakeup knows since when the process has been running without a break. What it
@@ -20,6 +23,8 @@
 type wakeup struct {
 	noted atomic.Int64
 	since atomic.Int64
+	// resumed is when the process last ran again after it was stopped.
+	resumed atomic.Int64
 }
 
 func (w *wakeup) start(now time.Time) {
@@ -32,9 +37,15 @@
 	before := w.noted.Swap(now.UnixNano())
 	if now.UnixNano()-before > int64(stoppedGap) {
 		w.since.Store(now.UnixNano())
+		w.resumed.Store(now.UnixNano())
 	}
 }
 
+// settling reports whether the process has just run again after it was stopped.
+func (w *wakeup) settling(now time.Time) bool {
+	return now.UnixNano()-w.resumed.Load() < int64(settleTime)
+}
+
 // recent reports whether the process has been running for a short time only.
 func (w *wakeup) recent(now time.Time) bool {
 	return now.UnixNano()-w.since.Load() <= int64(startGrace)
