--- a/process/dispatch/faults_test.go
+++ b/process/dispatch/faults_test.go
@@ -282,7 +282,7 @@
 	c.entries[0].frozen = false
 	c.step()
 	leave := c.entries[0].core.Submit(c.submission("q", 2, 200*time.Millisecond, 1000, 0), func(dispatch.Result) {})
-	for range 30 {
+	for range 55 { // agents have enrolled again after some 35 ms
 		c.step()
 		if got := len(c.agents[0].executor.Running()); got > 0 {
 			t.Fatalf("%d runs", got)
