standin/executor: count starts where runs begin

The stand-in behind HTTP took a start as counted when the number of running tasks had grown, but a start first ends the runs whose time has come. A start that meets an end of another run left the number as it was and was counted as none.

Ruled out: a job answered before all its tasks ran; the caller's answer was "completed" and the executor listed an end for every task.

Change: the executor counts its starts itself.

--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -47,6 +47,8 @@
 	highest map[batch.Task]int
 	ends    []runner.EndedRun
 	last    uint64
+	// Starts counts the runs that have begun, by task.
+	Starts map[batch.Task]int
 	// Violations lists what a target must never see.
 	Violations []string
 }
@@ -64,7 +66,7 @@
 // New returns a target that starts now.
 func New(now time.Time, id string, room batch.Resources, work func(batch.Task) Work) *Executor {
 	return &Executor{ID: id, Born: now.UnixMilli(), Room: room, Work: work, started: now,
-		runs: make(map[batch.Run]*active), highest: make(map[batch.Task]int)}
+		runs: make(map[batch.Run]*active), highest: make(map[batch.Task]int), Starts: make(map[batch.Task]int)}
 }
 
 // Clock returns the target's own clock.
@@ -85,6 +87,7 @@
 		a.duration = time.Duration(float64(work.Duration) * e.Slow)
 	}
 	e.runs[c.Run] = a
+	e.Starts[c.Run.Task]++
 	e.highest[c.Run.Task] = max(e.highest[c.Run.Task], c.Run.Number-1)
 	return answer
 }
