runner: a refused repeat of an unanswered start is withdrawn

Cause: a start without an answer is sent again. When the target refused the repeat (no room, not well, lease passed, superseded), the agent took the run as never started, freed its room and let the entry start the task elsewhere. Two things were wrong. The first copy may still be on its way and be carried out seconds later, beside the new run: two runs of a task at a time. And a short task whose first copy ran to its end makes the repeat "superseded" by itself: the entry then counted no start, so that a later refusal of the job as not run was false, and ran the task a second time.

Ruled out: that the look at the runs covers it; it was only asked for when the repeat got no answer either.

Change: a refusal after an unanswered copy leaves the run where it is and looks at the runs; an end that is listed there counts, a run that is missing is stopped before its entry is told.

--- /dev/null
+++ b/process/runner/core_test.go
@@ -0,0 +1,201 @@
+package runner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/azurerouter/azurerouter/connection/wire"
+	"github.com/azurerouter/azurerouter/process/decision"
+	"github.com/azurerouter/azurerouter/process/runner"
+	"github.com/azurerouter/azurerouter/request/batch"
+)
+
+const (
+	entryID  = wire.Incarnation(7)
+	targetID = "target-1"
+	// orderTime is how long the target takes to answer in these tests.
+	orderTime = 2 * time.Millisecond
+)
+
+// bench drives one agent by hand: it records what the agent asks for, and the
+// test answers in the order that it wants.
+type bench struct {
+	t      *testing.T
+	now    time.Time
+	core   *runner.Core
+	starts []runner.StartCall
+	stops  []runner.StopCall
+	looks  int
+	sent   []wire.Message
+	// sequence numbers the orders of the entry, ends those of the target.
+	sequence uint64
+	ends     uint64
+	clock    runner.TargetClock
+}
+
+func (b *bench) Now() time.Time                          { return b.now }
+func (b *bench) Decided(decision.Decision)               {}
+func (b *bench) Send(_ wire.Incarnation, m wire.Message) { b.sent = append(b.sent, m) }
+func (b *bench) Disconnect(wire.Incarnation)             {}
+func (b *bench) Start(c runner.StartCall)                { b.starts = append(b.starts, c) }
+func (b *bench) Stop(c runner.StopCall)                  { b.stops = append(b.stops, c) }
+func (b *bench) Look()                                   { b.looks++ }
+func (b *bench) wait(d time.Duration) {
+	b.now, b.clock = b.now.Add(d), b.clock+runner.TargetClock(d.Milliseconds())
+}
+func (b *bench) lastStart() runner.StartCall  { return b.starts[len(b.starts)-1] }
+func (b *bench) answerStart(v runner.Verdict) { b.answer(b.lastStart(), v) }
+func (b *bench) answer(c runner.StartCall, v runner.Verdict) {
+	b.wait(orderTime)
+	b.core.StartAnswered(c, runner.Answer{Verdict: v, Clock: b.clock})
+}
+
+// newBench returns an agent beside a target that runs nothing, with one entry.
+func newBench(t *testing.T) *bench {
+	b := &bench{t: t, now: time.UnixMilli(1_000_000), clock: 1000}
+	b.core = runner.New(b, runner.Options{Agent: 1, Node: "agent-1", Zone: "a", Fence: 10})
+	b.report(1, 1)
+	b.hold(1, nil, nil)
+	b.core.Connected(entryID)
+	return b
+}
+
+func (b *bench) report(born int64, sequence uint64) {
+	b.core.Reported(runner.TargetReport{Target: targetID, Service: "card", Born: born, Sequence: sequence,
+		Room: batch.Resources{MilliCPU: 4000, MemoryMiB: 1024}})
+}
+
+// hold lets the agent ask for the runs at the target and answers at once.
+func (b *bench) hold(born int64, running []batch.Run, ended []runner.EndedRun) {
+	b.wait(orderTime)
+	call, ok := b.core.NextHold(false)
+	if !ok {
+		b.t.Fatal("the agent asks for no runs")
+	}
+	b.wait(orderTime)
+	answer := runner.HoldAnswer{Clock: b.clock, Born: born, Ended: ended}
+	for _, run := range running {
+		answer.Running = append(answer.Running, runner.RunningRun{Run: run, Percent: 10})
+	}
+	b.core.HoldAnswered(call, answer)
+}
+
+// ended returns the row of a run that has ended.
+func (b *bench) ended(run batch.Run, end batch.End) []runner.EndedRun {
+	b.ends++
+	return []runner.EndedRun{{Number: b.ends, Run: run, End: end}}
+}
+
+// order sends the order of the entry for one run of a task.
+func (b *bench) order(index int) batch.Run {
+	b.sequence++
+	start := wire.StartOrder{Job: "0123456789abcdef", Demand: batch.Resources{MilliCPU: 1000, MemoryMiB: 64}, EstimateMS: 100,
+		Tasks: []wire.StartTask{{Index: index, Number: 1}}}
+	b.core.Received(entryID, &wire.Orders{Sequence: b.sequence, Echo: b.now.UnixMicro(), Starts: []wire.StartOrder{start}})
+	return start.Run(start.Tasks[0])
+}
+
+// wordOn returns what the agent last told the entry of a run.
+func (b *bench) wordOn(run batch.Run) (word wire.RunReport, told bool) {
+	for _, m := range b.sent {
+		report, ok := m.(*wire.AgentReport)
+		if !ok {
+			continue
+		}
+		for _, r := range report.Runs {
+			if r.Run == run {
+				word, told = r, true
+			}
+		}
+	}
+	return word, told
+}
+
+// Guards against a task that runs twice at a time: the target refuses the
+// repeat of a start whose first copy is still on its way, and carries that copy
+// out after the entry has started the task elsewhere.
+func TestRefusedRepeatIsWithdrawn(t *testing.T) {
+	for _, verdict := range []runner.Verdict{runner.VerdictNoRoom, runner.VerdictUnhealthy, runner.VerdictLate, runner.VerdictSuperseded} {
+		t.Run(string(verdict), func(t *testing.T) {
+			b := newBench(t)
+			run := b.order(0)
+			b.answerStart(runner.VerdictUnanswered)
+			b.answerStart(verdict)
+			if word, told := b.wordOn(run); told {
+				t.Fatalf("the entry is told %+v while a copy of the start is on its way", word)
+			}
+			b.hold(1, nil, nil)
+			if len(b.stops) != 1 || b.stops[0].Run != run {
+				t.Fatalf("stops: %+v, expected the run that may start late", b.stops)
+			}
+			b.core.StopAnswered(b.stops[0], runner.Answer{Verdict: runner.VerdictDone, Clock: b.clock})
+			b.hold(1, nil, nil)
+			if word, _ := b.wordOn(run); word.Refused != wire.RefusedUnanswered {
+				t.Errorf("told %+v, expected that the run never started", word)
+			}
+		})
+	}
+}
+
+// Guards against "not run" for a task that has run: the answer to its start was
+// lost, the run has ended, and the repeat is refused as superseded by itself.
+func TestRepeatOfAnEndedRunIsNotTakenAsRefused(t *testing.T) {
+	b := newBench(t)
+	run := b.order(0)
+	b.answerStart(runner.VerdictUnanswered)
+	b.answerStart(runner.VerdictSuperseded)
+	b.hold(1, nil, b.ended(run, batch.EndDone))
+	if word, _ := b.wordOn(run); word.End != batch.EndDone || word.Refused != "" {
+		t.Errorf("told %+v, expected the end done", word)
+	}
+}
+
+// Guards against an agent that believes in runs which ended when the target
+// started again under its identity, and against reports of the earlier life.
+func TestTargetBornAgainLosesItsRuns(t *testing.T) {
+	b := newBench(t)
+	run := b.order(0)
+	b.answerStart(runner.VerdictDone)
+	b.hold(1, []batch.Run{run}, nil)
+	b.report(2, 1)
+	if word, _ := b.wordOn(run); word.End != batch.EndLost {
+		t.Errorf("told %+v, expected that the run is lost", word)
+	}
+	b.hold(2, nil, nil)
+	b.report(1, 9)
+	next := b.order(1)
+	b.answerStart(runner.VerdictDone)
+	// The numbers of ends begin again with the life of the target.
+	b.hold(2, nil, b.ended(next, batch.EndDone))
+	if word, _ := b.wordOn(next); word.End != batch.EndDone {
+		t.Errorf("told %+v, expected an end of the new life", word)
+	}
+}
+
+// Guards against runs that go on for an entry whose orders no longer arrive, or
+// that hears this agent no more (a one-way cut): in both cases the newest echo
+// grows old, whatever else arrives.
+func TestOneWayCutEndsTheSession(t *testing.T) {
+	for _, arrives := range []bool{false, true} {
+		b := newBench(t)
+		run := b.order(0)
+		b.answerStart(runner.VerdictDone)
+		heard := b.now
+		for b.now.Sub(heard) <= wire.SessionTTL+orderTime {
+			b.hold(1, []batch.Run{run}, nil)
+			if arrives {
+				b.sequence++
+				b.core.Received(entryID, &wire.Orders{Sequence: b.sequence, Echo: heard.UnixMicro()})
+			}
+			b.core.Tick()
+		}
+		if len(b.stops) == 0 || b.stops[0].Run != run {
+			t.Errorf("orders arrive %v: stops %+v, expected the run of the silent entry", arrives, b.stops)
+		}
+		before := len(b.starts)
+		refused := b.order(1)
+		if word, _ := b.wordOn(refused); word.Refused != wire.RefusedSession || len(b.starts) != before {
+			t.Errorf("orders arrive %v: an order after the session's end gets %+v", arrives, word)
+		}
+	}
+}
--- a/process/runner/start.go
+++ b/process/runner/start.go
@@ -147,7 +147,9 @@
 	c.env.Start(call)
 }
 
-// startRefused ends a run that the target refused without doing anything.
+// startRefused ends a run that the target refused without doing anything. An
+// earlier copy of the start that got no answer may have been carried out, or
+// may still be: then only the list of runs tells, and a stop makes it certain.
 func (c *Core) startRefused(now time.Time, h *held, verdict Verdict) {
 	reason := wire.RefusedByTarget
 	switch verdict {
@@ -163,6 +165,13 @@
 	c.env.Decided(decision.Decision{Step: "start", Job: h.run.Task.Job, Run: h.run, Peer: c.target.id,
 		Outcome: "refused", Reason: string(verdict),
 		Inputs: []decision.Input{{Name: "used_millicpu", Value: int64(c.used.MilliCPU)}, {Name: "room_millicpu", Value: int64(c.target.room.MilliCPU)}}})
+	if h.asked > 0 {
+		if h.state == stateStarting && h.unanswered.IsZero() {
+			h.unanswered = now
+			c.look()
+		}
+		return
+	}
 	c.forget(h)
 	c.tell(now, c.sessions[h.entry], wire.RunReport{Run: h.run, Refused: reason})
 }
