--- a/cmd/azurerouter/daemons.go
+++ b/cmd/azurerouter/daemons.go
@@ -3,9 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"os/signal"
-	"sync"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -23,7 +23,7 @@
 		return code
 	}
 	if flags.platform {
-		return runPlatformEntry(flags.metrics, stdout, stderr)
+		return runPlatformEntry(flags, stdout, stderr)
 	}
 	s, err := settings.LoadEntry(flags.settings)
 	if err != nil {
@@ -35,7 +35,7 @@
 	if err != nil {
 		return fail(stderr, "entry", err)
 	}
-	return runDaemon("entry", stderr, func() {}, d.AddTo)
+	return runDaemon("entry", stderr, signalHandling{reload: func() {}}, d.AddTo)
 }
 
 func runAgent(args []string, stdout, stderr io.Writer) int {
@@ -56,7 +56,7 @@
 	if err != nil {
 		return fail(stderr, "agent", err)
 	}
-	return runDaemon("agent", stderr, func() {}, d.AddTo)
+	return runDaemon("agent", stderr, signalHandling{reload: func() {}}, d.AddTo)
 }
 
 // daemonFlags are the flags of a daemon.
@@ -64,6 +64,8 @@
 	settings string
 	platform bool
 	metrics  string
+	// advertise is for entries only.
+	advertise string
 }
 
 // parseDaemonFlags parses the flags of a daemon. It reports false if the command
@@ -73,9 +75,16 @@
 	flags.StringVar(&f.settings, "settings", "", "`file` with the settings of the process, JSON with comments (required without -platform)")
 	flags.BoolVar(&f.platform, "platform", false, "take the settings from the platform and speak its protocol")
 	flags.StringVar(&f.metrics, "metrics", "", "with -platform, `address` of the metrics and the state dump; empty for none")
+	if name == "entry" {
+		flags.StringVar(&f.advertise, "advertise", "", "with -platform, `address` at which other processes reach this entry behind a relay; empty for its own")
+	}
 	if code, ok := parseFlags(flags, args, 0, stdout, stderr); !ok {
 		return f, code, false
 	}
+	if _, _, err := net.SplitHostPort(f.advertise); f.advertise != "" && (err != nil || !f.platform) {
+		fmt.Fprintf(stderr, "azurerouter %s: -advertise %q, expected address:port and -platform\n", name, f.advertise)
+		return f, exitUsage, false
+	}
 	if (f.settings == "") != f.platform {
 		fmt.Fprintf(stderr, "azurerouter %s: -settings is required, or -platform in its place\n", name)
 		return f, exitUsage, false
@@ -83,34 +92,28 @@
 	return f, exitOK, true
 }
 
+// signalHandling is what a daemon does on signals beside stopping.
+type signalHandling struct {
+	// reload is called on SIGHUP.
+	reload func()
+	// repeated is called on each further SIGTERM. If it is nil, the second
+	// SIGTERM ends the process at once.
+	repeated func()
+}
+
+// errSecondSignal ends a process that is told to stop twice.
+var errSecondSignal = errors.New("second signal")
+
 // runDaemon runs the actors until the first of them ends. The first SIGTERM or
-// SIGINT starts a graceful shutdown, the second ends the process at once. SIGHUP
-// calls reload.
-func runDaemon(name string, stderr io.Writer, reload func(), addTo func(*run.Group, <-chan struct{}) error) int {
+// SIGINT starts a graceful shutdown, a second SIGINT ends the process at once.
+func runDaemon(name string, stderr io.Writer, handling signalHandling, addTo func(*run.Group, <-chan struct{}) error) int {
 	stop := make(chan struct{})
-	var once sync.Once
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	quit := make(chan struct{})
 	var g run.Group
-	g.Add(func() error {
-		for count := 0; count < 2; {
-			select {
-			case <-hangups:
-				reload()
-			case <-signals:
-				count++
-				once.Do(func() { close(stop) })
-			case <-quit:
-				return nil
-			}
-		}
-		return errors.New("second signal")
-	}, func(error) { close(quit) })
+	g.Add(func() error { return handling.serve(signals, stop, quit) }, func(error) { close(quit) })
 	if err := addTo(&g, stop); err != nil {
 		return fail(stderr, name, err)
 	}
@@ -119,3 +122,27 @@
 	}
 	return exitOK
 }
+
+// serve handles signals until quit is closed. It closes stop on the first one
+// that ends the process.
+func (h signalHandling) serve(signals <-chan os.Signal, stop chan<- struct{}, quit <-chan struct{}) error {
+	stopping := false
+	for {
+		select {
+		case <-quit:
+			return nil
+		case s := <-signals:
+			switch {
+			case s == syscall.SIGHUP:
+				h.reload()
+			case !stopping:
+				stopping = true
+				close(stop)
+			case s == syscall.SIGTERM && h.repeated != nil:
+				h.repeated()
+			default:
+				return errSecondSignal
+			}
+		}
+	}
+}
--- a/cmd/azurerouter/platform.go
+++ b/cmd/azurerouter/platform.go
@@ -71,23 +71,31 @@
 	p.observer.Log.Info().Err(err).Str("step", "reload").Msg("settings read again")
 }
 
+// signals ignores a repeated SIGTERM: the platform kills a process that takes
+// too long, and ending earlier would cut off the requests in flight.
+func (p *platformProcess) signals() signalHandling {
+	return signalHandling{reload: p.reload, repeated: func() {
+		p.observer.Log.Info().Str("step", "stop").Str("outcome", "ignored").Msg("told to stop again while stopping")
+	}}
+}
+
 func (p *platformProcess) close() {
 	p.observer.Close()
 	p.log.Close(logCloseTimeout)
 }
 
-func runPlatformEntry(metrics string, stdout, stderr io.Writer) int {
-	p, err := startPlatform(metrics, stdout)
+func runPlatformEntry(flags daemonFlags, stdout, stderr io.Writer) int {
+	p, err := startPlatform(flags.metrics, stdout)
 	if err != nil {
 		return fail(stderr, "entry", err)
 	}
 	defer p.close()
 	store := platform.NewStore(p.settings.StoreAddr)
-	options := node.EntryOptions{Node: p.settings.Node, Zone: p.settings.Zone, LinkAddr: p.settings.LinkAddr, Seeds: p.settings.SeedLinks,
-		Grace: p.settings.Grace, CallerAddr: p.settings.CallerAddr, ReadyAddr: p.settings.ReadyAddr, ControlAddr: p.settings.ControlAddr,
+	options := node.EntryOptions{Node: p.settings.Node, Zone: p.settings.Zone, LinkAddr: p.settings.LinkAddr,
+		AdvertiseAddr: flags.advertise, Seeds: p.settings.SeedLinks, Grace: p.settings.Grace, CallerAddr: p.settings.CallerAddr, ReadyAddr: p.settings.ReadyAddr, ControlAddr: p.settings.ControlAddr,
 		MetricsAddr: p.metrics, Callers: callers, Ready: platform.ReadyHandler, Config: store, Directory: store}
 	e := node.NewEntry(options, p.observer, p.decisions)
-	return runDaemon("entry", stderr, p.reload, e.AddTo)
+	return runDaemon("entry", stderr, p.signals(), e.AddTo)
 }
 
 func callers(e *node.Entry) http.Handler {
@@ -107,5 +115,5 @@
 		options.Find = platform.NewFinder(p.settings.TargetAddr, p.settings.MachinesAddr).Find
 	}
 	a := node.NewAgent(options, p.observer, p.decisions)
-	return runDaemon("agent", stderr, p.reload, func(g *run.Group, stop <-chan struct{}) error { return a.AddTo(g, stop) })
+	return runDaemon("agent", stderr, p.signals(), func(g *run.Group, stop <-chan struct{}) error { return a.AddTo(g, stop) })
 }
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -42,15 +43,18 @@
 
 // EntryOptions describe an entry process.
 type EntryOptions struct {
-	Node        string
-	Zone        string
-	LinkAddr    string
-	Seeds       []string
-	Grace       time.Duration
-	CallerAddr  string
-	ReadyAddr   string
-	ControlAddr string
-	MetricsAddr string
+	Node     string
+	Zone     string
+	LinkAddr string
+	// AdvertiseAddr is where other processes reach LinkAddr, if that differs
+	// because of a relay or a translation of addresses.
+	AdvertiseAddr string
+	Seeds         []string
+	Grace         time.Duration
+	CallerAddr    string
+	ReadyAddr     string
+	ControlAddr   string
+	MetricsAddr   string
 	// Callers returns the handler for callers, Ready that for the balancer.
 	Callers   func(e *Entry) http.Handler
 	Ready     func(ready func() error) http.Handler
@@ -80,11 +84,12 @@
 
 // NewEntry prepares an entry process. It opens nothing yet.
 func NewEntry(options EntryOptions, observer *observe.Observer, decisions *observe.Decisions) *Entry {
+	options.AdvertiseAddr = cmp.Or(options.AdvertiseAddr, options.LinkAddr)
 	e := &Entry{options: options, observer: observer, decisions: decisions, self: wire.NewIncarnation(),
 		started: time.Now(), configured: make(chan struct{}), agents: make(map[wire.Incarnation]*processLink), peers: make(map[*processLink]bool)}
 	e.Core = dispatch.New((*entryEnv)(e), e.self, options.Zone, uint64(time.Now().UnixNano()))
 	e.metrics = newEntryMetrics(observer, e)
-	e.dialer = newDialer(options.LinkAddr, options.Seeds, observer.Log, e.connect)
+	e.dialer = newDialer(options.AdvertiseAddr, options.Seeds, observer.Log, e.connect)
 	return e
 }
 
@@ -228,7 +233,7 @@
 func (e *Entry) announce(ctx context.Context) error {
 	condition := e.observer.Condition("store_announce")
 	for ctx.Err() == nil {
-		err := e.options.Directory.Announce(ctx, wire.EntryMember{Name: e.options.Node, Addr: e.options.LinkAddr})
+		err := e.options.Directory.Announce(ctx, wire.EntryMember{Name: e.options.Node, Addr: e.options.AdvertiseAddr})
 		condition.Set(err)
 		if err == nil {
 			break
--- a/process/node/entrylinks.go
+++ b/process/node/entrylinks.go
@@ -31,7 +31,7 @@
 
 // members returns the entries that this one knows, itself included.
 func (e *Entry) members() []wire.EntryMember {
-	return append(e.dialer.members(), wire.EntryMember{Name: e.options.Node, Addr: e.options.LinkAddr})
+	return append(e.dialer.members(), wire.EntryMember{Name: e.options.Node, Addr: e.options.AdvertiseAddr})
 }
 
 // Received handles a message of an agent or another entry.
--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -49,8 +49,9 @@
 	last    uint64
 	// Starts counts the runs that have begun, by task.
 	Starts map[batch.Task]int
-	// Violations lists what a target must never see.
-	Violations []string
+	// OnStart and OnEnd, if set, are told of each run that begins or ends.
+	OnStart func(batch.Run)
+	OnEnd   func(batch.Run, batch.End)
 }
 
 type active struct {
@@ -88,6 +89,9 @@
 	}
 	e.runs[c.Run] = a
 	e.Starts[c.Run.Task]++
+	if e.OnStart != nil {
+		e.OnStart(c.Run)
+	}
 	e.highest[c.Run.Task] = max(e.highest[c.Run.Task], c.Run.Number-1)
 	return answer
 }
@@ -202,6 +206,9 @@
 	e.highest[a.run.Task] = max(e.highest[a.run.Task], a.run.Number)
 	e.last++
 	e.ends = append(e.ends, runner.EndedRun{Number: e.last, Run: a.run, End: how})
+	if e.OnEnd != nil {
+		e.OnEnd(a.run, how)
+	}
 }
 
 // Crash ends everything without a word.
