runner: stop starts that reach the next life of a target; offer no doubted room

Change: a run whose start may be on its way when its target is born again is stopped at the new life and then reported as ended. After a refusal for room, and while runs of others are at the target, the agent offers no room until it has looked at the runs.

--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -378,8 +378,12 @@
 	return c.health.closed
 }
 
-// free returns the room that no held run uses.
+// free returns the room that no held run uses. There is none while something
+// else uses an unknown part of it.
 func (c *Core) free() batch.Resources {
+	if len(c.foreign) > 0 || !c.target.roomDoubted.IsZero() {
+		return batch.Resources{}
+	}
 	if c.closed() != "" || (c.health.probing && len(c.runs) > 0) {
 		return batch.Resources{}
 	}
--- a/process/runner/core_test.go
+++ b/process/runner/core_test.go
@@ -62,7 +62,7 @@
 
 func (b *bench) report(born int64, sequence uint64) {
 	b.core.Reported(runner.TargetReport{Target: targetID, Service: "card", Born: born, Sequence: sequence,
-		Room: batch.Resources{MilliCPU: 4000, MemoryMiB: 1024}})
+		Room: b.room()})
 }
 
 // hold lets the agent ask for the runs at the target and answers at once.
@@ -199,3 +199,71 @@
 		}
 	}
 }
+
+// Guards against a task that runs twice at a time: a start that was on its way
+// when the target started again under its identity, or an earlier copy of it, is
+// carried out by the new life after the entry was told that the run is lost.
+func TestStartsOnTheirWayAreStoppedInTheNextLife(t *testing.T) {
+	cases := map[string]func(b *bench){
+		"start not answered yet": func(*bench) {},
+		"copy without an answer": func(b *bench) {
+			b.answerStart(runner.VerdictUnanswered)
+			b.answerStart(runner.VerdictDone)
+		},
+	}
+	for name, prepare := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			run := b.order(0)
+			prepare(b)
+			b.report(2, 1)
+			if word, told := b.wordOn(run); told {
+				t.Fatalf("the entry is told %+v before the run is certain not to start again", word)
+			}
+			if len(b.stops) != 1 || b.stops[0].Run != run {
+				t.Fatalf("stops: %+v, expected the run that may start", b.stops)
+			}
+			b.core.StopAnswered(b.stops[0], runner.Answer{Verdict: runner.VerdictDone, Clock: b.clock})
+			b.hold(2, nil, nil)
+			if word, _ := b.wordOn(run); word.End == "" || word.Refused != "" {
+				t.Errorf("told %+v, expected an end: the run may have begun in the earlier life", word)
+			}
+		})
+	}
+}
+
+// Guards against orders that are turned back again and again by a target that
+// has less room than its agent believes, for instance because of runs that the
+// agent has not seen yet.
+func TestNoRoomIsOfferedAfterARefusalForRoom(t *testing.T) {
+	b := newBench(t)
+	b.order(0)
+	b.answerStart(runner.VerdictNoRoom)
+	if free := b.lastFree(); free != (batch.Resources{}) {
+		t.Errorf("free room %+v is told right after a refusal for room", free)
+	}
+	other := batch.Run{Task: batch.Task{Job: "fedcba9876543210"}, Number: 1}
+	b.hold(1, []batch.Run{other}, nil)
+	if free := b.lastFree(); free != (batch.Resources{}) {
+		t.Errorf("free room %+v is told while a run of another agent uses some", free)
+	}
+	b.hold(1, nil, b.ended(other, batch.EndStopped))
+	if free := b.lastFree(); free != b.room() {
+		t.Errorf("free room %+v is told, expected all of it", free)
+	}
+}
+
+func (b *bench) room() batch.Resources { return batch.Resources{MilliCPU: 4000, MemoryMiB: 1024} }
+
+// lastFree returns the room that the agent would tell the entry now.
+func (b *bench) lastFree() batch.Resources {
+	b.wait(wire.PulseInterval)
+	b.core.Tick()
+	for i := len(b.sent) - 1; i >= 0; i-- {
+		if report, ok := b.sent[i].(*wire.AgentReport); ok {
+			return report.Free
+		}
+	}
+	b.t.Fatal("the agent has told nothing")
+	return batch.Resources{}
+}
--- a/process/runner/hold.go
+++ b/process/runner/hold.go
@@ -21,6 +21,9 @@
 	// unreachableAfter is when a target that does not answer takes no new runs
 	// and its lease is no longer renewed.
 	unreachableAfter = 400 * time.Millisecond
+	// maxTargetLease is the longest lease that targets grant. A start that was
+	// meant for an earlier life names a time far ahead by the clock of the next.
+	maxTargetLease = time.Second
 	// missingLimit is how many answers that lack a confirmed run end it.
 	missingLimit = 2
 )
@@ -45,6 +48,9 @@
 	// agent's clock.
 	leaseUntil time.Time
 	seen       uint64
+	// roomDoubted is when the target refused a run for which there should have
+	// been room; it is zero once the runs have been looked at since.
+	roomDoubted time.Time
 }
 
 // heardClock notes a reading of the target's clock.
@@ -115,8 +121,13 @@
 
 // adopt begins with a new life of the target.
 func (c *Core) adopt(now time.Time, r TargetReport) {
-	if c.target.id != "" {
-		c.loseRuns(now, "target was replaced")
+	switch c.target.id {
+	case "":
+	case r.Target:
+		c.targetReborn(now, r.Born)
+		return
+	default:
+		c.loseRuns(now, "target was replaced", batch.InOrder(c.runs))
 	}
 	c.target = target{id: r.Target, born: r.Born, heard: now}
 	c.health = health{}
@@ -140,19 +151,19 @@
 
 // targetReplaced forgets a target whose address another one has taken.
 func (c *Core) targetReplaced(now time.Time, cause string) {
-	c.loseRuns(now, cause)
+	c.loseRuns(now, cause, batch.InOrder(c.runs))
 	c.target = target{}
 	c.changed()
 }
 
 // loseRuns ends the runs that died with their target.
-func (c *Core) loseRuns(now time.Time, cause string) {
-	if len(c.runs) == 0 {
+func (c *Core) loseRuns(now time.Time, cause string, lost []*held) {
+	if len(lost) == 0 {
 		return
 	}
 	c.env.Decided(decision.Decision{Step: "target", Peer: c.target.id, Outcome: "runs_lost", Reason: cause,
-		Inputs: []decision.Input{{Name: "runs", Value: int64(len(c.runs))}}})
-	for _, h := range batch.InOrder(c.runs) {
+		Inputs: []decision.Input{{Name: "runs", Value: int64(len(lost))}}})
+	for _, h := range lost {
 		c.finish(now, h, batch.EndLost)
 	}
 }
@@ -258,13 +269,32 @@
 	c.flush(now)
 }
 
-// targetReborn handles a target that started again under its identity.
+// targetReborn handles a target that started again under its identity. The new
+// life carries out starts that were meant for the earlier one, so the runs whose
+// start may still be on its way are stopped there before they count as ended.
 func (c *Core) targetReborn(now time.Time, born int64) {
-	c.loseRuns(now, "target started again")
-	fresh := target{id: c.target.id, born: born, service: c.target.service, room: c.target.room, labels: c.target.labels, heard: now}
-	c.target = fresh
+	var lost, onTheWay []*held
+	for _, h := range batch.InOrder(c.runs) {
+		if h.seen && h.asked == 0 {
+			lost = append(lost, h)
+		} else {
+			onTheWay = append(onTheWay, h)
+		}
+	}
+	c.loseRuns(now, "target started again", lost)
+	c.target = target{id: c.target.id, born: born, service: c.target.service, room: c.target.room, labels: c.target.labels, heard: now,
+		leaseUntil: now.Add(maxTargetLease)}
 	c.health = health{}
 	c.changed()
+	c.env.Decided(decision.Decision{Step: "target", Peer: c.target.id, Outcome: "born_again", Version: uint64(born),
+		Inputs: []decision.Input{{Name: "starts_on_the_way", Value: int64(len(onTheWay))}}})
+	for _, h := range onTheWay {
+		// The run may have begun in the earlier life.
+		h.seen = true
+		h.state, h.stopped, h.unanswered = stateStopping, time.Time{}, time.Time{}
+		c.sendStop(now, h)
+	}
+	c.look()
 }
 
 func (c *Core) reachable(now time.Time) {
@@ -311,6 +341,9 @@
 		c.clean = true
 		clear(c.foreign)
 	}
+	if call.Asked.After(c.target.roomDoubted) {
+		c.target.roomDoubted = time.Time{}
+	}
 	for _, h := range batch.InOrder(c.runs) {
 		if !running[h.run] {
 			c.noteMissing(now, h, call.Asked)
--- a/process/runner/start.go
+++ b/process/runner/start.go
@@ -150,6 +150,7 @@
 // startRefused ends a run that the target refused without doing anything. An
 // earlier copy of the start that got no answer may have been carried out, or
 // may still be: then only the list of runs tells, and a stop makes it certain.
+// A run that is being stopped ends with its stop.
 func (c *Core) startRefused(now time.Time, h *held, verdict Verdict) {
 	reason := wire.RefusedByTarget
 	switch verdict {
@@ -160,12 +161,13 @@
 	case VerdictUnhealthy:
 		c.judge(now, func() { c.health.unwell(now) })
 	case VerdictNoRoom:
+		c.target.roomDoubted = now
 		c.look()
 	}
 	c.env.Decided(decision.Decision{Step: "start", Job: h.run.Task.Job, Run: h.run, Peer: c.target.id,
 		Outcome: "refused", Reason: string(verdict),
 		Inputs: []decision.Input{{Name: "used_millicpu", Value: int64(c.used.MilliCPU)}, {Name: "room_millicpu", Value: int64(c.target.room.MilliCPU)}}})
-	if h.asked > 0 {
+	if h.asked > 0 || h.state == stateStopping {
 		if h.state == stateStarting && h.unanswered.IsZero() {
 			h.unanswered = now
 			c.look()
