node: keep copies of the configuration for entries that start without the store

Entries were back at 35.3 s and their agents enrolled by 35.7 s, but "config in_force" came at 37.9 s only, when the store had ended its outage: 3,460 requests were refused because no process knew the configuration.

Ruled out: agents and links (enrolled 2.2 s earlier); a store that is away as a whole, other partitions answered.

Change: of the connected entries the one with the first name keeps four copies of the configuration in force in partitions of the system's own. An entry that can't read the operator's record and knows no configuration takes the newest copy that it can read. Versions only rise, so the operator's record wins as soon as it can be read.

--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -60,6 +60,7 @@
 	Ready     func(ready func() error) http.Handler
 	Config    ConfigSource
 	Directory Directory
+	Copies    CopyStore
 }
 
 // Entry runs a dispatch.Core as a process.
@@ -76,6 +77,8 @@
 	started   time.Time
 	// configured is closed when the first configuration is in force.
 	configured chan struct{}
+	// configUnread is set while the operator's configuration can't be read.
+	configUnread atomic.Bool
 
 	mu     sync.Mutex
 	agents map[wire.Incarnation]*processLink
@@ -199,6 +202,8 @@
 	actor(func(ctx context.Context) error { return every(ctx, tickInterval, e.Core.Tick) })
 	actor(func(ctx context.Context) error { e.dialer.run(ctx); return nil })
 	actor(e.followConfig)
+	actor(e.saveCopies)
+	actor(e.recoverConfig)
 	actor(e.followMembers)
 	actor(e.announce)
 	actor(func(ctx context.Context) error { return every(ctx, memberInterval, e.pulsePeers) })
@@ -219,7 +224,10 @@
 
 func (e *Entry) followConfig(ctx context.Context) error {
 	condition := e.observer.Condition("store_config")
-	e.options.Config.FollowConfig(ctx, func(c routing.Config) { e.apply(c, "store") }, condition.Set)
+	e.options.Config.FollowConfig(ctx, func(c routing.Config) { e.apply(c, "store") }, func(err error) {
+		e.configUnread.Store(err != nil)
+		condition.Set(err)
+	})
 	return nil
 }
 
--- a/process/node/entrylinks.go
+++ b/process/node/entrylinks.go
@@ -12,6 +12,8 @@
 	entry *Entry
 	conn  *stream.Conn
 	agent wire.Incarnation
+	// name is that of the other entry, once it has said it.
+	name  string
 	ended chan struct{}
 	heard bool
 }
@@ -71,7 +73,7 @@
 
 func (e *Entry) peerFound(l *processLink, m *wire.EntryHello) {
 	e.mu.Lock()
-	e.peers[l] = true
+	e.peers[l], l.name = true, m.Name
 	e.mu.Unlock()
 	e.observer.Log.Info().Str("step", "entry").Str("peer", m.Name).Str("outcome", "connected").Msg("entry found")
 	e.learn(m.Entries)
