runner: the list of a reborn target decides which runs it has

The log of agent-3 has "born_again starts_on_the_way=0" and nine runs lost, and then stops of the same runs as not its own: the next life had confirmed their starts before the agent knew of it, since answers to starts do not say which life answers.

Change: a report of a new life only makes the agent look. The list of runs decides: a run that is listed goes on, one that was confirmed before the list was asked for is lost, any other is stopped first. Until a run has been listed its lease is taken as the longest that targets grant, because a next life shortens the time that the start names to that.

Two new cases fail without the change and pass with it. TestTargetBornAgainLosesItsRuns now expects the loss after the list and not after the report, which is as strict: nothing may be told before it.

--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -92,6 +92,10 @@
 	// seen is set once the target has confirmed the run.
 	seen      bool
 	startedAt time.Time
+	// startSent is when the newest copy of the start was sent, listed is set
+	// once the target has listed the run.
+	startSent time.Time
+	listed    bool
 	// confirmed is when the target confirmed the start.
 	confirmed time.Time
 	// unanswered is when a start without an answer was noticed.
--- a/process/runner/core_test.go
+++ b/process/runner/core_test.go
@@ -158,10 +158,10 @@
 	b.answerStart(runner.VerdictDone)
 	b.hold(1, []batch.Run{run}, nil)
 	b.report(2, 1)
+	b.hold(2, nil, nil)
 	if word, _ := b.wordOn(run); word.End != batch.EndLost {
 		t.Errorf("told %+v, expected that the run is lost", word)
 	}
-	b.hold(2, nil, nil)
 	b.report(1, 9)
 	next := b.order(1)
 	b.answerStart(runner.VerdictDone)
@@ -205,7 +205,8 @@
 // carried out by the new life after the entry was told that the run is lost.
 func TestStartsOnTheirWayAreStoppedInTheNextLife(t *testing.T) {
 	cases := map[string]func(b *bench){
-		"start not answered yet": func(*bench) {},
+		"start not answered yet":                 func(*bench) {},
+		"start answered after the list was made": func(b *bench) { b.answerStart(runner.VerdictDone) },
 		"copy without an answer": func(b *bench) {
 			b.answerStart(runner.VerdictUnanswered)
 			b.answerStart(runner.VerdictDone)
@@ -215,8 +216,10 @@
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t)
 			run := b.order(0)
+			call, _ := b.core.NextHold(false)
 			prepare(b)
 			b.report(2, 1)
+			b.core.HoldAnswered(call, runner.HoldAnswer{Clock: b.clock, Born: 2})
 			if word, told := b.wordOn(run); told {
 				t.Fatalf("the entry is told %+v before the run is certain not to start again", word)
 			}
@@ -232,6 +235,23 @@
 	}
 }
 
+// Guards against a task that runs twice at a time: a run that began in the next
+// life of its target, before the agent knew of that life, counts as lost.
+func TestRunOfTheNextLifeGoesOn(t *testing.T) {
+	b := newBench(t)
+	run := b.order(0)
+	b.answerStart(runner.VerdictDone)
+	b.report(2, 1)
+	b.hold(2, []batch.Run{run}, nil)
+	if word, told := b.wordOn(run); told || len(b.stops) > 0 {
+		t.Fatalf("told %+v, stops %+v, expected that the run goes on", word, b.stops)
+	}
+	b.hold(2, nil, b.ended(run, batch.EndDone))
+	if word, _ := b.wordOn(run); word.End != batch.EndDone {
+		t.Errorf("told %+v, expected the end done", word)
+	}
+}
+
 // Guards against orders that are turned back again and again by a target that
 // has less room than its agent believes, for instance because of runs that the
 // agent has not seen yet.
--- a/process/runner/hold.go
+++ b/process/runner/hold.go
@@ -21,8 +21,9 @@
 	// unreachableAfter is when a target that does not answer takes no new runs
 	// and its lease is no longer renewed.
 	unreachableAfter = 400 * time.Millisecond
-	// maxTargetLease is the longest lease that targets grant. A start that was
-	// meant for an earlier life names a time far ahead by the clock of the next.
+	// maxTargetLease is the longest lease that targets grant. A start that is
+	// carried out by the next life of its target gets it, because the time that
+	// it names is far ahead by that life's clock.
 	maxTargetLease = time.Second
 	// missingLimit is how many answers that lack a confirmed run end it.
 	missingLimit = 2
@@ -86,8 +87,13 @@
 	if c.target.id != "" && c.olderThanKnown(r) {
 		return false
 	}
-	if r.Target != c.target.id || (r.Born != 0 && r.Born != c.target.born) {
+	switch {
+	case r.Target != c.target.id:
 		c.adopt(now, r)
+	case r.Born != 0 && c.target.born != 0 && r.Born != c.target.born:
+		// Only the runs at the target tell which of them began in its new life.
+		c.look()
+		return true
 	}
 	was := c.target
 	c.target.service, c.target.sequence = r.Service, r.Sequence
@@ -121,14 +127,7 @@
 
 // adopt begins with a new life of the target.
 func (c *Core) adopt(now time.Time, r TargetReport) {
-	switch c.target.id {
-	case "":
-	case r.Target:
-		c.targetReborn(now, r.Born)
-		return
-	default:
-		c.loseRuns(now, "target was replaced", batch.InOrder(c.runs))
-	}
+	c.loseRuns(now, "target was replaced", batch.InOrder(c.runs))
 	c.target = target{id: r.Target, born: r.Born, heard: now}
 	c.health = health{}
 	c.changed()
@@ -235,13 +234,26 @@
 		c.env.Decided(decision.Decision{Step: "judge_target", Peer: c.target.id, Outcome: "closed",
 			Reason: string(wire.ClosedUnreachable), Age: silent, Inputs: []decision.Input{{Name: "runs", Value: int64(len(c.runs))}}})
 	}
-	if c.target.unreachable && now.Sub(c.target.leaseUntil) > leaseSpan-wire.RunLease {
-		for _, h := range batch.InOrder(c.runs) {
+	if !c.target.unreachable {
+		return
+	}
+	for _, h := range batch.InOrder(c.runs) {
+		if now.Sub(h.leaseEnd(c.target)) > leaseSpan-wire.RunLease {
 			c.finish(now, h, batch.EndLapsed)
 		}
 	}
 }
 
+// leaseEnd returns when the lease of a run ends at the latest. A run that has
+// not been listed may have been started by a next life of the target, where the
+// lease is as long as targets grant.
+func (h *held) leaseEnd(t target) time.Time {
+	if h.listed {
+		return t.leaseUntil
+	}
+	return later(t.leaseUntil, h.startSent.Add(maxTargetLease))
+}
+
 // HoldAnswered takes the target's list of what runs and what has ended.
 func (c *Core) HoldAnswered(call HoldCall, answer HoldAnswer) {
 	c.mu.Lock()
@@ -252,7 +264,7 @@
 	now := c.env.Now()
 	if answer.Born != 0 && answer.Born != c.target.born {
 		if c.target.born != 0 {
-			c.targetReborn(now, answer.Born)
+			c.targetReborn(now, call, answer)
 		}
 		c.target.born = answer.Born
 	}
@@ -270,27 +282,37 @@
 }
 
 // targetReborn handles a target that started again under its identity. The new
-// life carries out starts that were meant for the earlier one, so the runs whose
-// start may still be on its way are stopped there before they count as ended.
-func (c *Core) targetReborn(now time.Time, born int64) {
+// life may have carried out starts that were meant for the earlier one: a run
+// that it lists goes on, and one whose start may still be on its way is stopped
+// there before it counts as ended.
+func (c *Core) targetReborn(now time.Time, call HoldCall, answer HoldAnswer) {
+	listed := make(map[batch.Run]bool)
+	for _, row := range answer.Running {
+		listed[row.Run] = true
+	}
+	for _, row := range answer.Ended {
+		listed[row.Run] = true
+	}
 	var lost, onTheWay []*held
 	for _, h := range batch.InOrder(c.runs) {
-		if h.seen && h.asked == 0 {
+		switch {
+		case listed[h.run]:
+		case h.seen && h.asked == 0 && call.Asked.After(h.confirmed):
 			lost = append(lost, h)
-		} else {
+		default:
 			onTheWay = append(onTheWay, h)
 		}
 	}
 	c.loseRuns(now, "target started again", lost)
-	c.target = target{id: c.target.id, born: born, service: c.target.service, room: c.target.room, labels: c.target.labels, heard: now,
-		leaseUntil: now.Add(maxTargetLease)}
+	c.target = target{id: c.target.id, born: answer.Born, service: c.target.service, room: c.target.room, labels: c.target.labels, heard: now,
+		leaseUntil: c.target.leaseUntil}
 	c.health = health{}
 	c.changed()
-	c.env.Decided(decision.Decision{Step: "target", Peer: c.target.id, Outcome: "born_again", Version: uint64(born),
-		Inputs: []decision.Input{{Name: "starts_on_the_way", Value: int64(len(onTheWay))}}})
+	c.env.Decided(decision.Decision{Step: "target", Peer: c.target.id, Outcome: "born_again", Version: uint64(answer.Born),
+		Inputs: []decision.Input{{Name: "starts_on_the_way", Value: int64(len(onTheWay))}, {Name: "runs_listed", Value: int64(len(listed))}}})
 	for _, h := range onTheWay {
 		// The run may have begun in the earlier life.
-		h.seen = true
+		h.seen, h.listed = true, false
 		h.state, h.stopped, h.unanswered = stateStopping, time.Time{}, time.Time{}
 		c.sendStop(now, h)
 	}
@@ -332,7 +354,7 @@
 		if !h.seen {
 			c.startConfirmed(now, h)
 		}
-		h.missing = 0
+		h.missing, h.listed = 0, true
 		if row.Percent != h.percent {
 			h.percent, h.percentAt = row.Percent, now
 		}
--- a/process/runner/start.go
+++ b/process/runner/start.go
@@ -30,7 +30,14 @@
 	c.runs[run] = h
 	c.used = c.used.Add(h.demand)
 	c.counters.Started++
-	c.env.Start(StartCall{Target: c.target.id, Run: run, Spec: order.Spec, LeaseUntil: c.leaseFrom(now), Fence: c.fence})
+	c.sendStart(now, h, StartCall{Target: c.target.id, Run: run, Spec: order.Spec})
+}
+
+// sendStart asks for a start, for the first time or again.
+func (c *Core) sendStart(now time.Time, h *held, call StartCall) {
+	h.startSent = now
+	call.Fence, call.LeaseUntil = c.fence, c.leaseFrom(now)
+	c.env.Start(call)
 }
 
 func (c *Core) refusal(now time.Time, s *session, order wire.StartOrder, run batch.Run) wire.RefusedStart {
@@ -117,8 +124,7 @@
 	}
 	h.asked++
 	if h.asked <= maxStartRetries {
-		call.Fence, call.LeaseUntil = c.fence, c.leaseFrom(now)
-		c.env.Start(call)
+		c.sendStart(now, h, call)
 		return
 	}
 	h.unanswered = now
@@ -143,8 +149,7 @@
 		c.startRefused(now, h, VerdictFenced)
 		return
 	}
-	call.Fence, call.LeaseUntil = c.fence, c.leaseFrom(now)
-	c.env.Start(call)
+	c.sendStart(now, h, call)
 }
 
 // startRefused ends a run that the target refused without doing anything. An
