explain: tell from logs why a job ended as it did

On-call has only logs. `azurerouter explain ID FILE...` puts the lines of one job from many processes in order, marks the one that decided its end, says what it means (refused, failed, late and where the time went, no answer) and lists what the processes that the job met came to believe meanwhile.

Found on the way: log lines carried whole seconds, so that lines of several processes about one request could not be ordered. They carry milliseconds now.

--- /dev/null
+++ b/cmd/azurerouter/explain.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/azurerouter/azurerouter/process/explain"
+)
+
+// maxLogLineBytes bounds a line of a log.
+const maxLogLineBytes = 1 << 20
+
+func runExplain(args []string, stdout, stderr io.Writer) int {
+	flags := newFlags("explain", ` ID FILE...
+
+Reads the logs of several processes (- for standard input) and prints the lines
+of the job ID in order of time, the line that decided its end marked with >, and
+below them what the processes came to believe meanwhile. A time in seconds
+before a line goes before the time in it.
+
+Exits with 0 if there are lines of the job, 1 if there are none, and 2 if a file
+cannot be read.
+`)
+	if code, ok := parseFlags(flags, args, anyOperands, stdout, stderr); !ok {
+		return code
+	}
+	if flags.NArg() < 2 {
+		return usageError(flags, stderr, "the ID of a job and at least one file are needed")
+	}
+	var lines []explain.Line
+	for _, path := range flags.Args()[1:] {
+		read, err := readLog(path)
+		if err != nil {
+			fail(stderr, "explain", err)
+			return exitUsage
+		}
+		lines = append(lines, read...)
+	}
+	story := explain.Tell(flags.Arg(0), lines)
+	printStory(stdout, story)
+	if len(story.Lines) == 0 {
+		return exitFailed
+	}
+	return exitOK
+}
+
+func readLog(path string) ([]explain.Line, error) {
+	file := os.Stdin
+	if path != "-" {
+		opened, err := os.Open(path)
+		if err != nil {
+			return nil, errors.Wrap(err, "open log")
+		}
+		defer opened.Close()
+		file = opened
+	}
+	var lines []explain.Line
+	scanner := bufio.NewScanner(file)
+	scanner.Buffer(nil, maxLogLineBytes)
+	for scanner.Scan() {
+		if l, ok := explain.Parse(scanner.Text()); ok {
+			lines = append(lines, l)
+		}
+	}
+	return lines, errors.Wrapf(scanner.Err(), "read log %s", path)
+}
+
+func printStory(w io.Writer, s explain.Story) {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for i, l := range s.Lines {
+		mark := ""
+		if i == s.Deciding {
+			mark = ">"
+		}
+		printLine(table, mark, s.Lines[0].At, l)
+	}
+	table.Flush()
+	fmt.Fprintln(w, s.Cause)
+	if len(s.Beliefs) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "believed meanwhile, or shortly before:")
+	for _, l := range s.Beliefs {
+		printLine(table, "", s.Lines[0].At, l)
+	}
+	table.Flush()
+}
+
+// printLine prints a line with its time relative to the first one of the job.
+func printLine(w io.Writer, mark string, first time.Duration, l explain.Line) {
+	var inputs []string
+	for _, name := range slices.Sorted(maps.Keys(l.Inputs)) {
+		inputs = append(inputs, fmt.Sprintf("%s=%d", name, l.Inputs[name]))
+	}
+	fmt.Fprintf(w, "%s\t%+.1f ms\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", mark, float64(l.At-first)/float64(time.Millisecond), l.Process, l.Step,
+		l.Outcome, l.Reason, l.Peer, l.Run, strings.Join(inputs, " "))
+}
--- a/cmd/azurerouter/main.go
+++ b/cmd/azurerouter/main.go
@@ -27,6 +27,7 @@
 	{"starts", "read the starts that target stand-ins recorded", runStarts},
 	{"dump", "print the state of one process", runDump},
 	{"keys", "write keys and certificates for a deployment", runKeys},
+	{"explain", "tell from logs why a job ended as it did", runExplain},
 	{"load", "send a bounded load and print response times", runLoad},
 	{"bench", "compare policies in virtual time", runBench},
 	{"bench claims", "measure group commit in the log in virtual time", runBenchClaims},
--- a/process/observe/observer.go
+++ b/process/observe/observer.go
@@ -35,6 +35,12 @@
 	violations violations
 }
 
+// timeFormat is that of log lines. Milliseconds put the lines of several
+// processes about one request in order.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+func init() { zerolog.TimeFieldFormat = timeFormat }
+
 // New returns an observer for the named process that logs to out.
 func New(name string, out io.Writer) *Observer {
 	registry := prom.NewRegistry()
