--- a/connection/stream/stream.go
+++ b/connection/stream/stream.go
@@ -9,6 +9,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,6 +27,8 @@
 	// is sent again: a new attempt finds a machine that has come back sooner.
 	dialTimeout  = 200 * time.Millisecond
 	writeTimeout = 2 * time.Second
+	// acceptPause is the pause after a connection could not be accepted.
+	acceptPause = 20 * time.Millisecond
 )
 
 const (
@@ -67,6 +70,10 @@
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
+		if isTransient(err) {
+			time.Sleep(acceptPause)
+			continue
+		}
 		if err != nil {
 			return errors.Wrapf(err, "accept on %s", listener.Addr())
 		}
@@ -74,6 +81,17 @@
 	}
 }
 
+// isTransient reports whether an error of Accept passes by itself: the peer has
+// left already, or the process has no descriptor free for the moment.
+func isTransient(err error) bool {
+	for _, transient := range []syscall.Errno{syscall.ECONNABORTED, syscall.EMFILE, syscall.ENFILE, syscall.EINTR} {
+		if errors.Is(err, transient) {
+			return true
+		}
+	}
+	return false
+}
+
 func start(tcp net.Conn, open func(*Conn) Handler) *Conn {
 	c := &Conn{tcp: tcp, outbox: outbox.New(maxQueuedBytes)}
 	h := open(c)
--- a/process/node/agent.go
+++ b/process/node/agent.go
@@ -210,20 +210,11 @@
 		}
 	}
 	link := &entryLink{agent: a, ended: make(chan struct{})}
-	conn, err := stream.Dial(ctx, addr, func(c *stream.Conn) stream.Handler {
+	dialled := holdLink(ctx, addr, link.ended, func(c *stream.Conn) stream.Handler {
 		link.conn = c
 		return link
 	})
-	if err != nil {
-		return false
-	}
-	select {
-	case <-ctx.Done():
-		conn.Close()
-		<-link.ended
-	case <-link.ended:
-	}
-	return link.entry != 0
+	return dialled && link.entry != 0
 }
 
 // AddTo adds the actors of the process to a run group. stop is closed by the
--- a/process/node/entrylinks.go
+++ b/process/node/entrylinks.go
@@ -24,9 +24,16 @@
 	}
 }
 
-// opened greets the other side of a new connection.
+// opened takes a connection that another process has dialled.
 func (e *Entry) opened(c *stream.Conn) *processLink {
-	l := &processLink{entry: e, conn: c, ended: make(chan struct{})}
+	l := &processLink{entry: e, ended: make(chan struct{})}
+	return l.greet(c)
+}
+
+// greet tells the other side of a new connection who is there.
+func (l *processLink) greet(c *stream.Conn) *processLink {
+	e := l.entry
+	l.conn = c
 	l.send(&wire.EntryHello{Entry: e.self, Name: e.options.Node, Zone: e.options.Zone, Entries: e.members()})
 	return l
 }
@@ -124,21 +131,9 @@
 
 // connect dials another entry.
 func (e *Entry) connect(ctx context.Context, addr string) bool {
-	var link *processLink
-	conn, err := stream.Dial(ctx, addr, func(c *stream.Conn) stream.Handler {
-		link = e.opened(c)
-		return link
-	})
-	if err != nil {
-		return false
-	}
-	select {
-	case <-ctx.Done():
-		conn.Close()
-		<-link.ended
-	case <-link.ended:
-	}
-	return link.heard
+	link := &processLink{entry: e, ended: make(chan struct{})}
+	dialled := holdLink(ctx, addr, link.ended, func(c *stream.Conn) stream.Handler { return link.greet(c) })
+	return dialled && link.heard
 }
 
 // pulsePeers keeps the connections to other entries from being idle.
--- a/process/node/links.go
+++ b/process/node/links.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/azurerouter/azurerouter/connection/stream"
 	"github.com/azurerouter/azurerouter/connection/wire"
 )
 
@@ -130,3 +131,20 @@
 	defer d.mu.Unlock()
 	delete(d.known, addr)
 }
+
+// holdLink dials an address and returns once the connection has ended, which its
+// handler reports by closing ended, or the context has. It reports false if there
+// was no connection.
+func holdLink(ctx context.Context, addr string, ended <-chan struct{}, open func(*stream.Conn) stream.Handler) bool {
+	conn, err := stream.Dial(ctx, addr, open)
+	if err != nil {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		conn.Close()
+		<-ended
+	case <-ended:
+	}
+	return true
+}
