wire: an order names the target it is meant for

The order was still on its way, behind a delayed link, and arrived after the agent had adopted the new target, which carried it out.

Change: an order carries the incarnation of the target that the entry knows. An agent beside another one refuses it, and says so.

TestOrderForAnEarlierTargetIsRefused fails without the check.

--- a/connection/wire/run.go
+++ b/connection/wire/run.go
@@ -133,6 +133,9 @@
 	// with the time left until the task must start.
 	SlackMS int64       `cbor:"7,keyasint"`
 	Tasks   []StartTask `cbor:"8,keyasint"`
+	// Target is the incarnation for which the order is meant. An agent whose
+	// target has been replaced refuses it.
+	Target string `cbor:"9,keyasint"`
 }
 
 // StartTask is one run of a StartOrder.
--- a/process/dispatch/assign.go
+++ b/process/dispatch/assign.go
@@ -182,7 +182,7 @@
 // a target fails.
 func (c *Core) order(now time.Time, p *pool, g group, t *target, out *outgoing) {
 	j, state, step := g.job, &g.job.steps[g.step], g.job.Job.Steps[g.step]
-	start := wire.StartOrder{Job: j.Job.ID, Spec: j.Job.Spec, Step: g.step, Demand: step.Demand,
+	start := wire.StartOrder{Job: j.Job.ID, Target: t.state.Target, Spec: j.Job.Spec, Step: g.step, Demand: step.Demand,
 		EstimateMS: step.Estimate.Milliseconds(), SlackMS: g.slack(now).Milliseconds()}
 	room := t.expectedFree()
 	for len(state.ready) > 0 && step.Demand.FitsIn(room) && state.allows(step, t) {
--- a/process/runner/core_test.go
+++ b/process/runner/core_test.go
@@ -87,9 +87,11 @@
 }
 
 // order sends the order of the entry for one run of a task.
-func (b *bench) order(index int) batch.Run {
+func (b *bench) order(index int) batch.Run { return b.orderFor(targetID, index) }
+
+func (b *bench) orderFor(target string, index int) batch.Run {
 	b.sequence++
-	start := wire.StartOrder{Job: "0123456789abcdef", Demand: batch.Resources{MilliCPU: 1000, MemoryMiB: 64}, EstimateMS: 100,
+	start := wire.StartOrder{Job: "0123456789abcdef", Target: target, Demand: batch.Resources{MilliCPU: 1000, MemoryMiB: 64}, EstimateMS: 100,
 		Tasks: []wire.StartTask{{Index: index, Number: 1}}}
 	b.core.Received(entryID, &wire.Orders{Sequence: b.sequence, Echo: b.now.UnixMicro(), Starts: []wire.StartOrder{start}})
 	return start.Run(start.Tasks[0])
@@ -252,6 +254,16 @@
 	}
 }
 
+// Guards against an order that arrives after the target has been replaced: the
+// entry has given it up, because everything ended with the earlier target.
+func TestOrderForAnEarlierTargetIsRefused(t *testing.T) {
+	b := newBench(t)
+	run := b.orderFor("target-0", 0)
+	if word, _ := b.wordOn(run); word.Refused != wire.RefusedClosed || len(b.starts) > 0 {
+		t.Errorf("told %+v after %d starts, expected a refusal", word, len(b.starts))
+	}
+}
+
 // Guards against orders that are turned back again and again by a target that
 // has less room than its agent believes, for instance because of runs that the
 // agent has not seen yet.
--- a/process/runner/start.go
+++ b/process/runner/start.go
@@ -44,7 +44,7 @@
 	if s.ended {
 		return wire.RefusedSession
 	}
-	if c.closed() != "" {
+	if c.closed() != "" || order.Target != c.target.id {
 		return wire.RefusedClosed
 	}
 	if !order.Demand.FitsIn(c.target.room) {
