--- a/connection/wire/run.go
+++ b/connection/wire/run.go
@@ -80,6 +80,9 @@
 	ClosedStalled Closed = "stalled"
 	// ClosedUnreachable: the target does not answer the agent.
 	ClosedUnreachable Closed = "unreachable"
+	// ClosedLapsing: the lease has to lapse, so that ends which must not count
+	// are forgotten.
+	ClosedLapsing Closed = "lapsing"
 )
 
 // Enroll is the first message of an agent on a connection, in answer to the
@@ -109,6 +112,10 @@
 	// Waiting describes the tasks of the entry that wait for room, if there
 	// are any. It replaces what an earlier message said.
 	Waiting *Waiting `cbor:"5,keyasint,omitempty"`
+	// Stored lists runs whose ends may be acknowledged to the target, Void those
+	// whose ends must not count, because their tasks may run again.
+	Stored []batch.Run `cbor:"6,keyasint,omitempty"`
+	Void   []batch.Run `cbor:"7,keyasint,omitempty"`
 }
 
 // Waiting describes tasks that wait for room. An agent with enough room for the
@@ -136,6 +143,9 @@
 	// Target is the incarnation for which the order is meant. An agent whose
 	// target has been replaced refuses it.
 	Target string `cbor:"9,keyasint"`
+	// Durable runs end only once their end is recorded: until Orders.Stored the
+	// agent does not acknowledge it to the target.
+	Durable bool `cbor:"10,keyasint,omitempty"`
 }
 
 // StartTask is one run of a StartOrder.
@@ -182,6 +192,9 @@
 	Refused RefusedStart `cbor:"3,keyasint,omitempty"`
 	// RanMS is the time from the start to the end.
 	RanMS int64 `cbor:"4,keyasint,omitempty"`
+	// Unstored is set for an end that the agent keeps until it is told whether
+	// it is recorded.
+	Unstored bool `cbor:"5,keyasint,omitempty"`
 }
 
 // AgentReport is a message of an agent to an entry. Without content it only
--- a/process/dispatch/admit.go
+++ b/process/dispatch/admit.go
@@ -28,7 +28,7 @@
 
 // admit reports whether a new job is taken, and the refusal if not.
 func (c *Core) admit(now time.Time, p *pool, s Submission) (Result, bool) {
-	if s.Job.Durable || unsupported(s) != "" {
+	if unsupported(s) != "" {
 		return Result{Code: NotRun, Reason: ReasonUnsupported, RetryAfter: retryAfterUnknown}, false
 	}
 	if !p.anyHeard(now) {
@@ -44,7 +44,7 @@
 	}
 	slack := s.Objective - s.Job.LongestChain()
 	turn := now.Add(slack + time.Duration(s.Priority)*priorityStep)
-	if wait := p.expectedWait(now, turn); waitFactor*wait > slack && !p.roomFor(now, s.Job.Steps[0]) {
+	if wait := c.expectedWait(now, turn, p); waitFactor*wait > slack && !p.roomFor(now, s.Job.Steps[0]) {
 		return Result{Code: NotRun, Reason: ReasonOverloaded, RetryAfter: wait}, false
 	}
 	return Result{}, true
@@ -63,7 +63,7 @@
 // expectedWait returns how long a timely task with the given turn waits for the
 // tasks that are served before it. The processor time in use by the
 // entry's own runs is the rate at which its queue is worked off.
-func (p *pool) expectedWait(now, turn time.Time) time.Duration {
+func (c *Core) expectedWait(now, turn time.Time, p *pool) time.Duration {
 	inUse := 0
 	for _, t := range p.ordered {
 		for _, r := range t.runs {
@@ -71,7 +71,7 @@
 		}
 	}
 	var ahead float64
-	for _, g := range p.queue(now) {
+	for _, g := range c.queue(now, p) {
 		if g.rank == rankLate || (g.rank == rankTimely && g.turn.After(turn)) {
 			break
 		}
@@ -124,6 +124,8 @@
 	overloaded := p.anyOpen(now) && p.timelyWaiting(now)
 	for _, j := range p.jobsInOrder() {
 		switch {
+		case j.durable != nil:
+			// It is run however late it is.
 		case isolated:
 			c.end(now, p, j, unfinished(j, ReasonIsolated))
 		case !j.hasReady():
--- a/process/dispatch/assign.go
+++ b/process/dispatch/assign.go
@@ -51,7 +51,7 @@
 // assign sends waiting tasks to targets with room, the most urgent first.
 func (c *Core) assign(now time.Time, p *pool) {
 	c.wake.note(now)
-	queue := p.queue(now)
+	queue := c.queue(now, p)
 	if len(queue) == 0 || c.wake.settling(now) {
 		return
 	}
@@ -66,7 +66,7 @@
 			break
 		}
 	}
-	waiting := p.waiting(now)
+	waiting := c.waiting(now, p)
 	for _, t := range out.targets {
 		out.orders[t].Waiting = waiting
 		c.send(now, t, out.orders[t])
@@ -77,8 +77,8 @@
 }
 
 // waiting describes the tasks that found no room, or returns nil.
-func (p *pool) waiting(now time.Time) *wire.Waiting {
-	queue := p.queue(now)
+func (c *Core) waiting(now time.Time, p *pool) *wire.Waiting {
+	queue := c.queue(now, p)
 	if len(queue) == 0 {
 		return nil
 	}
@@ -92,11 +92,11 @@
 }
 
 // waitingFor renews what a target has been told.
-func (p *pool) waitingFor(now time.Time, t *target) *wire.Waiting {
+func (c *Core) waitingFor(now time.Time, p *pool, t *target) *wire.Waiting {
 	if !t.told {
 		return nil
 	}
-	return p.waiting(now)
+	return c.waiting(now, p)
 }
 
 func (g group) demand() batch.Resources { return g.job.Job.Steps[g.step].Demand }
@@ -123,9 +123,12 @@
 
 // queue returns the groups that wait, in the order in which they are served:
 // by rank and then the least slack first. This answers bursts.
-func (p *pool) queue(now time.Time) []group {
+func (c *Core) queue(now time.Time, p *pool) []group {
 	var queue []group
 	for _, j := range p.jobs {
+		if c.held(now, j) {
+			continue
+		}
 		for step := range j.steps {
 			if len(j.steps[step].ready) == 0 {
 				continue
@@ -183,7 +186,7 @@
 func (c *Core) order(now time.Time, p *pool, g group, t *target, out *outgoing) {
 	j, state, step := g.job, &g.job.steps[g.step], g.job.Job.Steps[g.step]
 	start := wire.StartOrder{Job: j.Job.ID, Target: t.state.Target, Spec: j.Job.Spec, Step: g.step, Demand: step.Demand,
-		EstimateMS: step.Estimate.Milliseconds(), SlackMS: g.slack(now).Milliseconds()}
+		Durable: j.durable != nil, EstimateMS: step.Estimate.Milliseconds(), SlackMS: g.slack(now).Milliseconds()}
 	room := t.expectedFree()
 	for len(state.ready) > 0 && step.Demand.FitsIn(room) && state.allows(step, t) {
 		if len(start.Tasks) > 0 && t.state.Probing {
--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -38,6 +38,8 @@
 	// agents says in which pool an agent is.
 	agents map[wire.Incarnation]*pool
 
+	// suspended is set while durable jobs are to wait.
+	suspended  atomic.Bool
 	nextWaiter atomic.Uint64
 	counters   counters
 }
@@ -51,6 +53,8 @@
 	// ordered holds the targets in the order in which they were found.
 	ordered []*target
 	jobs    map[batch.ID]*activeJob
+	// durable holds the durable jobs until what has ended of them is recorded.
+	durable map[batch.ID]*activeJob
 	answers map[batch.ID]keptAnswer
 	oldest  []batch.ID
 	speeds  speeds
@@ -82,7 +86,7 @@
 		return p
 	}
 	p = &pool{service: service, random: rand.New(rand.NewPCG(c.seed, uint64(len(c.pools)))),
-		targets: make(map[wire.Incarnation]*target), jobs: make(map[batch.ID]*activeJob), answers: make(map[batch.ID]keptAnswer)}
+		targets: make(map[wire.Incarnation]*target), jobs: make(map[batch.ID]*activeJob), durable: make(map[batch.ID]*activeJob), answers: make(map[batch.ID]keptAnswer)}
 	c.pools[service] = p
 	return p
 }
@@ -219,7 +223,9 @@
 		p.mu.Lock()
 		now := c.env.Now()
 		for _, j := range p.jobsInOrder() {
-			c.end(now, p, j, unfinished(j, ReasonStopping))
+			if j.durable == nil {
+				c.end(now, p, j, unfinished(j, ReasonStopping))
+			}
 		}
 		p.mu.Unlock()
 	}
--- a/process/dispatch/dump.go
+++ b/process/dispatch/dump.go
@@ -50,7 +50,7 @@
 	defer p.mu.Unlock()
 	now := c.env.Now()
 	d := ServiceDump{Service: p.service, Jobs: len(p.jobs)}
-	for _, g := range p.queue(now) {
+	for _, g := range c.queue(now, p) {
 		d.Waiting += len(g.job.steps[g.step].ready)
 	}
 	for _, t := range p.ordered {
--- a/process/dispatch/env.go
+++ b/process/dispatch/env.go
@@ -22,6 +22,11 @@
 	Now() time.Time
 	// Send queues a message to an agent; it is lost if there is no connection.
 	Send(agent wire.Incarnation, m wire.Message)
+	// Progressed notes that there is something to record of a durable job.
+	Progressed(id batch.ID)
+	// IsOpen reports whether a job is durable and has not ended, here or
+	// elsewhere.
+	IsOpen(id batch.ID) bool
 }
 
 // Code is how a submission ended.
@@ -66,6 +71,8 @@
 	ReasonAttempts Reason = "attempts"
 	// ReasonIsolated: the entry has lost contact with every target.
 	ReasonIsolated Reason = "isolated"
+	// ReasonStoreAway: the job can't be recorded.
+	ReasonStoreAway Reason = "store_away"
 	// ReasonStopping: the process ends.
 	ReasonStopping Reason = "stopping"
 	// ReasonUnsupported: the job uses a feature of which this version has none.
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -16,6 +16,8 @@
 	useless time.Time
 	steps   []stepState
 	waiters map[uint64]func(Result)
+	// durable is nil for a job that ends with its callers or its process.
+	durable *durability
 	// started counts the runs that were ordered and not refused.
 	started int
 	ended   bool
@@ -160,7 +162,9 @@
 	}
 	j.ended = true
 	delete(p.jobs, j.Job.ID)
-	p.remember(now, j.Job.ID, result)
+	if j.durable == nil {
+		p.remember(now, j.Job.ID, result)
+	}
 	c.counters.ended(result)
 	inputs := []decision.Input{{Name: "took_ms", Value: now.Sub(j.submitted).Milliseconds()},
 		{Name: "objective_ms", Value: j.Objective.Milliseconds()}}
@@ -183,6 +187,13 @@
 func (c *Core) stopRuns(now time.Time, p *pool, j *activeJob) {
 	for number := range j.steps {
 		j.steps[number].ready = nil
+	}
+	c.stopLive(now, p, j)
+}
+
+// stopLive stops the runs of a job; its tasks stay.
+func (c *Core) stopLive(now time.Time, p *pool, j *activeJob) {
+	for number := range j.steps {
 		for _, t := range j.steps[number].tasks {
 			if t.live != nil {
 				c.stopRun(now, p, t.live)
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -16,10 +16,12 @@
 func (c *Core) runReported(now time.Time, p *pool, t *target, report wire.RunReport) {
 	r := t.runs[report.Run]
 	switch {
+	case r == nil && report.Unstored:
+		c.settleLateEnd(now, p, t, report.Run)
 	case r == nil:
 		if report.End == "" && report.Refused == "" {
 			// A run that the entry has given up on.
-			c.send(now, t, &wire.Orders{Stops: []batch.Run{report.Run}, Waiting: p.waitingFor(now, t)})
+			c.send(now, t, &wire.Orders{Stops: []batch.Run{report.Run}, Waiting: c.waitingFor(now, p, t)})
 		}
 	case report.Refused != "":
 		c.runRefused(now, p, r, report.Refused)
@@ -27,6 +29,7 @@
 		if report.End == batch.EndDone {
 			p.speeds.note(r.task, t.node, time.Duration(report.RanMS)*time.Millisecond)
 		}
+		c.noteDurableEnd(now, p, r, report.Unstored)
 		c.runEnded(now, p, r, report.End)
 	}
 }
@@ -101,6 +104,6 @@
 	}
 	r.stopping = true
 	if r.target.connected {
-		c.send(now, r.target, &wire.Orders{Stops: []batch.Run{r.name()}, Waiting: p.waitingFor(now, r.target)})
+		c.send(now, r.target, &wire.Orders{Stops: []batch.Run{r.name()}, Waiting: c.waitingFor(now, p, r.target)})
 	}
 }
--- a/process/dispatch/target.go
+++ b/process/dispatch/target.go
@@ -201,7 +201,7 @@
 	sent := t.sent
 	c.assign(now, p)
 	if m.Invitation && t.sent == sent {
-		c.send(now, t, &wire.Orders{Waiting: p.waiting(now)})
+		c.send(now, t, &wire.Orders{Waiting: c.waiting(now, p)})
 	}
 }
 
@@ -257,7 +257,7 @@
 func (c *Core) checkTargets(now time.Time, p *pool) {
 	for _, t := range p.ordered {
 		if t.connected && now.Sub(t.lastSent) >= wire.PulseInterval {
-			c.send(now, t, &wire.Orders{Waiting: p.waitingFor(now, t)})
+			c.send(now, t, &wire.Orders{Waiting: c.waitingFor(now, p, t)})
 		}
 		if now.Sub(t.heard) <= wire.LostAfter {
 			continue
--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -23,8 +23,10 @@
 	DurableProgress(id batch.ID) (progress []dispatch.TaskProgress, ends int)
 	// DurableStored states that the progress that covers so many ends is stored.
 	DurableStored(id batch.ID, ends int)
-	// DropDurable stops the runs of a job and forgets it.
-	DropDurable(id batch.ID)
+	// StopDurable stops the runs of a job that has been cancelled.
+	StopDurable(id batch.ID)
+	// ForgetDurable stops the runs of a job and forgets it.
+	ForgetDurable(id batch.ID)
 	// SuspendDurable stops the runs of all durable jobs and orders none, or goes
 	// on.
 	SuspendDurable(suspended bool)
@@ -55,7 +57,7 @@
 	sink     decision.Sink
 	started  time.Time
 	wake     chan struct{}
-	known    sync.Map // of batch.ID, every durable job in the log
+	open     sync.Map // of batch.ID, the durable jobs that have not ended
 	changed  changes
 	mu       sync.Mutex
 	self     ledger.Owner
@@ -130,10 +132,10 @@
 		changed: changes{dirty: make(map[batch.ID]bool), finals: make(map[batch.ID]ledger.State)}}
 }
 
-// IsDurable reports whether a job is in the log.
-func (k *Keeper) IsDurable(id batch.ID) bool {
-	_, known := k.known.Load(id)
-	return known
+// IsOpen reports whether a job is in the log and has not ended.
+func (k *Keeper) IsOpen(id batch.ID) bool {
+	_, open := k.open.Load(id)
+	return open
 }
 
 // Progressed notes that a task of a job that runs here has ended.
--- a/process/keeper/reader.go
+++ b/process/keeper/reader.go
@@ -66,13 +66,17 @@
 	v, known := k.table.Job(id)
 	_, runs := k.mine[id]
 	if !known {
-		k.known.Delete(id)
+		k.open.Delete(id)
 		if runs {
 			k.drop(id)
 		}
 		return
 	}
-	k.known.Store(id, true)
+	if v.Progress.State == ledger.Open {
+		k.open.Store(id, true)
+	} else {
+		k.open.Delete(id)
+	}
 	k.answerWaiters(id, Outcome{Code: Accepted})
 	for _, r := range k.table.Losers(id, k.self) {
 		k.queue = append(k.queue, item{record: r})
@@ -88,16 +92,16 @@
 	case !runs:
 		k.start(now, id, v)
 	}
-	if v.Cancelled && v.Owner == k.self && v.Progress.State == ledger.Open {
+	if _, runs := k.mine[id]; runs && v.Cancelled && v.Owner == k.self && v.Progress.State == ledger.Open {
 		k.decided(id, "durable", "cancelled", "caller", v.Term)
-		k.run.DropDurable(id)
+		k.run.StopDurable(id)
 		k.finished(id, ledger.Cancelled)
 	}
 }
 
 func (k *Keeper) drop(id batch.ID) {
 	delete(k.mine, id)
-	k.run.DropDurable(id)
+	k.run.ForgetDurable(id)
 }
 
 // start runs what is left of a job that this entry owns.
--- a/process/keeper/writer.go
+++ b/process/keeper/writer.go
@@ -186,7 +186,7 @@
 	for _, s := range c.progress {
 		k.run.DurableStored(s.id, s.ends)
 		if s.final {
-			k.run.DropDurable(s.id)
+			k.run.ForgetDurable(s.id)
 		}
 	}
 	if resume {
@@ -225,7 +225,7 @@
 	defer k.mu.Unlock()
 	k.decided("", "durable", "deposed", string(answer.Verdict), 0, decision.Input{Name: "jobs", Value: int64(len(k.mine))})
 	for id := range k.mine {
-		k.run.DropDurable(id)
+		k.run.ForgetDurable(id)
 	}
 	clear(k.mine)
 	k.changed.mu.Lock()
--- a/process/node/agent.go
+++ b/process/node/agent.go
@@ -259,6 +259,7 @@
 func (a *Agent) holdLease(ctx context.Context, n int) error {
 	for ctx.Err() == nil {
 		if (n == 0 || a.core.Lossy()) && a.hold(true) {
+			pause(ctx, a.core.HoldPause())
 			continue
 		}
 		select {
@@ -269,6 +270,16 @@
 	return nil
 }
 
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // searchEntries asks the store for entries while none is connected.
 func (a *Agent) searchEntries(ctx context.Context) error {
 	return every(ctx, directoryInterval, func() {
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -17,7 +17,10 @@
 	"github.com/azurerouter/azurerouter/process/clock"
 	"github.com/azurerouter/azurerouter/process/decision"
 	"github.com/azurerouter/azurerouter/process/dispatch"
+	"github.com/azurerouter/azurerouter/process/keeper"
+	"github.com/azurerouter/azurerouter/process/ledger"
 	"github.com/azurerouter/azurerouter/process/observe"
+	"github.com/azurerouter/azurerouter/request/batch"
 	"github.com/azurerouter/azurerouter/version/routing"
 )
 
@@ -61,6 +64,8 @@
 	Config    ConfigSource
 	Directory Directory
 	Copies    CopyStore
+	// Jobs is the log of durable jobs.
+	Jobs keeper.Log
 }
 
 // Entry runs a dispatch.Core as a process.
@@ -72,6 +77,7 @@
 	self      wire.Incarnation
 	dialer    *dialer
 	table     atomic.Pointer[routing.Table]
+	keeper    *keeper.Keeper
 	stopping  atomic.Bool
 	metrics   *entryMetrics
 	started   time.Time
@@ -91,6 +97,8 @@
 	e := &Entry{options: options, observer: observer, decisions: decisions, self: wire.NewIncarnation(),
 		started: time.Now(), configured: make(chan struct{}), agents: make(map[wire.Incarnation]*processLink), peers: make(map[*processLink]bool)}
 	e.Core = dispatch.New((*entryEnv)(e), e.self, options.Zone, uint64(time.Now().UnixNano()))
+	e.keeper = keeper.New(keeper.Options{Node: options.Node, Self: ledger.Owner(e.self.String()), IsFirst: e.hasFirstName, Now: clock.Now, UnixTime: time.Now},
+		options.Jobs, e.Core, decisions)
 	e.metrics = newEntryMetrics(observer, e)
 	e.dialer = newDialer(options.AdvertiseAddr, options.Seeds, observer.Log, e.connect)
 	return e
@@ -99,6 +107,9 @@
 // Table returns the routing in force, or nil.
 func (e *Entry) Table() *routing.Table { return e.table.Load() }
 
+// Keeper holds the durable jobs.
+func (e *Entry) Keeper() *keeper.Keeper { return e.keeper }
+
 // AwaitTable returns the routing in force. A process that has just started
 // waits for its first one for a moment; after that it returns nil.
 func (e *Entry) AwaitTable(ctx context.Context) *routing.Table {
@@ -129,6 +140,10 @@
 
 func (e *entryEnv) Decided(d decision.Decision) { e.decisions.Decided(d) }
 
+func (e *entryEnv) Progressed(id batch.ID) { e.keeper.Progressed(id) }
+
+func (e *entryEnv) IsOpen(id batch.ID) bool { return e.keeper.IsOpen(id) }
+
 func (e *entryEnv) Send(agent wire.Incarnation, m wire.Message) {
 	e.mu.Lock()
 	link := e.agents[agent]
@@ -204,6 +219,7 @@
 	actor(e.followConfig)
 	actor(e.saveCopies)
 	actor(e.recoverConfig)
+	actor(e.keeper.Run)
 	actor(e.followMembers)
 	actor(e.announce)
 	actor(func(ctx context.Context) error { return every(ctx, memberInterval, e.pulsePeers) })
@@ -286,6 +302,9 @@
 	defer cancel()
 	err := server.Shutdown(limit)
 	left := e.ActiveJobs()
+	for e.keeper.Open() > 0 && time.Since(began) < e.options.Grace-stopMargin {
+		time.Sleep(stopPoll)
+	}
 	if err != nil {
 		e.GiveUpAll()
 		last, cancelLast := context.WithTimeout(ctx, stopMargin/2)
--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -88,7 +88,9 @@
 	entry    wire.Incarnation
 	demand   batch.Resources
 	estimate time.Duration
-	state    state
+	// durable runs end only once their end is recorded.
+	durable bool
+	state   state
 	// seen is set once the target has confirmed the run.
 	seen      bool
 	startedAt time.Time
@@ -187,6 +189,7 @@
 	for _, h := range c.runsOf(entry) {
 		enroll.Held = append(enroll.Held, wire.RunReport{Run: h.run})
 	}
+	enroll.Held = append(enroll.Held, c.keptReports(entry)...)
 	c.env.Send(entry, enroll)
 }
 
@@ -218,6 +221,7 @@
 		s.expiry = later(s.expiry, time.UnixMicro(orders.Echo).Add(wire.SessionTTL))
 	}
 	s.handled = max(s.handled, orders.Sequence)
+	c.settleEnds(now, orders)
 	for _, run := range orders.Stops {
 		c.stopOrdered(now, s, run)
 	}
@@ -251,6 +255,7 @@
 		return
 	}
 	s.ended, s.waiting = true, false
+	c.voidEndsOf(now, s.entry)
 	runs := c.runsOf(s.entry)
 	if len(runs) == 0 {
 		return
@@ -327,6 +332,7 @@
 	}
 	c.retryStops(now)
 	c.checkTarget(now)
+	c.checkEnds(now)
 	if c.health.tick(now) {
 		c.changed()
 	}
@@ -378,6 +384,8 @@
 		return wire.ClosedDraining
 	case c.target.unreachable:
 		return wire.ClosedUnreachable
+	case c.target.ends.lapsing():
+		return wire.ClosedLapsing
 	}
 	return c.health.closed
 }
--- a/process/runner/dump.go
+++ b/process/runner/dump.go
@@ -30,5 +30,5 @@
 	counters.Refused, counters.Ended = maps.Clone(counters.Refused), maps.Clone(counters.Ended)
 	counters.Closed = maps.Clone(counters.Closed)
 	return Dump{Target: c.target.id, Service: c.target.service, Closed: c.closed(), Probing: c.health.probing, Room: c.target.room,
-		Free: c.free(), Runs: len(c.runs), Sessions: len(c.sessions), Fence: c.fence, Seen: c.target.seen, Counters: counters}
+		Free: c.free(), Runs: len(c.runs), Sessions: len(c.sessions), Fence: c.fence, Seen: c.target.ends.noted, Counters: counters}
 }
--- /dev/null
+++ b/process/runner/ends.go
@@ -0,0 +1,183 @@
+package runner
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/azurerouter/azurerouter/connection/wire"
+	"github.com/azurerouter/azurerouter/process/decision"
+	"github.com/azurerouter/azurerouter/request/batch"
+)
+
+// Times of ends that are kept from the target.
+const (
+	// unclaimedAfter is when an end that no entry has settled must not count any
+	// more: its task may run again.
+	unclaimedAfter = 2 * time.Second
+	// lapseGrace is how long other runs may take to end before the lease lapses
+	// all the same.
+	lapseGrace = time.Second
+	// keptEndsPause is between two looks at the target while it lists ends that
+	// are kept from it, since it answers such a call at once.
+	keptEndsPause = 10 * time.Millisecond
+)
+
+// endLog knows which ends of a target may be acknowledged. An end of a durable
+// run is kept until its entry has recorded it. One that must not count, because
+// the task may run again, is acknowledged only after the lease has lapsed: the
+// target then takes no note of it.
+type endLog struct {
+	// noted is the highest number that has been handled.
+	noted uint64
+	kept  map[uint64]keptEnd
+	// lapseSince is since when the lease is to lapse, or zero.
+	lapseSince time.Time
+}
+
+type keptEnd struct {
+	run   batch.Run
+	end   batch.End
+	since time.Time
+	// entry is the one that ordered the run, or 0 if an earlier agent started it.
+	entry wire.Incarnation
+	void  bool
+}
+
+func entryOf(h *held) wire.Incarnation {
+	if h == nil {
+		return 0
+	}
+	return h.entry
+}
+
+// note reports whether an end is new.
+func (l *endLog) note(number uint64) bool {
+	if number <= l.noted {
+		return false
+	}
+	l.noted = number
+	return true
+}
+
+func (l *endLog) keep(number uint64, e keptEnd) {
+	if l.kept == nil {
+		l.kept = make(map[uint64]keptEnd)
+	}
+	l.kept[number] = e
+}
+
+// acknowledged returns the number up to which all ends may be forgotten.
+func (l *endLog) acknowledged() uint64 {
+	number := l.noted
+	for n := range l.kept {
+		number = min(number, n-1)
+	}
+	return number
+}
+
+// waiting reports whether ends are kept from the target.
+func (l *endLog) waiting() bool { return len(l.kept) > 0 }
+
+// lapsing reports whether the target takes no runs because its lease has to
+// lapse.
+func (l *endLog) lapsing() bool { return !l.lapseSince.IsZero() }
+
+// letLapse reports whether the lease must not be renewed.
+func (l *endLog) letLapse(now time.Time) bool {
+	return l.lapsing() && now.Sub(l.lapseSince) > lapseGrace
+}
+
+// HoldPause returns how long to wait before the next call that holds the lease.
+func (c *Core) HoldPause() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.target.ends.waiting() {
+		return keptEndsPause
+	}
+	return 0
+}
+
+// settleEnds takes an entry's word on ends.
+func (c *Core) settleEnds(now time.Time, orders *wire.Orders) {
+	if len(orders.Stored) == 0 && len(orders.Void) == 0 {
+		return
+	}
+	for number, e := range c.target.ends.kept {
+		switch {
+		case slices.Contains(orders.Stored, e.run) && !e.void:
+			delete(c.target.ends.kept, number)
+		case slices.Contains(orders.Void, e.run):
+			c.voidEnd(now, number)
+		}
+	}
+}
+
+// voidEnd lets the lease lapse before an end is acknowledged.
+func (c *Core) voidEnd(now time.Time, number uint64) {
+	e := c.target.ends.kept[number]
+	if e.void {
+		return
+	}
+	e.void = true
+	c.target.ends.kept[number] = e
+	c.env.Decided(decision.Decision{Step: "end", Job: e.run.Task.Job, Run: e.run, Peer: c.target.id, Outcome: "void",
+		Reason: "the task may run again", Age: now.Sub(e.since)})
+	if !c.target.ends.lapsing() {
+		c.target.ends.lapseSince = now
+		c.changed()
+	}
+}
+
+// voidEndsOf handles the ends of an entry that is silent: another may run its
+// tasks again.
+func (c *Core) voidEndsOf(now time.Time, entry wire.Incarnation) {
+	for _, number := range slices.Sorted(maps.Keys(c.target.ends.kept)) {
+		if c.target.ends.kept[number].entry == entry {
+			c.voidEnd(now, number)
+		}
+	}
+}
+
+// keptReports returns the ends that an entry may settle: its own, and those of
+// runs that an earlier agent has started.
+func (c *Core) keptReports(entry wire.Incarnation) []wire.RunReport {
+	var reports []wire.RunReport
+	for _, number := range slices.Sorted(maps.Keys(c.target.ends.kept)) {
+		if e := c.target.ends.kept[number]; !e.void && (e.entry == entry || e.entry == 0) {
+			reports = append(reports, wire.RunReport{Run: e.run, End: e.end, Unstored: true})
+		}
+	}
+	return reports
+}
+
+// offerEnds asks every connected entry about the ends of runs that are not held
+// here.
+func (c *Core) offerEnds() {
+	for _, s := range c.sessions {
+		if !s.connected {
+			continue
+		}
+		for _, report := range c.keptReports(0) {
+			s.pending = append(s.pending, report)
+		}
+	}
+}
+
+// checkEnds gives up ends that nobody settles and forgets those that must not
+// count once the lease has lapsed.
+func (c *Core) checkEnds(now time.Time) {
+	l := &c.target.ends
+	for _, number := range slices.Sorted(maps.Keys(l.kept)) {
+		if now.Sub(l.kept[number].since) > unclaimedAfter {
+			c.voidEnd(now, number)
+		}
+	}
+	if !l.lapsing() || len(c.runs) > 0 || now.Sub(c.target.leaseUntil) <= leaseSpan-wire.RunLease || now.Sub(c.started) <= leaseSpan {
+		return
+	}
+	maps.DeleteFunc(l.kept, func(_ uint64, e keptEnd) bool { return e.void })
+	l.lapseSince = time.Time{}
+	c.changed()
+	c.env.Decided(decision.Decision{Step: "end", Peer: c.target.id, Outcome: "lapsed", Version: l.noted})
+}
--- a/process/runner/hold.go
+++ b/process/runner/hold.go
@@ -38,11 +38,11 @@
 	}
 	now := c.env.Now()
 	c.lookAsked = c.lookAsked && wait
-	call := HoldCall{Target: c.target.id, Fence: c.fence, Seen: c.target.seen, Asked: now}
-	if c.target.clockKnown && !c.target.unreachable && len(c.runs) > 0 {
+	call := HoldCall{Target: c.target.id, Fence: c.fence, Seen: c.target.ends.acknowledged(), Asked: now}
+	if c.target.clockKnown && !c.target.unreachable && len(c.runs) > 0 && !c.target.ends.letLapse(now) {
 		call.LeaseUntil = c.leaseFrom(now)
 	}
-	if wait && c.target.clockKnown {
+	if wait && c.target.clockKnown && !c.target.ends.waiting() {
 		call.Wait = holdWait
 		if c.lossy(now) {
 			call.Wait = lossyWait
@@ -152,11 +152,17 @@
 
 func (c *Core) noteEnds(now time.Time, ended []EndedRun) {
 	for _, e := range ended {
-		if e.Number <= c.target.seen {
+		if !c.target.ends.note(e.Number) {
 			continue
 		}
-		c.target.seen = e.Number
-		if h := c.runs[e.Run]; h != nil {
+		h := c.runs[e.Run]
+		if counts := e.End == batch.EndDone || e.End == batch.EndFailed; counts && (h == nil || h.durable) {
+			c.target.ends.keep(e.Number, keptEnd{run: e.Run, end: e.End, since: now, entry: entryOf(h)})
+		}
+		if h == nil {
+			c.offerEnds()
+		}
+		if h != nil {
 			h.seen = true
 			c.finish(now, h, e.End)
 		}
--- a/process/runner/start.go
+++ b/process/runner/start.go
@@ -25,7 +25,7 @@
 		c.tell(now, s, wire.RunReport{Run: run, Refused: reason})
 		return
 	}
-	h := &held{run: run, entry: s.entry, demand: order.Demand, startedAt: now,
+	h := &held{run: run, entry: s.entry, demand: order.Demand, durable: order.Durable, startedAt: now,
 		estimate: time.Duration(order.EstimateMS) * time.Millisecond}
 	c.runs[run] = h
 	c.used = c.used.Add(h.demand)
@@ -280,7 +280,8 @@
 	c.forget(h)
 	ran := now.Sub(h.startedAt)
 	c.counters.Ended[end]++
-	report := wire.RunReport{Run: h.run, End: end, RanMS: ran.Milliseconds()}
+	report := wire.RunReport{Run: h.run, End: end, RanMS: ran.Milliseconds(),
+		Unstored: h.durable && (end == batch.EndDone || end == batch.EndFailed)}
 	if !h.seen && end == batch.EndStopped {
 		report = wire.RunReport{Run: h.run, Refused: h.refusal}
 	}
--- a/process/runner/target.go
+++ b/process/runner/target.go
@@ -28,7 +28,7 @@
 	// leaseUntil is the end of the longest lease that was asked for, by the
 	// agent's clock.
 	leaseUntil time.Time
-	seen       uint64
+	ends       endLog
 	// roomDoubted is when the target refused a run for which there should have
 	// been room; it is zero once the runs have been looked at since.
 	roomDoubted time.Time
