--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -71,6 +71,8 @@
 	// mine are the jobs that run here, with the term of the claim.
 	mine    map[batch.ID]uint64
 	waiters map[batch.ID][]chan Outcome
+	// ending is closed once the job has ended, for callers who ask meanwhile.
+	ending  map[batch.ID]chan struct{}
 	queue   []item
 	// written is when the last append that succeeded was sent.
 	written   time.Time
@@ -123,12 +125,14 @@
 	undecidedAfter = 2500 * time.Millisecond
 	// retryAfterAway is what a caller is told while the log is away.
 	retryAfterAway = time.Second
+	// stateWait is about the time that it takes to record an end.
+	stateWait = 80 * time.Millisecond
 )
 
 // New returns a keeper that does nothing before Run.
 func New(options Options, log Log, run Dispatcher, sink decision.Sink) *Keeper {
 	return &Keeper{options: options, log: log, run: run, sink: sink, started: options.Now(), wake: make(chan struct{}, 1), self: options.Self,
-		table: ledger.NewTable(), mine: make(map[batch.ID]uint64), waiters: make(map[batch.ID][]chan Outcome), notBefore: make(map[batch.ID]time.Time),
+		table: ledger.NewTable(), mine: make(map[batch.ID]uint64), waiters: make(map[batch.ID][]chan Outcome), ending: make(map[batch.ID]chan struct{}), notBefore: make(map[batch.ID]time.Time),
 		changed: changes{dirty: make(map[batch.ID]bool), finals: make(map[batch.ID]ledger.State)}}
 }
 
@@ -219,9 +223,18 @@
 	delete(k.waiters, id)
 }
 
-// State returns the state of a job for a caller. Undecided means that the log
-// has not been read yet.
-func (k *Keeper) State(id batch.ID) (ledger.State, bool, Code) {
+// State returns the state of a job for a caller, and whether a task has begun.
+// Undecided means that the log has not been read yet. A caller often asks just
+// after the last task has ended, so for a job that goes on it waits a moment.
+func (k *Keeper) State(ctx context.Context, id batch.ID) (ledger.State, bool, Code) {
+	if ending := k.awaitable(id); ending != nil {
+		ctx, cancel := context.WithTimeout(ctx, stateWait)
+		defer cancel()
+		select {
+		case <-ending:
+		case <-ctx.Done():
+		}
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	v, known := k.table.Job(id)
@@ -235,6 +248,20 @@
 	return "", false, NotKnown
 }
 
+// awaitable returns what is closed when an open job ends.
+func (k *Keeper) awaitable(id batch.ID) <-chan struct{} {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	v, known := k.table.Job(id)
+	if !known || v.Progress.State != ledger.Open {
+		return nil
+	}
+	if k.ending[id] == nil {
+		k.ending[id] = make(chan struct{})
+	}
+	return k.ending[id]
+}
+
 // Cancel asks for the end of a job.
 func (k *Keeper) Cancel(ctx context.Context, id batch.ID) Outcome {
 	k.mu.Lock()
--- a/process/keeper/reader.go
+++ b/process/keeper/reader.go
@@ -67,6 +67,7 @@
 	_, runs := k.mine[id]
 	if !known {
 		k.open.Delete(id)
+		k.ended(id)
 		if runs {
 			k.drop(id)
 		}
@@ -76,6 +77,7 @@
 		k.open.Store(id, true)
 	} else {
 		k.open.Delete(id)
+		k.ended(id)
 	}
 	k.answerWaiters(id, Outcome{Code: Accepted})
 	for _, r := range k.table.Losers(id, k.self) {
@@ -99,6 +101,14 @@
 	}
 }
 
+// ended answers the callers who wait for the end of a job.
+func (k *Keeper) ended(id batch.ID) {
+	if ending := k.ending[id]; ending != nil {
+		close(ending)
+		delete(k.ending, id)
+	}
+}
+
 func (k *Keeper) drop(id batch.ID) {
 	delete(k.mine, id)
 	k.run.ForgetDurable(id)
