--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -69,11 +69,13 @@
 	// away is set while appends are refused.
 	away bool
 	// mine are the jobs that run here, with the term of the claim.
-	mine    map[batch.ID]uint64
+	mine map[batch.ID]uint64
+	// settled are jobs whose end is in the log but has not been read from it.
+	settled map[batch.ID]bool
 	waiters map[batch.ID][]chan Outcome
 	// ending is closed once the job has ended, for callers who ask meanwhile.
-	ending  map[batch.ID]chan struct{}
-	queue   []item
+	ending map[batch.ID]chan struct{}
+	queue  []item
 	// written is when the last append that succeeded was sent.
 	written   time.Time
 	suspended bool
@@ -132,7 +134,7 @@
 // New returns a keeper that does nothing before Run.
 func New(options Options, log Log, run Dispatcher, sink decision.Sink) *Keeper {
 	return &Keeper{options: options, log: log, run: run, sink: sink, started: options.Now(), wake: make(chan struct{}, 1), self: options.Self,
-		table: ledger.NewTable(), mine: make(map[batch.ID]uint64), waiters: make(map[batch.ID][]chan Outcome), ending: make(map[batch.ID]chan struct{}), notBefore: make(map[batch.ID]time.Time),
+		table: ledger.NewTable(), mine: make(map[batch.ID]uint64), settled: make(map[batch.ID]bool), waiters: make(map[batch.ID][]chan Outcome), ending: make(map[batch.ID]chan struct{}), notBefore: make(map[batch.ID]time.Time),
 		changed: changes{dirty: make(map[batch.ID]bool), finals: make(map[batch.ID]ledger.State)}}
 }
 
--- a/process/keeper/reader.go
+++ b/process/keeper/reader.go
@@ -77,6 +77,7 @@
 		k.open.Store(id, true)
 	} else {
 		k.open.Delete(id)
+		delete(k.settled, id)
 		k.ended(id)
 	}
 	k.answerWaiters(id, Outcome{Code: Accepted})
@@ -91,7 +92,7 @@
 			k.drop(id)
 		}
 	case v.Progress.State != ledger.Open:
-	case !runs:
+	case !runs && !k.settled[id]:
 		k.start(now, id, v)
 	}
 	if _, runs := k.mine[id]; runs && v.Cancelled && v.Owner == k.self && v.Progress.State == ledger.Open {
--- a/process/keeper/writer.go
+++ b/process/keeper/writer.go
@@ -19,6 +19,10 @@
 	commitInterval = 15 * time.Millisecond
 	// appendPause is between two tries of one append.
 	appendPause = 60 * time.Millisecond
+	// minAppendTimeout is that of the first try, which doubles with each try: an
+	// answer usually comes within a few milliseconds, or gets lost.
+	minAppendTimeout = 100 * time.Millisecond
+	maxAppendTimeout = 800 * time.Millisecond
 	// batchBytes bounds one append.
 	batchBytes = 1 << 20
 	firstEpoch = 1
@@ -119,9 +123,13 @@
 // commit appends a batch until the log has decided. It reports whether the batch
 // used up its sequence number.
 func (k *Keeper) commit(ctx context.Context, c *commit, sequence uint64) bool {
+	timeout := minAppendTimeout
 	for ctx.Err() == nil {
 		sent := k.options.Now()
-		answer := k.log.Append(ctx, Append{Writer: string(c.owner), Epoch: firstEpoch, Sequence: sequence, Records: c.records})
+		call, cancel := context.WithTimeout(ctx, timeout)
+		answer := k.log.Append(call, Append{Writer: string(c.owner), Epoch: firstEpoch, Sequence: sequence, Records: c.records})
+		cancel()
+		timeout = min(2*timeout, maxAppendTimeout)
 		switch answer.Verdict {
 		case Done:
 			k.committed(sent, c)
@@ -172,6 +180,7 @@
 	for _, s := range c.progress {
 		if s.final {
 			delete(k.mine, s.id)
+			k.settled[s.id] = true
 			k.changed.mu.Lock()
 			delete(k.changed.finals, s.id)
 			k.changed.mu.Unlock()
@@ -228,6 +237,7 @@
 		k.run.ForgetDurable(id)
 	}
 	clear(k.mine)
+	clear(k.settled)
 	k.changed.mu.Lock()
 	clear(k.changed.dirty)
 	clear(k.changed.finals)
