--- a/process/keeper/writer.go
+++ b/process/keeper/writer.go
@@ -17,8 +17,10 @@
 	// commitInterval is the shortest time between two appends, so that what
 	// several entries write stays within the rate that they share.
 	commitInterval = 15 * time.Millisecond
-	// appendPause is between two tries of one append.
-	appendPause = 60 * time.Millisecond
+	// minAppendPause is that between the first two tries of one append; it
+	// doubles, since refused calls count against the rate that all share.
+	minAppendPause = 50 * time.Millisecond
+	maxAppendPause = 400 * time.Millisecond
 	// minAppendTimeout is that of the first try, which doubles with each try: an
 	// answer usually comes within a few milliseconds, or gets lost.
 	minAppendTimeout = 100 * time.Millisecond
@@ -109,7 +111,8 @@
 		c.progress = append(c.progress, stored{id, ends, progress.State != ledger.Open})
 		add(r)
 	}
-	if len(c.records) == 0 && len(k.mine) > 0 && k.options.Now().Sub(k.written) > aliveInterval {
+	// While the log is away the record asks whether it is back.
+	if len(c.records) == 0 && (k.away || len(k.mine) > 0) && k.options.Now().Sub(k.written) > aliveInterval {
 		if r, err := ledger.AliveRecord(k.self, ledger.Alive{Node: k.options.Node}); err == nil {
 			add(r)
 		}
@@ -123,7 +126,7 @@
 // commit appends a batch until the log has decided. It reports whether the batch
 // used up its sequence number.
 func (k *Keeper) commit(ctx context.Context, c *commit, sequence uint64) bool {
-	timeout := minAppendTimeout
+	timeout, pause := minAppendTimeout, minAppendPause
 	for ctx.Err() == nil {
 		sent := k.options.Now()
 		call, cancel := context.WithTimeout(ctx, timeout)
@@ -146,8 +149,9 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(appendPause):
+		case <-time.After(pause):
 		}
+		pause = min(2*pause, maxAppendPause)
 	}
 	return false
 }
--- a/process/runner/core_test.go
+++ b/process/runner/core_test.go
@@ -299,3 +299,97 @@
 	b.t.Fatal("the agent has told nothing")
 	return batch.Resources{}
 }
+
+// durableOrder sends the order of the entry for a run whose end has to be
+// recorded.
+func (b *bench) durableOrder(index int) batch.Run {
+	b.sequence++
+	start := wire.StartOrder{Job: "0123456789abcdef", Target: targetID, Durable: true, Demand: batch.Resources{MilliCPU: 1000, MemoryMiB: 64},
+		EstimateMS: 100, Tasks: []wire.StartTask{{Index: index, Number: 1}}}
+	b.core.Received(entryID, &wire.Orders{Sequence: b.sequence, Echo: b.now.UnixMicro(), Starts: []wire.StartOrder{start}})
+	b.answerStart(runner.VerdictDone)
+	return start.Run(start.Tasks[0])
+}
+
+func (b *bench) acknowledged() uint64 {
+	call, _ := b.core.NextHold(false)
+	return call.Seen
+}
+
+// settle sends the entry's word on an end.
+func (b *bench) settle(stored, void []batch.Run) {
+	b.sequence++
+	b.core.Received(entryID, &wire.Orders{Sequence: b.sequence, Echo: b.now.UnixMicro(), Stored: stored, Void: void})
+}
+
+// Guards against an end that the target forgets before it is recorded: an entry
+// that takes the job over would run the task again after it was done.
+func TestDurableEndIsAcknowledgedOnceStored(t *testing.T) {
+	b := newBench(t)
+	run := b.durableOrder(0)
+	ended := b.ended(run, batch.EndDone)
+	b.hold(1, nil, ended)
+	if word, _ := b.wordOn(run); word.End != batch.EndDone || !word.Unstored {
+		t.Fatalf("told %+v, expected an end that is kept", word)
+	}
+	b.hold(1, nil, ended)
+	if got := b.acknowledged(); got != 0 {
+		t.Errorf("acknowledged up to %d before the end is stored", got)
+	}
+	b.settle([]batch.Run{run}, nil)
+	if got := b.acknowledged(); got != 1 {
+		t.Errorf("acknowledged up to %d after the end is stored, expected 1", got)
+	}
+}
+
+// Guards against a task that runs again although its end was acknowledged: an
+// end that must not count is acknowledged only after the lease has lapsed.
+func TestVoidEndIsAcknowledgedAfterTheLeaseLapsed(t *testing.T) {
+	causes := map[string]func(b *bench, run batch.Run){
+		"the entry says so": func(b *bench, run batch.Run) { b.settle(nil, []batch.Run{run}) },
+		"the entry is silent": func(b *bench, _ batch.Run) {
+			b.wait(wire.SessionTTL + orderTime)
+			b.core.Tick()
+		},
+	}
+	for name, cause := range causes {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			run, other := b.durableOrder(0), b.order(1)
+			b.answerStart(runner.VerdictDone)
+			ended := b.ended(run, batch.EndDone)
+			b.hold(1, []batch.Run{other}, ended)
+			cause(b, run)
+			if free := b.lastFree(); free != (batch.Resources{}) {
+				t.Errorf("free room %+v is told while the lease has to lapse", free)
+			}
+			b.hold(1, nil, append(ended, b.ended(other, batch.EndDone)...))
+			if got := b.acknowledged(); got != 0 {
+				t.Errorf("acknowledged up to %d before the lease has lapsed", got)
+			}
+			if call, _ := b.core.NextHold(false); call.LeaseUntil != 0 {
+				t.Error("the lease is renewed")
+			}
+			b.wait(2 * wire.RunLease)
+			b.core.Tick()
+			if got := b.acknowledged(); got != 2 {
+				t.Errorf("acknowledged up to %d after the lease has lapsed, expected 2", got)
+			}
+		})
+	}
+}
+
+// Guards against ends of an earlier agent that are acknowledged, or kept for
+// good, without a word of the entries.
+func TestEndOfAnEarlierAgentIsOffered(t *testing.T) {
+	b := newBench(t)
+	run := batch.Run{Task: batch.Task{Job: "fedcba9876543210"}, Number: 1}
+	b.hold(1, nil, b.ended(run, batch.EndDone))
+	if word, _ := b.wordOn(run); word.End != batch.EndDone || !word.Unstored {
+		t.Fatalf("told %+v, expected that the entry is asked", word)
+	}
+	b.settle([]batch.Run{run}, nil)
+	if got := b.acknowledged(); got != 1 {
+		t.Errorf("acknowledged up to %d, expected 1", got)
+	}
+}
