keeper: an entry that has just claimed jobs is not silent

Cause: TestKeptJobsOutliveTheirEntry, log of entry-1: "suspended, log not written" 200 ms after "claimed", with an age of 292 years. An entry that had never written under its own name took its silence as endless and stopped the jobs that it had just claimed, until the next append.

Change: a claim in the log counts as written, since others take it as a sign of life too. TestJobsOfASilentOwnerAreTakenOver fails without it.

--- a/process/keeper/keeper_test.go
+++ b/process/keeper/keeper_test.go
@@ -119,6 +119,8 @@
 	progress  map[batch.ID][]dispatch.TaskProgress
 	forgotten map[batch.ID]bool
 	suspended bool
+	// suspendedOnce stays set.
+	suspendedOnce bool
 }
 
 func newRuns() *runs {
@@ -150,6 +152,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.suspended = suspended
+	r.suspendedOnce = r.suspendedOnce || suspended
 }
 func (r *runs) HasBegun(batch.ID) bool { return false }
 
@@ -348,6 +351,7 @@
 	cb.advance(2*silentAfter + secondAfter)
 	taken := cb.now()
 	eventually(t, "the takeover", func() bool { return len(b.runs.startedJobs()) == 1 })
+	b.suspendIfSilent()
 	got := b.runs.startedJobs()[0]
 	if got.Term != 2 || len(got.Progress) != 1 || got.Progress[0] != done[0] {
 		t.Errorf("taken as %+v", got)
@@ -355,6 +359,11 @@
 	if got.NotBefore.Before(taken.Add(wire.LostAfter)) {
 		t.Errorf("starts %v after the takeover, runs of the owner end after %v", got.NotBefore.Sub(taken), wire.LostAfter)
 	}
+	b.runs.mu.Lock()
+	if b.runs.suspendedOnce {
+		t.Error("the new owner was suspended right after it had claimed the jobs")
+	}
+	b.runs.mu.Unlock()
 	if answer := log.Append(context.Background(), Append{Writer: "a", Epoch: firstEpoch, Sequence: 100, Records: []ledger.Record{{Key: "x"}}}); answer.Verdict != Fenced {
 		t.Errorf("the former owner's append is %s", answer.Verdict)
 	}
--- a/process/keeper/takeover.go
+++ b/process/keeper/takeover.go
@@ -107,8 +107,10 @@
 		if len(records) == 0 {
 			return
 		}
+		sent := k.options.Now()
 		answer = k.log.Append(ctx, Append{At: &at, Records: records})
 		if answer.Verdict == Done {
+			k.hasWritten(sent)
 			k.sink.Decided(decision.Decision{Step: "take_over", Peer: string(o.Owner), Outcome: "claimed", Age: k.options.Now().Sub(o.Heard),
 				Version: at, Inputs: []decision.Input{{Name: "jobs", Value: int64(len(records))}}})
 			return
@@ -122,6 +124,15 @@
 	k.decided("", "take_over", "not_claimed", string(answer.Verdict), 0)
 }
 
+// hasWritten notes an append that others take as a sign of life.
+func (k *Keeper) hasWritten(sent time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if sent.After(k.written) {
+		k.written = sent
+	}
+}
+
 // claims returns the records that make this entry the owner of another's open
 // jobs, and the offset up to which the log has been read.
 func (k *Keeper) claims(from ledger.Owner, startAfter time.Time) ([]ledger.Record, uint64) {
