keeper: refuse what is not on its way while the log is silent

Ruled out: a stuck state of the entry (it ordered 69 to 148 runs a second); suspension, which had ended.

Change: after three tries without an answer the log counts as away. Jobs that are not in the append on its way are refused at once.

--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -73,12 +73,17 @@
 	// settled are jobs whose end is in the log but has not been read from it.
 	settled map[batch.ID]bool
 	waiters map[batch.ID][]chan Outcome
+	// onTheWay are jobs whose record may be in the log, though it has not been
+	// read: nobody may be told that they are refused.
+	onTheWay map[batch.ID]bool
 	// ending is closed once the job has ended, for callers who ask meanwhile.
 	ending map[batch.ID]chan struct{}
 	queue  []item
 	// written is when the last append that succeeded was sent.
 	written   time.Time
 	suspended bool
+	// answerTime is the usual time of an append; the writer's own.
+	answerTime time.Duration
 	// notBefore is when tasks of an owner that is gone may start again.
 	notBefore map[batch.ID]time.Time
 	lives     int
@@ -131,10 +136,13 @@
 	stateWait = 80 * time.Millisecond
 )
 
+// refusedAway answers callers while the log is away.
+var refusedAway = Outcome{Code: NotAccepted, Refusal: dispatch.Result{Code: dispatch.NotRun, Reason: dispatch.ReasonStoreAway, RetryAfter: retryAfterAway}}
+
 // New returns a keeper that does nothing before Run.
 func New(options Options, log Log, run Dispatcher, sink decision.Sink) *Keeper {
 	return &Keeper{options: options, log: log, run: run, sink: sink, started: options.Now(), wake: make(chan struct{}, 1), self: options.Self,
-		table: ledger.NewTable(), mine: make(map[batch.ID]uint64), settled: make(map[batch.ID]bool), waiters: make(map[batch.ID][]chan Outcome), ending: make(map[batch.ID]chan struct{}), notBefore: make(map[batch.ID]time.Time),
+		table: ledger.NewTable(), mine: make(map[batch.ID]uint64), settled: make(map[batch.ID]bool), onTheWay: make(map[batch.ID]bool), waiters: make(map[batch.ID][]chan Outcome), ending: make(map[batch.ID]chan struct{}), notBefore: make(map[batch.ID]time.Time),
 		changed: changes{dirty: make(map[batch.ID]bool), finals: make(map[batch.ID]ledger.State)}}
 }
 
@@ -176,13 +184,14 @@
 		k.mu.Unlock()
 		return Outcome{Code: Accepted}
 	}
-	if refusal, ok := k.refusal(s); !ok {
+	pending := k.onTheWay[s.Job.ID] || len(k.waiters[s.Job.ID]) > 0
+	if refusal, ok := k.refusal(s); !ok && !pending {
 		k.mu.Unlock()
 		k.decided(s.Job.ID, "accept", "refused", string(refusal.Reason), s.Version)
 		return Outcome{Code: NotAccepted, Refusal: refusal}
 	}
 	answer := make(chan Outcome, 1)
-	if len(k.waiters[s.Job.ID]) == 0 {
+	if !pending {
 		record, err := ledger.AcceptRecord(1, k.self, ledger.Accepted{Job: s.Job, Service: s.Service, Queue: s.Queue, Priority: s.Priority,
 			MaxAttempts: s.MaxAttempts, Objective: s.Objective, Version: s.Version, At: k.options.UnixTime().UnixMilli(),
 			Progress: ledger.Progress{State: ledger.Open}})
@@ -212,7 +221,7 @@
 // refusal reports whether a new job may be taken now.
 func (k *Keeper) refusal(s dispatch.Submission) (dispatch.Result, bool) {
 	if !k.caughtUp || k.away {
-		return dispatch.Result{Code: dispatch.NotRun, Reason: dispatch.ReasonStoreAway, RetryAfter: retryAfterAway}, false
+		return refusedAway.Refusal, false
 	}
 	return k.run.AdmitDurable(s)
 }
--- a/process/keeper/keeper_test.go
+++ b/process/keeper/keeper_test.go
@@ -407,3 +407,34 @@
 	log.set(func() { log.verdict = "" })
 	eventually(t, "its end", func() bool { return !suspended() })
 }
+
+// Guards against jobs that wait for a log which does not answer and then all
+// start at once, long after their callers have gone elsewhere.
+func TestJobsAreRefusedWhileTheLogIsSilent(t *testing.T) {
+	log, c := newSharedLog(), &clock{}
+	e := startEntry(t, log, c, "a")
+	log.set(func() { log.verdict = Unknown })
+	first := make(chan Outcome, 1)
+	go func() { first <- e.Submit(context.Background(), submission("first")) }()
+	eventually(t, "the job on its way", func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.onTheWay["first"]
+	})
+	if o := e.Submit(context.Background(), submission("later")); o.Code != NotAccepted {
+		t.Errorf("a job after it: %+v", o)
+	}
+	// A log that refuses now may still carry out what it has not answered.
+	log.set(func() { log.verdict = NotDone })
+	if o := <-first; o.Code != Undecided {
+		t.Errorf("the job on its way: %+v", o)
+	}
+	log.set(func() { log.verdict = "" })
+	eventually(t, "its start", func() bool { return len(e.runs.startedJobs()) > 0 })
+	eventually(t, "the next job", func() bool { return e.Submit(context.Background(), submission("last")).Code == Accepted })
+	for _, d := range e.runs.startedJobs() {
+		if d.Job.ID == "later" {
+			t.Error("a refused job was started")
+		}
+	}
+}
--- a/process/keeper/reader.go
+++ b/process/keeper/reader.go
@@ -65,6 +65,7 @@
 func (k *Keeper) evaluate(now time.Time, id batch.ID) {
 	v, known := k.table.Job(id)
 	_, runs := k.mine[id]
+	delete(k.onTheWay, id)
 	if !known {
 		k.open.Delete(id)
 		k.ended(id)
--- a/process/keeper/writer.go
+++ b/process/keeper/writer.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/azurerouter/azurerouter/process/decision"
-	"github.com/azurerouter/azurerouter/process/dispatch"
 	"github.com/azurerouter/azurerouter/process/ledger"
 	"github.com/azurerouter/azurerouter/request/batch"
 )
@@ -21,13 +20,19 @@
 	// doubles, since refused calls count against the rate that all share.
 	minAppendPause = 50 * time.Millisecond
 	maxAppendPause = 400 * time.Millisecond
-	// minAppendTimeout is that of the first try, which doubles with each try: an
-	// answer usually comes within a few milliseconds, or gets lost.
-	minAppendTimeout = 100 * time.Millisecond
+	// The first try of an append waits for timeoutFactor times the usual answer
+	// time, since answers get lost; the time doubles with each further try.
+	timeoutFactor    = 4
+	minAppendTimeout = 40 * time.Millisecond
 	maxAppendTimeout = 800 * time.Millisecond
+	// answerWeight is that of a new answer time in the usual one.
+	answerWeight = 0.2
 	// batchBytes bounds one append.
 	batchBytes = 1 << 20
 	firstEpoch = 1
+	// awayAfter is how many appends in a row without an answer make the log count
+	// as away.
+	awayAfter = 3
 )
 
 // commit is one append and what it covers.
@@ -82,6 +87,9 @@
 	}
 	for len(k.queue) > 0 && size < batchBytes {
 		c.items = append(c.items, k.queue[0])
+		if id := k.queue[0].accepts; id != "" {
+			k.onTheWay[id] = true
+		}
 		add(k.queue[0].record)
 		k.queue = k.queue[1:]
 	}
@@ -126,19 +134,33 @@
 // commit appends a batch until the log has decided. It reports whether the batch
 // used up its sequence number.
 func (k *Keeper) commit(ctx context.Context, c *commit, sequence uint64) bool {
-	timeout, pause := minAppendTimeout, minAppendPause
+	timeout, pause, unanswered := k.appendTimeout(), minAppendPause, 0
 	for ctx.Err() == nil {
 		sent := k.options.Now()
 		call, cancel := context.WithTimeout(ctx, timeout)
 		answer := k.log.Append(call, Append{Writer: string(c.owner), Epoch: firstEpoch, Sequence: sequence, Records: c.records})
 		cancel()
-		timeout = min(2*timeout, maxAppendTimeout)
+		wait := pause
 		switch answer.Verdict {
 		case Done:
+			k.noteAnswerTime(k.options.Now().Sub(sent))
 			k.committed(sent, c)
 			return true
+		case Unknown:
+			// The repeat is answered as this one would have been. A connection
+			// that fails at once is not tried again at once.
+			wait = timeout - k.options.Now().Sub(sent)
+			if unanswered++; unanswered >= awayAfter {
+				k.setAway(true, answer.Err)
+				k.refuseQueued()
+			}
 		case NotDone:
 			k.setAway(true, answer.Err)
+			k.refuseQueued()
+			if unanswered > 0 {
+				// An earlier try may still be carried out.
+				break
+			}
 			k.withdrawAccepts(c)
 			if len(c.records) == 0 {
 				return false
@@ -149,13 +171,22 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause):
+		case <-time.After(wait):
 		}
-		pause = min(2*pause, maxAppendPause)
+		timeout, pause = min(2*timeout, maxAppendTimeout), min(2*pause, maxAppendPause)
 	}
 	return false
 }
 
+// appendTimeout is only used by the writer, as is noteAnswerTime.
+func (k *Keeper) appendTimeout() time.Duration {
+	return min(max(timeoutFactor*k.answerTime, minAppendTimeout), maxAppendTimeout)
+}
+
+func (k *Keeper) noteAnswerTime(took time.Duration) {
+	k.answerTime += time.Duration(answerWeight * float64(took-k.answerTime))
+}
+
 func (k *Keeper) setAway(away bool, err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -210,7 +241,6 @@
 // withdrawAccepts refuses the jobs of a batch that the log has not taken, so
 // that their callers can try elsewhere. What else is in the batch is tried again.
 func (k *Keeper) withdrawAccepts(c *commit) {
-	refusal := Outcome{Code: NotAccepted, Refusal: dispatch.Result{Code: dispatch.NotRun, Reason: dispatch.ReasonStoreAway, RetryAfter: retryAfterAway}}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var kept []item
@@ -218,9 +248,10 @@
 	for n, i := range c.items {
 		switch {
 		case i.accepts != "":
-			k.answerWaiters(i.accepts, refusal)
+			delete(k.onTheWay, i.accepts)
+			k.answerWaiters(i.accepts, refusedAway)
 		case i.done != nil:
-			i.done <- refusal
+			i.done <- refusedAway
 		default:
 			kept = append(kept, i)
 			records = append(records, c.records[n])
@@ -230,10 +261,26 @@
 	c.items = kept
 }
 
+// refuseQueued refuses the jobs that are not in the batch on its way, so that
+// their callers can try elsewhere and they do not all start when the log is
+// back.
+func (k *Keeper) refuseQueued() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, i := range k.queue {
+		if i.accepts != "" {
+			k.answerWaiters(i.accepts, refusedAway)
+		}
+	}
+	k.queue = slices.DeleteFunc(k.queue, func(i item) bool { return i.accepts != "" })
+}
+
 // deposed begins anew under another name after other entries have taken the
 // jobs of this one.
 func (k *Keeper) deposed(c *commit, answer Appended) {
 	k.withdrawAccepts(c)
+	// Their records carry the former name.
+	k.refuseQueued()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.decided("", "durable", "deposed", string(answer.Verdict), 0, decision.Input{Name: "jobs", Value: int64(len(k.mine))})
@@ -248,12 +295,6 @@
 	k.changed.mu.Unlock()
 	k.lives++
 	k.self = ledger.Owner(fmt.Sprintf("%s.%d", k.options.Self, k.lives))
-	for n := range k.queue {
-		if id := k.queue[n].accepts; id != "" {
-			k.answerWaiters(id, Outcome{Code: Undecided})
-		}
-	}
-	k.queue = slices.DeleteFunc(k.queue, func(i item) bool { return i.accepts != "" })
 	k.suspended = false
 	k.run.SuspendDurable(false)
 }
