--- a/process/runner/ends.go
+++ b/process/runner/ends.go
@@ -155,11 +155,8 @@
 // here.
 func (c *Core) offerEnds() {
 	for _, s := range c.sessions {
-		if !s.connected {
-			continue
-		}
-		for _, report := range c.keptReports(0) {
-			s.pending = append(s.pending, report)
+		if s.connected {
+			s.pending = append(s.pending, c.keptReports(0)...)
 		}
 	}
 }
