keeper: a deposed owner refuses nothing that may be in the log

Cause, found by reading: an append without an answer may have been carried out. If its repeat came after others had fenced the owner, the callers of its jobs were told that they were not accepted, though the records were in the log and the new owner would run them.

TestJobOfADeposedOwnerIsNotRefused fails without it. An alive record that can't be encoded is logged.

--- a/process/keeper/keeper_test.go
+++ b/process/keeper/keeper_test.go
@@ -438,3 +438,22 @@
 		}
 	}
 }
+
+// Guards against "not accepted" for a job whose record is in the log: its append
+// got no answer, and the repeat comes after the owner was deposed.
+func TestJobOfADeposedOwnerIsNotRefused(t *testing.T) {
+	log, c := newSharedLog(), &clock{}
+	e := startEntry(t, log, c, "a")
+	log.set(func() { log.verdict, log.carriedOut, log.hidden = Unknown, true, true })
+	answer := make(chan Outcome, 1)
+	go func() { answer <- e.Submit(context.Background(), submission("j")) }()
+	eventually(t, "the record", func() bool {
+		log.mu.Lock()
+		defer log.mu.Unlock()
+		return len(log.records) > 0
+	})
+	log.set(func() { log.verdict = Fenced })
+	if o := <-answer; o.Code != Undecided {
+		t.Errorf("%+v", o)
+	}
+}
--- a/process/keeper/writer.go
+++ b/process/keeper/writer.go
@@ -121,7 +121,10 @@
 	}
 	// While the log is away the record asks whether it is back.
 	if len(c.records) == 0 && (k.away || len(k.mine) > 0) && k.options.Now().Sub(k.written) > aliveInterval {
-		if r, err := ledger.AliveRecord(k.self, ledger.Alive{Node: k.options.Node}); err == nil {
+		r, err := ledger.AliveRecord(k.self, ledger.Alive{Node: k.options.Node})
+		if err != nil {
+			k.decided("", "durable", "unwritten", err.Error(), 0)
+		} else {
 			add(r)
 		}
 	}
@@ -166,7 +169,10 @@
 				return false
 			}
 		case Fenced, OutOfSequence:
-			k.deposed(c, answer)
+			if unanswered == 0 {
+				k.withdrawAccepts(c)
+			}
+			k.deposed(answer)
 			return false
 		}
 		select {
@@ -277,8 +283,7 @@
 
 // deposed begins anew under another name after other entries have taken the
 // jobs of this one.
-func (k *Keeper) deposed(c *commit, answer Appended) {
-	k.withdrawAccepts(c)
+func (k *Keeper) deposed(answer Appended) {
 	// Their records carry the former name.
 	k.refuseQueued()
 	k.mu.Lock()
