keeper, runner: say nothing of a job before the log is read

Cause, found by reading: after a restart an entry that had not read the log yet told agents that ends which they keep may be acknowledged, because it knew of no such job. Another entry, or itself a moment later, would own the job and run its task again: a start after a done end that was acknowledged.

So that this does not close targets after each loss of power, an agent does not keep ends of an earlier agent that a lapse has followed: they do not count any more.

TestNothingIsSaidOfJobsBeforeTheLogIsRead and TestEndsBeforeALapseAreNotKept fail without their half of the change (the first does not compile without it).

--- a/process/dispatch/cluster_test.go
+++ b/process/dispatch/cluster_test.go
@@ -156,10 +156,10 @@
 
 type entryEnv entryNode
 
-func (e *entryEnv) Now() time.Time            { return e.c.now }
-func (e *entryEnv) Decided(decision.Decision) {}
-func (e *entryEnv) Progressed(batch.ID)       {}
-func (e *entryEnv) IsOpen(batch.ID) bool      { return false }
+func (e *entryEnv) Now() time.Time                     { return e.c.now }
+func (e *entryEnv) Decided(decision.Decision)          {}
+func (e *entryEnv) Progressed(batch.ID)                {}
+func (e *entryEnv) IsOpen(batch.ID) (open, known bool) { return false, true }
 func (e *entryEnv) Send(agent wire.Incarnation, m wire.Message) {
 	for _, l := range e.c.links {
 		if l.entry.id == e.id && l.agent.id == agent && l.open {
--- a/process/dispatch/durable.go
+++ b/process/dispatch/durable.go
@@ -240,13 +240,15 @@
 }
 
 // settleEnd tells an agent that an end must not count while the job goes on,
-// because the task may run again, and that it may once the job has ended.
+// because the task may run again, and that it may once the job has ended. As long
+// as nothing is known of the job it says nothing.
 func (c *Core) settleEnd(now time.Time, p *pool, t *target, run batch.Run) {
-	if !t.connected {
+	open, known := c.env.IsOpen(run.Task.Job)
+	if !t.connected || !known {
 		return
 	}
 	m := &wire.Orders{Waiting: c.waitingFor(now, p, t)}
-	if c.env.IsOpen(run.Task.Job) {
+	if open {
 		m.Void = []batch.Run{run}
 	} else {
 		m.Stored = []batch.Run{run}
--- a/process/dispatch/env.go
+++ b/process/dispatch/env.go
@@ -25,8 +25,8 @@
 	// Progressed notes that there is something to record of a durable job.
 	Progressed(id batch.ID)
 	// IsOpen reports whether a job is durable and has not ended, here or
-	// elsewhere.
-	IsOpen(id batch.ID) bool
+	// elsewhere. known is false as long as that can't be said.
+	IsOpen(id batch.ID) (open, known bool)
 }
 
 // Code is how a submission ended.
--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/azurerouter/azurerouter/process/decision"
@@ -51,13 +52,15 @@
 // Keeper is safe for concurrent use. No method of Dispatcher is called while
 // changed's lock is held, and finished takes no other lock.
 type Keeper struct {
-	options  Options
-	log      Log
-	run      Dispatcher
-	sink     decision.Sink
-	started  time.Time
-	wake     chan struct{}
-	open     sync.Map // of batch.ID, the durable jobs that have not ended
+	options Options
+	log     Log
+	run     Dispatcher
+	sink    decision.Sink
+	started time.Time
+	wake    chan struct{}
+	open    sync.Map // of batch.ID, the durable jobs that have not ended
+	// haveRead is set once the log has been read for the first time.
+	haveRead atomic.Bool
 	changed  changes
 	mu       sync.Mutex
 	self     ledger.Owner
@@ -146,10 +149,11 @@
 		changed: changes{dirty: make(map[batch.ID]bool), finals: make(map[batch.ID]ledger.State)}}
 }
 
-// IsOpen reports whether a job is in the log and has not ended.
-func (k *Keeper) IsOpen(id batch.ID) bool {
-	_, open := k.open.Load(id)
-	return open
+// IsOpen reports whether a job is in the log and has not ended. known is false
+// until the log has been read.
+func (k *Keeper) IsOpen(id batch.ID) (open, known bool) {
+	_, open = k.open.Load(id)
+	return open, k.haveRead.Load()
 }
 
 // Progressed notes that a task of a job that runs here has ended.
--- a/process/keeper/keeper_test.go
+++ b/process/keeper/keeper_test.go
@@ -457,3 +457,21 @@
 		t.Errorf("%+v", o)
 	}
 }
+
+// Guards against an entry that lets an agent acknowledge the end of a job of
+// which it has not read yet: another entry would run the task again.
+func TestNothingIsSaidOfJobsBeforeTheLogIsRead(t *testing.T) {
+	log, c := newSharedLog(), &clock{}
+	a := startEntry(t, log, c, "a")
+	if o := a.Submit(context.Background(), submission("j")); o.Code != Accepted {
+		t.Fatalf("%+v", o)
+	}
+	b := New(Options{Self: "b", IsFirst: func() bool { return false }, Now: c.now, UnixTime: c.now}, log, newRuns(), noSink{})
+	if _, known := b.IsOpen("j"); known {
+		t.Error("an entry that has read nothing says whether the job is open")
+	}
+	b.apply(Page{Whole: true, Next: 1, Records: []Read{{0, log.records[0]}}})
+	if open, known := b.IsOpen("j"); !open || !known {
+		t.Errorf("after reading: open %v, known %v", open, known)
+	}
+}
--- a/process/keeper/reader.go
+++ b/process/keeper/reader.go
@@ -59,6 +59,7 @@
 	for _, id := range order {
 		k.evaluate(now, id)
 	}
+	k.haveRead.Store(true)
 }
 
 // evaluate acts on what the log says of a job.
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -142,7 +142,7 @@
 
 func (e *entryEnv) Progressed(id batch.ID) { e.keeper.Progressed(id) }
 
-func (e *entryEnv) IsOpen(id batch.ID) bool { return e.keeper.IsOpen(id) }
+func (e *entryEnv) IsOpen(id batch.ID) (open, known bool) { return e.keeper.IsOpen(id) }
 
 func (e *entryEnv) Send(agent wire.Incarnation, m wire.Message) {
 	e.mu.Lock()
--- a/process/runner/core_test.go
+++ b/process/runner/core_test.go
@@ -393,3 +393,18 @@
 		t.Errorf("acknowledged up to %d, expected 1", got)
 	}
 }
+
+// Guards against a target that is closed after a loss of power, because of ends
+// that do not count any more: the lease has lapsed since.
+func TestEndsBeforeALapseAreNotKept(t *testing.T) {
+	b := newBench(t)
+	done := batch.Run{Task: batch.Task{Job: "fedcba9876543210"}, Number: 1}
+	lapsed := batch.Run{Task: batch.Task{Job: "fedcba9876543210", Index: 1}, Number: 1}
+	b.hold(1, nil, append(b.ended(done, batch.EndDone), b.ended(lapsed, batch.EndLapsed)...))
+	if got := b.acknowledged(); got != 2 {
+		t.Errorf("acknowledged up to %d, expected 2", got)
+	}
+	if word, told := b.wordOn(done); told {
+		t.Errorf("the entry is asked about %+v", word)
+	}
+}
--- a/process/runner/ends.go
+++ b/process/runner/ends.go
@@ -44,6 +44,18 @@
 	void  bool
 }
 
+// lastLapse returns the number of the last end by a lapse of the lease, or 0.
+// Ends before it do not count for the target, whenever they are acknowledged.
+func lastLapse(ended []EndedRun) uint64 {
+	var last uint64
+	for _, e := range ended {
+		if e.End == batch.EndLapsed {
+			last = max(last, e.Number)
+		}
+	}
+	return last
+}
+
 func entryOf(h *held) wire.Incarnation {
 	if h == nil {
 		return 0
--- a/process/runner/hold.go
+++ b/process/runner/hold.go
@@ -151,12 +151,13 @@
 }
 
 func (c *Core) noteEnds(now time.Time, ended []EndedRun) {
+	lapsed := lastLapse(ended)
 	for _, e := range ended {
 		if !c.target.ends.note(e.Number) {
 			continue
 		}
 		h := c.runs[e.Run]
-		if counts := e.End == batch.EndDone || e.End == batch.EndFailed; counts && (h == nil || h.durable) {
+		if counts := e.End == batch.EndDone || e.End == batch.EndFailed; counts && (h != nil && h.durable || h == nil && e.Number > lapsed) {
 			c.target.ends.keep(e.Number, keptEnd{run: e.Run, end: e.End, since: now, entry: entryOf(h)})
 		}
 		if h == nil {
