runner: close for ends of an earlier agent at once, not two seconds later

Cause: an agent that starts again finds ends that the target still lists. While no entry can say whether they belong to durable jobs (the store is away, so no entry has read the log), the agent took runs for 2 s, then declared the ends void and closed the target until its runs had ended and the lease had lapsed.

Ruled out: slow enrolling (all agents were enrolled 150 ms after the start of the entries) and the load (the refusals state one open target).

Entries are asked again every 100 ms, because one that has just started can't answer yet.

--- a/process/runner/core_test.go
+++ b/process/runner/core_test.go
@@ -408,3 +408,57 @@
 		t.Errorf("the entry is asked about %+v", word)
 	}
 }
+
+// pass lets time go by while the entry and the target answer.
+func (b *bench) pass(d time.Duration, running []batch.Run, ended []runner.EndedRun) {
+	for range d / (100 * time.Millisecond) {
+		b.wait(100 * time.Millisecond)
+		b.settle(nil, nil)
+		b.hold(1, running, ended)
+		b.core.Tick()
+	}
+}
+
+// Guards against a target that closes two seconds after its agent and all entries
+// have started again while the log is away: nobody can settle the ends of before,
+// and letting the lease lapse so late would end what runs by then.
+func TestUnclaimedEndsDoNotCloseABusyTarget(t *testing.T) {
+	b := newBench(t)
+	before := batch.Run{Task: batch.Task{Job: "fedcba9876543210"}, Number: 1}
+	ended := b.ended(before, batch.EndDone)
+	b.hold(1, nil, ended)
+	b.pass(2*wire.RunLease, nil, ended)
+	if got := b.acknowledged(); got != 1 {
+		t.Errorf("acknowledged up to %d after the lease has lapsed, expected 1", got)
+	}
+	run := b.order(1)
+	b.answerStart(runner.VerdictDone)
+	b.sent = nil
+	b.pass(3*time.Second, []batch.Run{run}, nil)
+	for _, m := range b.sent {
+		if report, ok := m.(*wire.AgentReport); ok && report.Target != nil && report.Target.Closed == wire.ClosedLapsing {
+			t.Fatal("the target is closed for a lapse while a run goes on")
+		}
+	}
+}
+
+// Guards against a target that stays closed although an entry has settled all ends
+// of an earlier agent, and against an entry that is asked only once: one that has
+// just started can't answer yet.
+func TestTargetOpensOnceUnclaimedEndsAreSettled(t *testing.T) {
+	b := newBench(t)
+	before := batch.Run{Task: batch.Task{Job: "fedcba9876543210"}, Number: 1}
+	b.hold(1, nil, b.ended(before, batch.EndDone))
+	if free := b.lastFree(); free != (batch.Resources{}) {
+		t.Errorf("free room %+v is told before the end is settled", free)
+	}
+	b.sent = nil
+	b.pass(200*time.Millisecond, nil, nil)
+	if _, told := b.wordOn(before); !told {
+		t.Error("the entry is not asked again")
+	}
+	b.settle([]batch.Run{before}, nil)
+	if free := b.lastFree(); free != b.room() {
+		t.Errorf("free room %+v is told after the end is settled, expected %+v", free, b.room())
+	}
+}
--- a/process/runner/ends.go
+++ b/process/runner/ends.go
@@ -18,6 +18,9 @@
 	// lapseGrace is how long other runs may take to end before the lease lapses
 	// all the same.
 	lapseGrace = time.Second
+	// offerInterval is how often entries are asked about ends that none of them
+	// has claimed: one that has just started can't say yet.
+	offerInterval = 100 * time.Millisecond
 	// keptEndsPause is between two looks at the target while it lists ends that
 	// are kept from it, since it answers such a call at once.
 	keptEndsPause = 10 * time.Millisecond
@@ -33,6 +36,9 @@
 	kept  map[uint64]keptEnd
 	// lapseSince is since when the lease is to lapse, or zero.
 	lapseSince time.Time
+	// offered is when entries were last asked about ends of runs that are not
+	// held here.
+	offered time.Time
 }
 
 type keptEnd struct {
@@ -44,6 +50,9 @@
 	void  bool
 }
 
+// unclaimed reports whether no connected entry is known to have ordered the run.
+func (e keptEnd) unclaimed() bool { return e.entry == 0 }
+
 // lastLapse returns the number of the last end by a lapse of the lease, or 0.
 // Ends before it do not count for the target, whenever they are acknowledged.
 func lastLapse(ended []EndedRun) uint64 {
@@ -110,6 +119,20 @@
 	return 0
 }
 
+// lapse closes the target until its lease has lapsed.
+func (c *Core) lapse(now time.Time) {
+	if !c.target.ends.lapsing() {
+		c.target.ends.lapseSince = now
+		c.changed()
+	}
+}
+
+// endLapse opens the target again.
+func (c *Core) endLapse() {
+	c.target.ends.lapseSince = time.Time{}
+	c.changed()
+}
+
 // settleEnds takes an entry's word on ends.
 func (c *Core) settleEnds(now time.Time, orders *wire.Orders) {
 	if len(orders.Stored) == 0 && len(orders.Void) == 0 {
@@ -123,6 +146,20 @@
 			c.voidEnd(now, number)
 		}
 	}
+	if c.target.ends.lapsing() && !c.target.ends.needLapse() {
+		c.endLapse()
+	}
+}
+
+// needLapse reports whether ends are kept that can be acknowledged only after
+// the lease has lapsed.
+func (l *endLog) needLapse() bool {
+	for _, e := range l.kept {
+		if e.void || e.unclaimed() {
+			return true
+		}
+	}
+	return false
 }
 
 // voidEnd lets the lease lapse before an end is acknowledged.
@@ -135,10 +172,7 @@
 	c.target.ends.kept[number] = e
 	c.env.Decided(decision.Decision{Step: "end", Job: e.run.Task.Job, Run: e.run, Peer: c.target.id, Outcome: "void",
 		Reason: "the task may run again", Age: now.Sub(e.since)})
-	if !c.target.ends.lapsing() {
-		c.target.ends.lapseSince = now
-		c.changed()
-	}
+	c.lapse(now)
 }
 
 // voidEndsOf handles the ends of an entry that is silent: another may run its
@@ -156,7 +190,7 @@
 func (c *Core) keptReports(entry wire.Incarnation) []wire.RunReport {
 	var reports []wire.RunReport
 	for _, number := range slices.Sorted(maps.Keys(c.target.ends.kept)) {
-		if e := c.target.ends.kept[number]; !e.void && (e.entry == entry || e.entry == 0) {
+		if e := c.target.ends.kept[number]; !e.void && (e.entry == entry || e.unclaimed()) {
 			reports = append(reports, wire.RunReport{Run: e.run, End: e.end, Unstored: true})
 		}
 	}
@@ -165,7 +199,8 @@
 
 // offerEnds asks every connected entry about the ends of runs that are not held
 // here.
-func (c *Core) offerEnds() {
+func (c *Core) offerEnds(now time.Time) {
+	c.target.ends.offered = now
 	for _, s := range c.sessions {
 		if s.connected {
 			s.pending = append(s.pending, c.keptReports(0)...)
@@ -173,10 +208,27 @@
 	}
 }
 
-// checkEnds gives up ends that nobody settles and forgets those that must not
-// count once the lease has lapsed.
+// unclaimedEnd handles an end of a run that is not held here, mostly of an
+// earlier agent. A target that runs nothing is closed until an entry has
+// settled the end or the lease has lapsed, because a lapse that comes later
+// would end the runs that have begun meanwhile.
+func (c *Core) unclaimedEnd(now time.Time, e EndedRun) {
+	c.offerEnds(now)
+	if len(c.runs) > 0 || c.target.ends.lapsing() || !c.target.ends.needLapse() {
+		return
+	}
+	c.env.Decided(decision.Decision{Step: "end", Job: e.Run.Task.Job, Run: e.Run, Peer: c.target.id, Outcome: "unclaimed",
+		Reason: "closed until it is settled or the lease has lapsed"})
+	c.lapse(now)
+}
+
+// checkEnds gives up ends that nobody settles, and forgets them and those that
+// must not count once the lease has lapsed.
 func (c *Core) checkEnds(now time.Time) {
 	l := &c.target.ends
+	if len(c.keptReports(0)) > 0 && now.Sub(l.offered) >= offerInterval {
+		c.offerEnds(now)
+	}
 	for _, number := range slices.Sorted(maps.Keys(l.kept)) {
 		if now.Sub(l.kept[number].since) > unclaimedAfter {
 			c.voidEnd(now, number)
@@ -185,8 +237,7 @@
 	if !l.lapsing() || len(c.runs) > 0 || now.Sub(c.target.leaseUntil) <= leaseSpan-wire.RunLease || now.Sub(c.started) <= leaseSpan {
 		return
 	}
-	maps.DeleteFunc(l.kept, func(_ uint64, e keptEnd) bool { return e.void })
-	l.lapseSince = time.Time{}
-	c.changed()
+	maps.DeleteFunc(l.kept, func(_ uint64, e keptEnd) bool { return e.void || e.unclaimed() })
+	c.endLapse()
 	c.env.Decided(decision.Decision{Step: "end", Peer: c.target.id, Outcome: "lapsed", Version: l.noted})
 }
--- a/process/runner/hold.go
+++ b/process/runner/hold.go
@@ -161,7 +161,7 @@
 			c.target.ends.keep(e.Number, keptEnd{run: e.Run, end: e.End, since: now, entry: entryOf(h)})
 		}
 		if h == nil {
-			c.offerEnds()
+			c.unclaimedEnd(now, e)
 		}
 		if h != nil {
 			h.seen = true
