dispatch: callers who come again too late wait behind those in time

Cause: after a closing fault everyone whose connection broke comes again 1.3 s later, together with the new callers: one and a half times what the targets can run.

Change: a submission says how long its caller has waited. The adapter tells it from the deadline, which is shorter than the queue's time-out only in a repeat. The objective counts from the first attempt; a job past it ranks late, is taken while there is room and refused at once otherwise.

Also: one constructor of the callers' handler instead of two copies.

--- a/cmd/azurerouter/platform.go
+++ b/cmd/azurerouter/platform.go
@@ -93,13 +93,13 @@
 	store := platform.NewStore(p.settings.StoreAddr)
 	options := node.EntryOptions{Node: p.settings.Node, Zone: p.settings.Zone, LinkAddr: p.settings.LinkAddr,
 		AdvertiseAddr: flags.advertise, Seeds: p.settings.SeedLinks, Grace: p.settings.Grace, CallerAddr: p.settings.CallerAddr, ReadyAddr: p.settings.ReadyAddr, ControlAddr: p.settings.ControlAddr,
-		MetricsAddr: p.metrics, Callers: callers, Ready: platform.ReadyHandler, Config: store, Directory: store, Copies: store, Jobs: store}
+		MetricsAddr: p.metrics, Callers: p.callers, Ready: platform.ReadyHandler, Config: store, Directory: store, Copies: store, Jobs: store}
 	e := node.NewEntry(options, p.observer, p.decisions)
 	return runDaemon("entry", stderr, p.signals(), e.AddTo)
 }
 
-func callers(e *node.Entry) http.Handler {
-	return &platform.Callers{Table: e.AwaitTable, Dispatcher: e, Keeper: e.Keeper(), Closing: e.Leaving, Answered: e.Answered}
+func (p *platformProcess) callers(e *node.Entry) http.Handler {
+	return platform.NewCallers(e, p.settings.ResendAfter)
 }
 
 func runPlatformAgent(metrics string, stdout, stderr io.Writer) int {
--- a/process/dispatch/admit.go
+++ b/process/dispatch/admit.go
@@ -42,7 +42,7 @@
 			return Result{Code: NotRun, Reason: ReasonTooLarge, RetryAfter: retryAfterUnknown}, false
 		}
 	}
-	slack := s.Objective - s.Job.LongestChain()
+	slack := s.timeLeft() - s.Job.LongestChain()
 	turn := now.Add(slack + time.Duration(s.Priority)*priorityStep)
 	if wait := c.expectedWait(now, turn, p); waitFactor*wait > slack && !p.roomFor(now, s.Job.Steps[0]) {
 		return Result{Code: NotRun, Reason: ReasonOverloaded, RetryAfter: wait}, false
--- a/process/dispatch/cluster_test.go
+++ b/process/dispatch/cluster_test.go
@@ -423,7 +423,12 @@
 	k.at, k.entry = e, e.id
 	k.attempt++
 	attempt := k.attempt
-	e.core.Submit(k.s, func(r dispatch.Result) {
+	s := k.s
+	if k.c.now.Sub(k.began) >= resendAfter {
+		s.Waited = resendAfter
+		s.Patience -= k.c.now.Sub(k.began)
+	}
+	e.core.Submit(s, func(r dispatch.Result) {
 		if attempt != k.attempt {
 			return
 		}
--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -127,7 +127,8 @@
 		p.jobs[s.Job.ID] = j
 		c.env.Decided(decision.Decision{Step: "accept", Job: s.Job.ID, Outcome: "accepted", Peer: s.Queue, Version: s.Version,
 			Routine: true, Inputs: []decision.Input{{Name: "objective_ms", Value: s.Objective.Milliseconds()},
-				{Name: "patience_ms", Value: s.Patience.Milliseconds()}, {Name: "active_jobs", Value: int64(len(p.jobs))}}})
+				{Name: "patience_ms", Value: s.Patience.Milliseconds()},
+				{Name: "waited_ms", Value: s.Waited.Milliseconds()}, {Name: "active_jobs", Value: int64(len(p.jobs))}}})
 	}
 	id := c.nextWaiter.Add(1)
 	j.waiters[id] = reply
@@ -140,7 +141,8 @@
 	c.env.Decided(decision.Decision{Step: "accept", Job: s.Job.ID, Peer: s.Queue, Outcome: "refused", Reason: string(refusal.Reason),
 		Version: s.Version, Inputs: append(p.loadInputs(now),
 			decision.Input{Name: "retry_after_ms", Value: refusal.RetryAfter.Milliseconds()},
-			decision.Input{Name: "slack_ms", Value: (s.Objective - s.Job.LongestChain()).Milliseconds()})})
+			decision.Input{Name: "waited_ms", Value: s.Waited.Milliseconds()},
+			decision.Input{Name: "slack_ms", Value: (s.timeLeft() - s.Job.LongestChain()).Milliseconds()})})
 }
 
 // loadInputs describes the load of a service for a decision.
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -70,7 +70,7 @@
 func (r *run) name() batch.Run { return batch.Run{Task: r.task.name(), Number: r.number} }
 
 func newActiveJob(now time.Time, s Submission) *activeJob {
-	j := &activeJob{Submission: s, submitted: now, objective: now.Add(s.Objective), useless: now.Add(min(s.Patience, lateFactor*s.Objective)),
+	j := &activeJob{Submission: s, submitted: now, objective: now.Add(s.timeLeft()), useless: now.Add(min(s.Patience, lateFactor*s.Objective)),
 		waiters: make(map[uint64]func(Result)), steps: make([]stepState, len(s.Job.Steps))}
 	for number, step := range s.Job.Steps {
 		state := &j.steps[number]
--- a/process/dispatch/overload_test.go
+++ b/process/dispatch/overload_test.go
@@ -34,8 +34,13 @@
 	asked, inTime, late, refused, refusedPromptly int
 }
 
-// play hands in jobs of all kinds at a rate for a while.
+// play hands in jobs of all kinds at a rate for a while and returns what the
+// callers of each kind got.
 func play(c *cluster, d time.Duration, perSecond float64) map[string]*outcome {
+	return outcomesOf(playCallers(c, d, perSecond))
+}
+
+func playCallers(c *cluster, d time.Duration, perSecond float64) []*caller {
 	var total float64
 	for _, k := range ledgerKinds {
 		total += k.weight
@@ -54,6 +59,10 @@
 		}
 	}
 	c.run(6 * time.Second)
+	return callers
+}
+
+func outcomesOf(callers []*caller) map[string]*outcome {
 	outcomes := make(map[string]*outcome)
 	for _, k := range callers {
 		o := outcomes[k.s.Queue]
@@ -70,7 +79,7 @@
 	o.asked++
 	switch {
 	case k.result == nil:
-	case k.result.Code == dispatch.Completed && k.took <= k.s.Objective:
+	case k.completedInTime():
 		o.inTime++
 	case k.result.Code == dispatch.Completed:
 		o.late++
@@ -82,6 +91,10 @@
 	}
 }
 
+func (k *caller) completedInTime() bool {
+	return k.result != nil && k.result.Code == dispatch.Completed && k.took <= k.s.Objective
+}
+
 func sum(outcomes map[string]*outcome) (all outcome) {
 	for _, o := range outcomes {
 		all.asked += o.asked
