node: dial a lost entry every 50 ms for the first seconds

Cause: agents doubled the pause between two dials up to 500 ms.

Change: every 50 ms for 3 s after an entry was last reached, every 250 ms after that. What is left is mostly the dial time-out of instances that have no power yet.

--- a/process/node/links.go
+++ b/process/node/links.go
@@ -16,8 +16,13 @@
 
 // Times of the connections to entries.
 const (
-	redialMin = 30 * time.Millisecond
-	redialMax = 500 * time.Millisecond
+	// redialFast is the pause between two dials in the time redialFastFor after
+	// an entry was last reached: after a restart of everything callers are
+	// refused until the agents have found the entries.
+	redialFast    = 50 * time.Millisecond
+	redialFastFor = 3 * time.Second
+	// redialSlow is the pause after that.
+	redialSlow = 250 * time.Millisecond
 	// forgetAfter is when an entry that can't be reached is no longer dialled,
 	// unless the settings name it.
 	forgetAfter = time.Minute
@@ -98,16 +103,16 @@
 
 func (d *dialer) keep(ctx context.Context, addr string) {
 	defer d.wait.Done()
-	backoff, reached := redialMin, time.Now()
+	reached := time.Now()
 	lost := false
 	for ctx.Err() == nil {
 		if d.connect(ctx, addr) {
-			backoff, reached, lost = redialMin, time.Now(), false
+			reached, lost = time.Now(), false
 		} else {
 			if !lost {
 				d.log.Info().Str("step", "dial").Str("peer", addr).Msg("entry unreachable")
 			}
-			backoff, lost = min(2*backoff, redialMax), true
+			lost = true
 		}
 		if time.Since(reached) > forgetAfter && !d.isSeed(addr) {
 			d.forget(addr)
@@ -115,11 +120,20 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(backoff):
+		case <-time.After(redialPause(time.Since(reached))):
 		}
 	}
 }
 
+// redialPause returns the pause before the next dial of an entry that was last
+// reached a while ago.
+func redialPause(unreached time.Duration) time.Duration {
+	if unreached < redialFastFor {
+		return redialFast
+	}
+	return redialSlow
+}
+
 func (d *dialer) isSeed(addr string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
