keeper: pass calls about durable jobs on while the store turns an entry away

Cause: the store may turn some instances away and serve the others. An entry that it turned away refused every durable job and answered questions for their state with 504, though its neighbours could serve them.

Change: such an entry asks the connected entries, one after the other, over the connection that they share already; they answer by themselves and pass nothing on. A submission without an answer is undecided (504), since it may have been accepted, and no other entry is asked then. A submission moved to package batch, since it is now sent between processes.

--- a/connection/wire/codec.go
+++ b/connection/wire/codec.go
@@ -46,6 +46,8 @@
 	kindEnroll
 	kindOrders
 	kindAgentReport
+	kindDurableCall
+	kindDurableReply
 )
 
 func (*Hello) kind() kind         { return kindHello }
@@ -68,6 +70,8 @@
 func (*Enroll) kind() kind        { return kindEnroll }
 func (*Orders) kind() kind        { return kindOrders }
 func (*AgentReport) kind() kind   { return kindAgentReport }
+func (*DurableCall) kind() kind   { return kindDurableCall }
+func (*DurableReply) kind() kind  { return kindDurableReply }
 
 var newMessage = map[kind]func() Message{
 	kindHello:         func() Message { return new(Hello) },
@@ -90,6 +94,8 @@
 	kindEnroll:        func() Message { return new(Enroll) },
 	kindOrders:        func() Message { return new(Orders) },
 	kindAgentReport:   func() Message { return new(AgentReport) },
+	kindDurableCall:   func() Message { return new(DurableCall) },
+	kindDurableReply:  func() Message { return new(DurableReply) },
 }
 
 var kindNames = map[kind]string{
@@ -97,6 +103,7 @@
 	kindDispatch: "dispatch", kindAnswers: "answers", kindCancel: "cancel", kindLeaving: "leaving",
 	kindFence: "fence", kindFenced: "fenced", kindQuery: "query", kindQueryReply: "query_reply",
 	kindConfig: "config", kindQuota: "quota", kindEntryHello: "entry_hello", kindEntryMembers: "entry_members", kindRoutingUpdate: "routing_update", kindEnroll: "enroll", kindOrders: "orders", kindAgentReport: "agent_report",
+	kindDurableCall: "durable_call", kindDurableReply: "durable_reply",
 }
 
 // KindName returns the name of the message's type, for metrics and logs.
--- a/process/dispatch/admit.go
+++ b/process/dispatch/admit.go
@@ -27,7 +27,7 @@
 )
 
 // admit reports whether a new job is taken, and the refusal if not.
-func (c *Core) admit(now time.Time, p *pool, s Submission) (Result, bool) {
+func (c *Core) admit(now time.Time, p *pool, s batch.Submission) (Result, bool) {
 	if unsupported(s) != "" {
 		return Result{Code: NotRun, Reason: ReasonUnsupported, RetryAfter: retryAfterUnknown}, false
 	}
@@ -42,7 +42,7 @@
 			return Result{Code: NotRun, Reason: ReasonTooLarge, RetryAfter: retryAfterUnknown}, false
 		}
 	}
-	slack := s.timeLeft() - s.Job.LongestChain()
+	slack := s.TimeLeft() - s.Job.LongestChain()
 	turn := now.Add(slack + time.Duration(s.Priority)*priorityStep)
 	if wait := c.expectedWait(now, turn, p); waitFactor*wait > slack && !p.roomFor(now, s.Job.Steps[0]) {
 		return Result{Code: NotRun, Reason: ReasonOverloaded, RetryAfter: wait}, false
@@ -84,7 +84,7 @@
 	return time.Duration(ahead / float64(inUse))
 }
 
-func unsupported(s Submission) string {
+func unsupported(s batch.Submission) string {
 	if s.Job.Unsupported != "" {
 		return s.Job.Unsupported
 	}
@@ -106,7 +106,7 @@
 	return false
 }
 
-func (p *pool) anyLargeEnough(s Submission, step int) bool {
+func (p *pool) anyLargeEnough(s batch.Submission, step int) bool {
 	want := s.Job.Steps[step]
 	for _, t := range p.ordered {
 		if want.Demand.FitsIn(t.state.Room) && t.hasLabel(want.Label) {
--- a/process/dispatch/cluster_test.go
+++ b/process/dispatch/cluster_test.go
@@ -393,7 +393,7 @@
 // caller hands in a job and sends it again when its connection breaks.
 type caller struct {
 	c       *cluster
-	s       dispatch.Submission
+	s       batch.Submission
 	at      *entryNode
 	entry   wire.Incarnation
 	began   time.Time
@@ -404,7 +404,7 @@
 	attempt int
 }
 
-func (c *cluster) call(s dispatch.Submission, entry int) *caller {
+func (c *cluster) call(s batch.Submission, entry int) *caller {
 	k := &caller{c: c, s: s, began: c.now}
 	k.send(entry)
 	return k
@@ -458,13 +458,13 @@
 }
 
 // submission returns a job of one step and sets the work of its tasks.
-func (c *cluster) submission(name string, tasks int, work time.Duration, cpu int, priority int) dispatch.Submission {
+func (c *cluster) submission(name string, tasks int, work time.Duration, cpu int, priority int) batch.Submission {
 	id := batch.ID(fmt.Sprintf("%016x", c.random.Uint64()))
 	demand := batch.Resources{MilliCPU: cpu, MemoryMiB: 64}
 	for index := range tasks {
 		c.work[batch.Task{Job: id, Index: index}] = executor.Work{Duration: work, Demand: demand}
 	}
-	return dispatch.Submission{Service: serviceName, Queue: name, Priority: priority, MaxAttempts: 3,
+	return batch.Submission{Service: serviceName, Queue: name, Priority: priority, MaxAttempts: 3,
 		Objective: work*8/5 + 60*time.Millisecond, Patience: 3 * time.Second,
 		Job: batch.Job{ID: id, Spec: "s", Steps: []batch.Step{{Tasks: tasks, Demand: demand, Estimate: work}}}}
 }
--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -104,7 +104,7 @@
 // Submit takes a job. reply is called once with the result, possibly before
 // Submit returns, unless the returned leave is called first. leave is for a
 // caller who no longer waits; a job without callers is stopped.
-func (c *Core) Submit(s Submission, reply func(Result)) (leave func()) {
+func (c *Core) Submit(s batch.Submission, reply func(Result)) (leave func()) {
 	p := c.pool(s.Service)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -136,13 +136,13 @@
 	return func() { c.leave(p, j, id) }
 }
 
-func (c *Core) refuse(now time.Time, p *pool, s Submission, refusal Result) {
+func (c *Core) refuse(now time.Time, p *pool, s batch.Submission, refusal Result) {
 	c.counters.ended(refusal)
 	c.env.Decided(decision.Decision{Step: "accept", Job: s.Job.ID, Peer: s.Queue, Outcome: "refused", Reason: string(refusal.Reason),
 		Version: s.Version, Inputs: append(p.loadInputs(now),
 			decision.Input{Name: "retry_after_ms", Value: refusal.RetryAfter.Milliseconds()},
 			decision.Input{Name: "waited_ms", Value: s.Waited.Milliseconds()},
-			decision.Input{Name: "slack_ms", Value: (s.timeLeft() - s.Job.LongestChain()).Milliseconds()})})
+			decision.Input{Name: "slack_ms", Value: (s.TimeLeft() - s.Job.LongestChain()).Milliseconds()})})
 }
 
 // loadInputs describes the load of a service for a decision.
--- a/process/dispatch/durable.go
+++ b/process/dispatch/durable.go
@@ -14,7 +14,7 @@
 
 // Durable is a durable job, or what is left of it after an earlier owner.
 type Durable struct {
-	Submission
+	batch.Submission
 	// Term counts the owners of the job, from 1.
 	Term uint64
 	// Progress is what has been recorded of its tasks.
@@ -45,7 +45,7 @@
 }
 
 // AdmitDurable reports whether a new durable job would be served in time.
-func (c *Core) AdmitDurable(s Submission) (Result, bool) {
+func (c *Core) AdmitDurable(s batch.Submission) (Result, bool) {
 	p := c.pool(s.Service)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/process/dispatch/env.go
+++ b/process/dispatch/env.go
@@ -78,29 +78,3 @@
 	// ReasonUnsupported: the job uses a feature of which this version has none.
 	ReasonUnsupported Reason = "unsupported"
 )
-
-// Submission is a job handed in by a caller.
-type Submission struct {
-	Job batch.Job
-	// Service runs the tasks.
-	Service string
-	Queue   string
-	// Priority orders queues; 0 comes first.
-	Priority    int
-	MaxAttempts int
-	// Objective is the time from the first submission in which the job is to
-	// complete.
-	Objective time.Duration
-	// Patience is the time from now for which the caller waits.
-	Patience time.Duration
-	// Waited is how long the caller has waited for an earlier submission of the
-	// job, or 0 if it makes the first one.
-	Waited time.Duration
-	// Version is the configuration that decided the queue.
-	Version uint64
-}
-
-// timeLeft returns the time from now in which the job is to complete. It is
-// negative for a caller who comes again too late for the objective: the job then
-// waits behind those that can still be in time.
-func (s Submission) timeLeft() time.Duration { return s.Objective - s.Waited }
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -9,7 +9,7 @@
 
 // activeJob is a job that has not been answered.
 type activeJob struct {
-	Submission
+	batch.Submission
 	submitted time.Time
 	objective time.Time
 	// useless is when the caller has left or an answer is of no use.
@@ -69,8 +69,8 @@
 
 func (r *run) name() batch.Run { return batch.Run{Task: r.task.name(), Number: r.number} }
 
-func newActiveJob(now time.Time, s Submission) *activeJob {
-	j := &activeJob{Submission: s, submitted: now, objective: now.Add(s.timeLeft()), useless: now.Add(min(s.Patience, lateFactor*s.Objective)),
+func newActiveJob(now time.Time, s batch.Submission) *activeJob {
+	j := &activeJob{Submission: s, submitted: now, objective: now.Add(s.TimeLeft()), useless: now.Add(min(s.Patience, lateFactor*s.Objective)),
 		waiters: make(map[uint64]func(Result)), steps: make([]stepState, len(s.Job.Steps))}
 	for number, step := range s.Job.Steps {
 		state := &j.steps[number]
--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -15,7 +15,7 @@
 // Dispatcher runs the tasks of durable jobs. dispatch.Core is one.
 type Dispatcher interface {
 	// AdmitDurable reports whether a new job would be served in time.
-	AdmitDurable(s dispatch.Submission) (dispatch.Result, bool)
+	AdmitDurable(s batch.Submission) (dispatch.Result, bool)
 	// RunDurable runs what is left of a job. finished is called at most once and
 	// must not block.
 	RunDurable(d dispatch.Durable, finished func(dispatch.Result))
@@ -43,6 +43,9 @@
 	// IsFirst reports whether this entry goes before all others that it is
 	// connected to.
 	IsFirst func() bool
+	// Others returns the entries that can be asked while the log turns this one
+	// away.
+	Others func() []Other
 	// Now counts suspensions and never steps back.
 	Now func() time.Time
 	// UnixTime is the time of day.
@@ -144,6 +147,9 @@
 
 // New returns a keeper that does nothing before Run.
 func New(options Options, log Log, run Dispatcher, sink decision.Sink) *Keeper {
+	if options.Others == nil {
+		options.Others = func() []Other { return nil }
+	}
 	return &Keeper{options: options, log: log, run: run, sink: sink, started: options.Now(), wake: make(chan struct{}, 1), self: options.Self,
 		table: ledger.NewTable(), mine: make(map[batch.ID]uint64), settled: make(map[batch.ID]bool), onTheWay: make(map[batch.ID]bool), waiters: make(map[batch.ID][]chan Outcome), ending: make(map[batch.ID]chan struct{}), notBefore: make(map[batch.ID]time.Time),
 		changed: changes{dirty: make(map[batch.ID]bool), finals: make(map[batch.ID]ledger.State)}}
@@ -181,8 +187,7 @@
 	}
 }
 
-// Submit accepts a job, or finds that it has been accepted before.
-func (k *Keeper) Submit(ctx context.Context, s dispatch.Submission) Outcome {
+func (k *Keeper) submit(ctx context.Context, s batch.Submission) Outcome {
 	k.mu.Lock()
 	if _, known := k.table.Job(s.Job.ID); known {
 		k.mu.Unlock()
@@ -223,7 +228,7 @@
 }
 
 // refusal reports whether a new job may be taken now.
-func (k *Keeper) refusal(s dispatch.Submission) (dispatch.Result, bool) {
+func (k *Keeper) refusal(s batch.Submission) (dispatch.Result, bool) {
 	if !k.caughtUp || k.away {
 		return refusedAway.Refusal, false
 	}
@@ -238,10 +243,9 @@
 	delete(k.waiters, id)
 }
 
-// State returns the state of a job for a caller, and whether a task has begun.
-// Undecided means that the log has not been read yet. A caller often asks just
+// state answers from what has been read of the log. A caller often asks just
 // after the last task has ended, so for a job that goes on it waits a moment.
-func (k *Keeper) State(ctx context.Context, id batch.ID) (ledger.State, bool, Code) {
+func (k *Keeper) state(ctx context.Context, id batch.ID) (ledger.State, bool, Code) {
 	if ending := k.awaitable(id); ending != nil {
 		ctx, cancel := context.WithTimeout(ctx, stateWait)
 		defer cancel()
@@ -277,8 +281,7 @@
 	return k.ending[id]
 }
 
-// Cancel asks for the end of a job.
-func (k *Keeper) Cancel(ctx context.Context, id batch.ID) Outcome {
+func (k *Keeper) cancel(ctx context.Context, id batch.ID) Outcome {
 	k.mu.Lock()
 	v, known := k.table.Job(id)
 	switch {
--- a/process/keeper/keeper_test.go
+++ b/process/keeper/keeper_test.go
@@ -127,7 +127,7 @@
 	return &runs{finished: make(map[batch.ID]func(dispatch.Result)), progress: make(map[batch.ID][]dispatch.TaskProgress), forgotten: make(map[batch.ID]bool)}
 }
 
-func (r *runs) AdmitDurable(dispatch.Submission) (dispatch.Result, bool) {
+func (r *runs) AdmitDurable(batch.Submission) (dispatch.Result, bool) {
 	return dispatch.Result{}, true
 }
 func (r *runs) RunDurable(d dispatch.Durable, finished func(dispatch.Result)) {
@@ -220,8 +220,8 @@
 	t.Fatalf("%s does not come about", what)
 }
 
-func submission(id batch.ID) dispatch.Submission {
-	return dispatch.Submission{Job: batch.Job{ID: id, Durable: true, Steps: []batch.Step{{Tasks: 2}}}, Service: "card", Queue: "q", MaxAttempts: 2}
+func submission(id batch.ID) batch.Submission {
+	return batch.Submission{Job: batch.Job{ID: id, Durable: true, Steps: []batch.Step{{Tasks: 2}}}, Service: "card", Queue: "q", MaxAttempts: 2}
 }
 
 // Guards against a job that runs though its caller was told that it never will.
--- a/process/keeper/reader.go
+++ b/process/keeper/reader.go
@@ -120,7 +120,7 @@
 // start runs what is left of a job that this entry owns.
 func (k *Keeper) start(now time.Time, id batch.ID, v ledger.View) {
 	a := v.Accepted
-	d := dispatch.Durable{Submission: dispatch.Submission{Job: a.Job, Service: a.Service, Queue: a.Queue, Priority: a.Priority,
+	d := dispatch.Durable{Submission: batch.Submission{Job: a.Job, Service: a.Service, Queue: a.Queue, Priority: a.Priority,
 		MaxAttempts: a.MaxAttempts, Version: a.Version}, Term: v.Term, NotBefore: k.notBefore[id]}
 	age := k.options.UnixTime().Sub(time.UnixMilli(a.At))
 	d.Objective = max(a.Objective-max(age, 0), 0)
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -97,7 +97,7 @@
 	e := &Entry{options: options, observer: observer, decisions: decisions, self: wire.NewIncarnation(),
 		started: time.Now(), configured: make(chan struct{}), agents: make(map[wire.Incarnation]*processLink), peers: make(map[*processLink]bool)}
 	e.Core = dispatch.New((*entryEnv)(e), e.self, options.Zone, uint64(time.Now().UnixNano()))
-	e.keeper = keeper.New(keeper.Options{Node: options.Node, Self: ledger.Owner(e.self.String()), IsFirst: e.hasFirstName, Now: clock.Now, UnixTime: time.Now},
+	e.keeper = keeper.New(keeper.Options{Node: options.Node, Self: ledger.Owner(e.self.String()), IsFirst: e.hasFirstName, Others: e.otherEntries, Now: clock.Now, UnixTime: time.Now},
 		options.Jobs, e.Core, decisions)
 	e.metrics = newEntryMetrics(observer, e)
 	e.dialer = newDialer(options.AdvertiseAddr, options.Seeds, observer.Log, e.connect)
--- a/process/node/entrylinks.go
+++ b/process/node/entrylinks.go
@@ -16,6 +16,7 @@
 	name  string
 	ended chan struct{}
 	heard bool
+	calls calls
 }
 
 func (l *processLink) send(m wire.Message) {
@@ -57,6 +58,10 @@
 		l.entry.peerFound(l, m)
 	case *wire.EntryMembers:
 		l.entry.learn(m.Entries)
+	case *wire.DurableCall:
+		l.serveDurable(m)
+	case *wire.DurableReply:
+		l.calls.answered(m)
 	case *wire.RoutingUpdate:
 		l.entry.apply(m.Config, "peer "+l.conn.RemoteAddr())
 	}
