node: look at the copies of the configuration every 150 ms while there is none

Cause: an entry that starts while the store is silent looked at the copies again only after all calls of the look before had timed out, up to 0.8 s later.

Change: looks overlap, one each 150 ms, each bounded by 400 ms. One condition (store_copies_unread) with the errors of all copies replaces a line for each copy and look.

--- a/process/node/configcopies.go
+++ b/process/node/configcopies.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/azurerouter/azurerouter/process/observe"
 	"github.com/azurerouter/azurerouter/version/routing"
 )
 
@@ -20,8 +21,13 @@
 	configCopies = 4
 	// copyInterval is how often an entry looks whether the copies are behind.
 	copyInterval = time.Second
-	// recoverInterval is the pause between two looks at the copies.
-	recoverInterval = 250 * time.Millisecond
+	// recoverInterval is how often the copies are looked at. Nothing can be served
+	// before one is read, so the next look does not wait for the one before: a
+	// store that was silent is asked again soon after it is back.
+	recoverInterval = 150 * time.Millisecond
+	// copyTimeout bounds a look at the copies. A store that takes 60 times its
+	// usual 4 ms still answers in this time.
+	copyTimeout = 400 * time.Millisecond
 	// maxConfigBytes bounds a decompressed configuration.
 	maxConfigBytes = 16 << 20
 )
@@ -75,46 +81,68 @@
 func (e *Entry) recoverConfig(ctx context.Context) error {
 	recovery, cancel := context.WithCancel(ctx)
 	defer cancel()
+	condition := e.observer.Condition("store_copies_unread")
 	err := every(recovery, recoverInterval, func() {
 		if e.Table() != nil {
 			cancel()
 			return
 		}
-		if !e.configUnread.Load() {
-			return
-		}
-		for _, c := range e.loadCopies(recovery) {
-			e.apply(c, "copy")
+		if e.configUnread.Load() {
+			go e.takeCopies(recovery, condition)
 		}
 	})
+	condition.End()
 	<-ctx.Done()
 	return err
 }
 
+// takeCopies puts the newest copy that can be read in force.
+func (e *Entry) takeCopies(ctx context.Context, condition *observe.Condition) {
+	configs, err := e.loadCopies(ctx)
+	for _, c := range configs {
+		e.apply(c, "copy")
+	}
+	if err != nil && ctx.Err() == nil {
+		condition.Begin(err)
+	}
+}
+
 // loadCopies reads all copies at the same time, because those that are away may
-// not answer at all.
-func (e *Entry) loadCopies(ctx context.Context) []routing.Config {
-	found := make(chan *routing.Config, configCopies)
+// not answer at all. The error tells of all copies that could not be read.
+func (e *Entry) loadCopies(ctx context.Context) ([]routing.Config, error) {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	type copyRead struct {
+		config *routing.Config
+		err    error
+	}
+	read := make(chan copyRead, configCopies)
 	for n := range configCopies {
 		go func() {
-			data, err := e.options.Copies.LoadCopy(ctx, n)
-			var c *routing.Config
-			if err == nil && data != nil {
-				c, err = unpackConfig(data)
-			}
-			if err != nil {
-				e.observer.Log.Warn().Err(err).Str("step", "config").Int("copy", n).Msg("copy of the configuration not read")
-			}
-			found <- c
+			c, err := e.loadCopy(ctx, n)
+			read <- copyRead{c, err}
 		}()
 	}
 	var configs []routing.Config
+	var failed error
 	for range configCopies {
-		if c := <-found; c != nil {
-			configs = append(configs, *c)
+		r := <-read
+		failed = errors.CombineErrors(failed, r.err)
+		if r.config != nil {
+			configs = append(configs, *r.config)
 		}
 	}
-	return configs
+	return configs, failed
+}
+
+// loadCopy returns nil for a copy that was never saved.
+func (e *Entry) loadCopy(ctx context.Context, n int) (*routing.Config, error) {
+	data, err := e.options.Copies.LoadCopy(ctx, n)
+	if err != nil || data == nil {
+		return nil, errors.Wrapf(err, "copy %d of the configuration", n)
+	}
+	c, err := unpackConfig(data)
+	return c, errors.Wrapf(err, "copy %d of the configuration", n)
 }
 
 // packConfig encodes and compresses a configuration: one with many queues would
