keeper: metrics and state dump of durable jobs

On-call could not tell from metrics how durable jobs fared, nor from a dump why an entry refused them. New: durable_submissions by outcome, calls passed on, jobs taken over, jobs here; the dump has a part durable_jobs. The constructor lists its maps one a line.

--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -93,6 +93,7 @@
 	// notBefore is when tasks of an owner that is gone may start again.
 	notBefore map[batch.ID]time.Time
 	lives     int
+	counters  counters
 }
 
 // changes are jobs whose progress has to be written. The lock is taken last.
@@ -150,9 +151,17 @@
 	if options.Others == nil {
 		options.Others = func() []Other { return nil }
 	}
-	return &Keeper{options: options, log: log, run: run, sink: sink, started: options.Now(), wake: make(chan struct{}, 1), self: options.Self,
-		table: ledger.NewTable(), mine: make(map[batch.ID]uint64), settled: make(map[batch.ID]bool), onTheWay: make(map[batch.ID]bool), waiters: make(map[batch.ID][]chan Outcome), ending: make(map[batch.ID]chan struct{}), notBefore: make(map[batch.ID]time.Time),
-		changed: changes{dirty: make(map[batch.ID]bool), finals: make(map[batch.ID]ledger.State)}}
+	return &Keeper{
+		options: options, log: log, run: run, sink: sink, started: options.Now(), wake: make(chan struct{}, 1), self: options.Self,
+		table:     ledger.NewTable(),
+		mine:      make(map[batch.ID]uint64),
+		settled:   make(map[batch.ID]bool),
+		onTheWay:  make(map[batch.ID]bool),
+		waiters:   make(map[batch.ID][]chan Outcome),
+		ending:    make(map[batch.ID]chan struct{}),
+		notBefore: make(map[batch.ID]time.Time),
+		changed:   changes{dirty: make(map[batch.ID]bool), finals: make(map[batch.ID]ledger.State)},
+	}
 }
 
 // IsOpen reports whether a job is in the log and has not ended. known is false
--- a/process/keeper/others.go
+++ b/process/keeper/others.go
@@ -26,6 +26,12 @@
 // Submit accepts a job, or finds that it has been accepted before. While the log
 // turns this entry away another one may accept it.
 func (k *Keeper) Submit(ctx context.Context, s batch.Submission) Outcome {
+	o := k.submitAnywhere(ctx, s)
+	k.counters.submitted(o)
+	return o
+}
+
+func (k *Keeper) submitAnywhere(ctx context.Context, s batch.Submission) Outcome {
 	o := k.submit(ctx, s)
 	if o.Code != NotAccepted || o.Refusal.Reason != dispatch.ReasonStoreAway {
 		return o
@@ -103,6 +109,7 @@
 			k.passedOn(call, other, "unanswered", err.Error())
 		case reply.Code == string(NotAccepted) && reply.Reason == string(dispatch.ReasonStoreAway):
 		default:
+			k.counters.passedOn.Add(1)
 			k.passedOn(call, other, reply.Code, reply.Reason)
 			return reply, true
 		}
--- a/process/keeper/others_test.go
+++ b/process/keeper/others_test.go
@@ -79,6 +79,12 @@
 	if o := a.Cancel(ctx, "unknown"); o.Code != NotKnown {
 		t.Errorf("cancel of an unknown job: %+v", o)
 	}
+	if got, expected := a.Counts(), (Counts{Accepted: 1, PassedOn: 5}); got != expected {
+		t.Errorf("counts %+v, expected %+v", got, expected)
+	}
+	if d := a.Dump(); d.Reads || d.Mine != 0 {
+		t.Errorf("dump of an entry that is turned away: %+v", d)
+	}
 }
 
 // Guards against a caller who is told that a job has not run, though the entry
--- a/process/keeper/takeover.go
+++ b/process/keeper/takeover.go
@@ -111,6 +111,7 @@
 		answer = k.log.Append(ctx, Append{At: &at, Records: records})
 		if answer.Verdict == Done {
 			k.hasWritten(sent)
+			k.counters.takenOver.Add(uint64(len(records)))
 			k.sink.Decided(decision.Decision{Step: "take_over", Peer: string(o.Owner), Outcome: "claimed", Age: k.options.Now().Sub(o.Heard),
 				Version: at, Inputs: []decision.Input{{Name: "jobs", Value: int64(len(records))}}})
 			return
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -110,6 +110,15 @@
 // Keeper holds the durable jobs.
 func (e *Entry) Keeper() *keeper.Keeper { return e.keeper }
 
+// Dump is a copy of the state of an entry for operators.
+type Dump struct {
+	dispatch.Dump
+	Durable keeper.Dump `json:"durable_jobs"`
+}
+
+// Dump returns the state now.
+func (e *Entry) Dump() Dump { return Dump{Dump: e.Core.Dump(), Durable: e.keeper.Dump()} }
+
 // AwaitTable returns the routing in force. A process that has just started
 // waits for its first one for a moment; after that it returns nil.
 func (e *Entry) AwaitTable(ctx context.Context) *routing.Table {
--- a/process/node/metrics.go
+++ b/process/node/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/azurerouter/azurerouter/process/dispatch"
+	"github.com/azurerouter/azurerouter/process/keeper"
 	"github.com/azurerouter/azurerouter/process/observe"
 	"github.com/azurerouter/azurerouter/process/runner"
 )
@@ -33,13 +34,14 @@
 	scope   tally.Scope
 	latency tally.Histogram
 	active  tally.Gauge
+	durable tally.Gauge
 	version tally.Gauge
 	totals  map[string]*total
 }
 
 func newEntryMetrics(o *observe.Observer, e *Entry) *entryMetrics {
 	m := &entryMetrics{entry: e, scope: o.Metrics, latency: o.Metrics.Histogram(observe.ResponseSeconds, responseBuckets),
-		active: o.Metrics.Gauge(observe.JobsActive), version: o.Metrics.Gauge(observe.RoutingVersion), totals: make(map[string]*total)}
+		active: o.Metrics.Gauge(observe.JobsActive), durable: o.Metrics.Gauge(observe.DurableHere), version: o.Metrics.Gauge(observe.RoutingVersion), totals: make(map[string]*total)}
 	return m
 }
 
@@ -55,9 +57,19 @@
 			m.version.Update(float64(table.Version))
 		}
 		m.count(m.entry.Counts())
+		m.countDurable(m.entry.keeper.Counts())
+		m.durable.Update(float64(m.entry.keeper.Open()))
 	})
 }
 
+func (m *entryMetrics) countDurable(n keeper.Counts) {
+	m.add(observe.DurableSubmissions, observe.TagOutcome, string(keeper.Accepted), n.Accepted)
+	m.add(observe.DurableSubmissions, observe.TagOutcome, string(keeper.NotAccepted), n.NotAccepted)
+	m.add(observe.DurableSubmissions, observe.TagOutcome, string(keeper.Undecided), n.Undecided)
+	m.add(observe.DurablePassedOn, "", "", n.PassedOn)
+	m.add(observe.DurableTakenOver, "", "", n.TakenOver)
+}
+
 func (m *entryMetrics) count(n dispatch.Counts) {
 	m.add(observe.JobsSubmitted, "", "", n.Submitted)
 	m.add(observe.JobsEnded, observe.TagCode, "completed", n.Completed)
--- a/process/observe/names.go
+++ b/process/observe/names.go
@@ -88,6 +88,15 @@
 	RunsHeld = "runs_held"
 	// CallerResponses counts responses to callers, by TagStatus.
 	CallerResponses = "caller_responses"
+	// DurableSubmissions counts submissions of durable jobs, by TagOutcome.
+	DurableSubmissions = "durable_submissions"
+	// DurablePassedOn counts calls about durable jobs that another entry has
+	// answered.
+	DurablePassedOn = "durable_calls_passed_on"
+	// DurableTakenOver counts durable jobs taken over from entries that are gone.
+	DurableTakenOver = "durable_jobs_taken_over"
+	// DurableHere is the number of durable jobs that run at the entry.
+	DurableHere = "durable_jobs_here"
 	// RoutingVersion is the version of the routing configuration in force.
 	RoutingVersion = "routing_version"
 
