--- a/cmd/azurerouter/platform.go
+++ b/cmd/azurerouter/platform.go
@@ -92,8 +92,9 @@
 	defer p.close()
 	store := platform.NewStore(p.settings.StoreAddr)
 	options := node.EntryOptions{Node: p.settings.Node, Zone: p.settings.Zone, LinkAddr: p.settings.LinkAddr,
-		AdvertiseAddr: flags.advertise, Seeds: p.settings.SeedLinks, Grace: p.settings.Grace, CallerAddr: p.settings.CallerAddr, ReadyAddr: p.settings.ReadyAddr, ControlAddr: p.settings.ControlAddr,
-		MetricsAddr: p.metrics, Callers: p.callers, Ready: platform.ReadyHandler, Config: store, Directory: store, Copies: store, Jobs: store}
+		AdvertiseAddr: flags.advertise, Seeds: p.settings.SeedLinks, Grace: p.settings.Grace,
+		CallerAddr: p.settings.CallerAddr, ReadyAddr: p.settings.ReadyAddr, ControlAddr: p.settings.ControlAddr, MetricsAddr: p.metrics,
+		Callers: p.callers, Ready: platform.ReadyHandler, Config: store, Directory: store, Copies: store, Jobs: store}
 	e := node.NewEntry(options, p.observer, p.decisions)
 	return runDaemon("entry", stderr, p.signals(), e.AddTo)
 }
--- a/connection/wire/codec.go
+++ b/connection/wire/codec.go
@@ -102,7 +102,8 @@
 	kindHello: "hello", kindMembers: "members", kindHeartbeat: "heartbeat", kindResume: "resume",
 	kindDispatch: "dispatch", kindAnswers: "answers", kindCancel: "cancel", kindLeaving: "leaving",
 	kindFence: "fence", kindFenced: "fenced", kindQuery: "query", kindQueryReply: "query_reply",
-	kindConfig: "config", kindQuota: "quota", kindEntryHello: "entry_hello", kindEntryMembers: "entry_members", kindRoutingUpdate: "routing_update", kindEnroll: "enroll", kindOrders: "orders", kindAgentReport: "agent_report",
+	kindConfig: "config", kindQuota: "quota", kindEntryHello: "entry_hello", kindEntryMembers: "entry_members",
+	kindRoutingUpdate: "routing_update", kindEnroll: "enroll", kindOrders: "orders", kindAgentReport: "agent_report",
 	kindDurableCall: "durable_call", kindDurableReply: "durable_reply",
 }
 
--- a/process/runner/start.go
+++ b/process/runner/start.go
@@ -61,26 +61,6 @@
 	return ""
 }
 
-// wait notes which tasks of an entry wait for room.
-func (s *session) wait(now time.Time, w *wire.Waiting) {
-	s.waiting = w != nil
-	if w != nil {
-		s.slackAt, s.demand = now.Add(time.Duration(w.SlackMS)*time.Millisecond), w.Smallest
-	}
-}
-
-// tell queues a report for an entry and keeps it for a reconnection.
-func (c *Core) tell(now time.Time, s *session, report wire.RunReport) {
-	if report.Refused != "" {
-		c.counters.Refused[report.Refused]++
-	}
-	if s == nil {
-		return
-	}
-	s.pending = append(s.pending, report)
-	s.recent = append(s.recent, recentReport{report, now})
-}
-
 // StartAnswered takes the target's answer to a start.
 func (c *Core) StartAnswered(call StartCall, answer Answer) {
 	c.mu.Lock()
