node: entries tell each other the whole list of members every 10 s only

Cause: to keep their connections from being idle, entries sent each other the list of all entries every second, which grows with the cube of their number over all connections.

Change: the pulse is empty but for every tenth.

--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -31,9 +31,11 @@
 	lingerTime    = 2500 * time.Millisecond
 	headerTimeout = 3 * time.Second
 	idleTimeout   = time.Minute
-	// memberInterval is how often entries tell each other which entries they
-	// know, which also keeps the connection from being idle.
-	memberInterval = time.Second
+	// peerPulse keeps the connections to other entries from being idle. With each
+	// pulse of pulsesPerMembers an entry also tells which entries it knows: these
+	// lists grow with the square of the entries.
+	peerPulse        = time.Second
+	pulsesPerMembers = 10
 	// configGrace is how long after the start of a process callers wait for the
 	// first configuration. The store answers within a few milliseconds.
 	configGrace = 500 * time.Millisecond
@@ -89,6 +91,8 @@
 	mu     sync.Mutex
 	agents map[wire.Incarnation]*processLink
 	peers  map[*processLink]bool
+	// pulses counts the calls of pulsePeers.
+	pulses uint64
 }
 
 // NewEntry prepares an entry process. It opens nothing yet.
@@ -231,7 +235,7 @@
 	actor(e.keeper.Run)
 	actor(e.followMembers)
 	actor(e.announce)
-	actor(func(ctx context.Context) error { return every(ctx, memberInterval, e.pulsePeers) })
+	actor(func(ctx context.Context) error { return every(ctx, peerPulse, e.pulsePeers) })
 	actor(e.metrics.report)
 	g.Add(func() error {
 		return stream.Serve(listener, func(c *stream.Conn) stream.Handler { return e.opened(c) })
--- a/process/node/entrylinks.go
+++ b/process/node/entrylinks.go
@@ -143,10 +143,14 @@
 
 // pulsePeers keeps the connections to other entries from being idle.
 func (e *Entry) pulsePeers() {
-	update := &wire.EntryMembers{Entries: e.members()}
+	members := e.members()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	pulse := &wire.EntryMembers{}
+	if e.pulses++; e.pulses%pulsesPerMembers == 0 {
+		pulse.Entries = members
+	}
 	for l := range e.peers {
-		l.send(update)
+		l.send(pulse)
 	}
 }
