dispatch: callers with little time are not taken for repeats

A deadline below the queue's time-out tells a repeat only where first attempts leave more. On a deployment where they never do, every job would rank late and be refused whenever there is no room at once.

Change: where more than half of a queue's submissions look like repeats they are taken for first ones.

--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -58,6 +58,7 @@
 	answers map[batch.ID]keptAnswer
 	oldest  []batch.ID
 	speeds  speeds
+	repeats repeats
 }
 
 type keptAnswer struct {
@@ -86,7 +87,7 @@
 		return p
 	}
 	p = &pool{service: service, random: rand.New(rand.NewPCG(c.seed, uint64(len(c.pools)))),
-		targets: make(map[wire.Incarnation]*target), jobs: make(map[batch.ID]*activeJob), durable: make(map[batch.ID]*activeJob), answers: make(map[batch.ID]keptAnswer)}
+		targets: make(map[wire.Incarnation]*target), jobs: make(map[batch.ID]*activeJob), durable: make(map[batch.ID]*activeJob), answers: make(map[batch.ID]keptAnswer), repeats: make(repeats)}
 	c.pools[service] = p
 	return p
 }
@@ -118,6 +119,7 @@
 	}
 	j := p.jobs[s.Job.ID]
 	if j == nil {
+		s.Waited = p.repeats.waited(s)
 		if refusal, ok := c.admit(now, p, s); !ok {
 			c.refuse(now, p, s, refusal)
 			reply(refusal)
--- a/process/dispatch/recovery_test.go
+++ b/process/dispatch/recovery_test.go
@@ -55,3 +55,30 @@
 		t.Errorf("%.3f of the new jobs in time, expected 0.9 or more", share)
 	}
 }
+
+// Guards against a queue whose callers always leave less time than its time-out:
+// taken for repeats, all of them would be refused whenever there is no room at
+// once.
+func TestCallersWithLittleTimeAreNotTakenForRepeats(t *testing.T) {
+	c := newCluster(t, 41, 1, equalRooms(1, 4000))
+	c.run(500 * time.Millisecond)
+	submit := func() *caller {
+		s := c.submission("line", 1, 100*time.Millisecond, 1000, 1)
+		s.Objective, s.Waited = time.Second, 1300*time.Millisecond
+		return c.call(s, 0)
+	}
+	for range 200 {
+		submit()
+		c.run(50 * time.Millisecond)
+	}
+	var callers []*caller
+	for range 8 {
+		callers = append(callers, submit())
+	}
+	c.run(2 * time.Second)
+	for _, k := range callers {
+		if !k.completedInTime() {
+			t.Errorf("%+v after %v", k.result, k.took)
+		}
+	}
+}
