explain, keeper: one line tells how a submission of a durable job ended

An entry that passed a submission on had logged before that it was refused for the store, so that `explain` called an accepted job refused; an undecided one had no line at all. Now the line is written once the outcome is known. explain also says that a refused caller had lost an earlier attempt.

--- a/process/explain/story.go
+++ b/process/explain/story.go
@@ -80,6 +80,11 @@
 		switch l.Outcome {
 		case "refused", "not_run":
 			s.Cause = fmt.Sprintf("refused, nothing has run: %s", l.Reason)
+			if waited := l.Inputs["waited_ms"]; waited > 0 {
+				s.Cause += fmt.Sprintf("; the caller had lost an earlier attempt and waited %d ms", waited)
+			}
+		case "undecided":
+			s.Cause = "not known whether the job is accepted, the caller sends it again: " + l.Reason
 		case "gave_up":
 			s.Cause = fmt.Sprintf("given up after some tasks had started: %s", l.Reason)
 		case "failed":
--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -205,7 +205,6 @@
 	pending := k.onTheWay[s.Job.ID] || len(k.waiters[s.Job.ID]) > 0
 	if refusal, ok := k.refusal(s); !ok && !pending {
 		k.mu.Unlock()
-		k.decided(s.Job.ID, "accept", "refused", string(refusal.Reason), s.Version)
 		return Outcome{Code: NotAccepted, Refusal: refusal}
 	}
 	answer := make(chan Outcome, 1)
--- a/process/keeper/others.go
+++ b/process/keeper/others.go
@@ -28,6 +28,12 @@
 func (k *Keeper) Submit(ctx context.Context, s batch.Submission) Outcome {
 	o := k.submitAnywhere(ctx, s)
 	k.counters.submitted(o)
+	switch o.Code {
+	case NotAccepted:
+		k.decided(s.Job.ID, "accept", "refused", string(o.Refusal.Reason), s.Version)
+	case Undecided:
+		k.decided(s.Job.ID, "accept", string(Undecided), "the log has not answered", s.Version)
+	}
 	return o
 }
 
