dispatch: test that a leaving target gets no new work

Four cases in virtual time: alone, with an entry cut off, with lost answers, with the agent started again.

--- a/process/dispatch/faults_test.go
+++ b/process/dispatch/faults_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/dispatch"
+	"github.com/azurerouter/azurerouter/process/runner"
 	"github.com/azurerouter/azurerouter/standin/executor"
 )
 
@@ -290,3 +291,59 @@
 	}
 	leave()
 }
+
+// Guards against work that starts at a target after its agent has acknowledged
+// that it leaves: while starts are on their way, while an entry can't hear the
+// agent, and after the agent has started again.
+func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	disturbances := map[string]func(c *cluster, a *agentNode){
+		"nothing else happens": func(*cluster, *agentNode) {},
+		"one entry is cut off": func(c *cluster, a *agentNode) {
+			heal := c.cut(func(l *link) bool { return l.agent == a && l.entry == c.entries[0] })
+			c.after(700*time.Millisecond, heal)
+		},
+		"answers get lost": func(c *cluster, _ *agentNode) { c.lateShare = 0.1 },
+		"the agent starts again": func(c *cluster, a *agentNode) {
+			c.after(100*time.Millisecond, func() {
+				c.startAgent(a)
+				a.leave()
+			})
+		},
+	}
+	for name, disturb := range disturbances {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 51, 3, equalRooms(4, 16000))
+			c.run(500 * time.Millisecond)
+			c.load(time.Second, 60, func() {})
+			a := c.agents[1]
+			a.leave()
+			disturb(c, a)
+			// Starts that the agent had sent before are carried out.
+			c.run(5 * time.Millisecond)
+			started, ordered := a.begun(), a.core.Dump().Counters.Started
+			c.load(2*time.Second, 60, func() {})
+			if now := a.begun(); now != started {
+				t.Errorf("%d runs have begun since", now-started)
+			}
+			if now := a.core.Dump().Counters.Started; name != "the agent starts again" && now != ordered {
+				t.Errorf("the agent has sent %d starts since", now-ordered)
+			}
+		})
+	}
+}
+
+// leave lets the target of an agent say that it is about to leave.
+func (a *agentNode) leave() {
+	a.sequence++
+	a.core.Reported(runner.TargetReport{Target: a.executor.ID, Service: serviceName, Born: a.executor.Born, Sequence: a.sequence,
+		Room: a.executor.Room, Draining: true})
+}
+
+// begun returns how many runs have begun at the target of an agent.
+func (a *agentNode) begun() int {
+	total := 0
+	for _, n := range a.executor.Starts {
+		total += n
+	}
+	return total
+}
