keeper, node: forward is the word for a call that a peer answers

"Pass on" and "others" were names of our own; the field says forward and peer. Log steps are forward_submit, forward_state and forward_cancel, the metric is durable_calls_forwarded. No change of behaviour.

--- a/connection/wire/durable.go
+++ b/connection/wire/durable.go
@@ -17,7 +17,7 @@
 
 // DurableCall asks another entry what a caller has asked of this one, because
 // the log turns this one away. The other entry answers by itself and does not
-// pass the call on.
+// forward the call.
 type DurableCall struct {
 	// Number tells the calls of one connection apart.
 	Number uint64        `cbor:"1,keyasint"`
--- a/process/keeper/dump.go
+++ b/process/keeper/dump.go
@@ -8,7 +8,7 @@
 
 // counters count events since the start of the process.
 type counters struct {
-	accepted, notAccepted, undecided, passedOn, takenOver atomic.Uint64
+	accepted, notAccepted, undecided, forwarded, takenOver atomic.Uint64
 }
 
 func (c *counters) submitted(o Outcome) {
@@ -28,16 +28,16 @@
 	Accepted    uint64 `json:"accepted"`
 	NotAccepted uint64 `json:"not_accepted"`
 	Undecided   uint64 `json:"undecided"`
-	// PassedOn counts calls that another entry has answered, TakenOver jobs of
+	// Forwarded counts calls that another entry has answered, TakenOver jobs of
 	// entries that are gone.
-	PassedOn  uint64 `json:"passed_on"`
+	Forwarded uint64 `json:"forwarded"`
 	TakenOver uint64 `json:"taken_over"`
 }
 
 // Counts returns the counts up to now.
 func (k *Keeper) Counts() Counts {
 	return Counts{Accepted: k.counters.accepted.Load(), NotAccepted: k.counters.notAccepted.Load(), Undecided: k.counters.undecided.Load(),
-		PassedOn: k.counters.passedOn.Load(), TakenOver: k.counters.takenOver.Load()}
+		Forwarded: k.counters.forwarded.Load(), TakenOver: k.counters.takenOver.Load()}
 }
 
 // Dump is a copy of the state for operators.
--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -43,9 +43,9 @@
 	// IsFirst reports whether this entry goes before all others that it is
 	// connected to.
 	IsFirst func() bool
-	// Others returns the entries that can be asked while the log turns this one
+	// Peers returns the entries that can be asked while the log turns this one
 	// away.
-	Others func() []Other
+	Peers func() []Peer
 	// Now counts suspensions and never steps back.
 	Now func() time.Time
 	// UnixTime is the time of day.
@@ -148,8 +148,8 @@
 
 // New returns a keeper that does nothing before Run.
 func New(options Options, log Log, run Dispatcher, sink decision.Sink) *Keeper {
-	if options.Others == nil {
-		options.Others = func() []Other { return nil }
+	if options.Peers == nil {
+		options.Peers = func() []Peer { return nil }
 	}
 	return &Keeper{
 		options: options, log: log, run: run, sink: sink, started: options.Now(), wake: make(chan struct{}, 1), self: options.Self,
--- a/process/keeper/others.go
+++ b/process/keeper/peers.go
@@ -11,8 +11,8 @@
 	"github.com/azurerouter/azurerouter/request/batch"
 )
 
-// Other is another entry that can be asked about durable jobs.
-type Other interface {
+// Peer is another entry that can be asked about durable jobs.
+type Peer interface {
 	Name() string
 	// Ask returns the answer to a call. After an error nobody knows whether it
 	// was carried out. It may set the call's number.
@@ -42,7 +42,7 @@
 	if o.Code != NotAccepted || o.Refusal.Reason != dispatch.ReasonStoreAway {
 		return o
 	}
-	reply, asked := k.askOthers(ctx, wire.DurableCall{Action: wire.DurableSubmit, ID: s.Job.ID, Submission: &s})
+	reply, asked := k.askPeers(ctx, wire.DurableCall{Action: wire.DurableSubmit, ID: s.Job.ID, Submission: &s})
 	if !asked {
 		return o
 	}
@@ -53,7 +53,7 @@
 // Undecided means that nobody who was asked has read the log.
 func (k *Keeper) State(ctx context.Context, id batch.ID) (ledger.State, bool, Code) {
 	if k.cutOff() {
-		if reply, asked := k.askOthers(ctx, wire.DurableCall{Action: wire.DurableState, ID: id}); asked {
+		if reply, asked := k.askPeers(ctx, wire.DurableCall{Action: wire.DurableState, ID: id}); asked {
 			return ledger.State(reply.State), reply.Begun, Code(reply.Code)
 		}
 	}
@@ -63,14 +63,14 @@
 // Cancel asks for the end of a job.
 func (k *Keeper) Cancel(ctx context.Context, id batch.ID) Outcome {
 	if k.cutOff() {
-		if reply, asked := k.askOthers(ctx, wire.DurableCall{Action: wire.DurableCancel, ID: id}); asked {
+		if reply, asked := k.askPeers(ctx, wire.DurableCall{Action: wire.DurableCancel, ID: id}); asked {
 			return outcomeOf(reply)
 		}
 	}
 	return k.cancel(ctx, id)
 }
 
-// Serve answers a call that another entry passes on.
+// Serve answers a call that another entry forwards.
 func (k *Keeper) Serve(ctx context.Context, call *wire.DurableCall) wire.DurableReply {
 	switch {
 	case call.Action == wire.DurableSubmit && call.Submission != nil:
@@ -99,32 +99,32 @@
 	return o
 }
 
-// askOthers passes a call on to one entry after the other, until one can answer
+// askPeers forwards a call to one entry after the other, until one can answer
 // it. A submission without an answer may have been accepted, so no other entry
 // is asked and the caller is told that it is undecided.
-func (k *Keeper) askOthers(ctx context.Context, call wire.DurableCall) (wire.DurableReply, bool) {
-	for _, other := range k.options.Others() {
+func (k *Keeper) askPeers(ctx context.Context, call wire.DurableCall) (wire.DurableReply, bool) {
+	for _, peer := range k.options.Peers() {
 		asking, cancel := context.WithTimeout(ctx, askTimeout)
-		reply, err := other.Ask(asking, call)
+		reply, err := peer.Ask(asking, call)
 		cancel()
 		switch {
 		case err != nil && call.Action == wire.DurableSubmit:
-			k.passedOn(call, other, string(Undecided), err.Error())
+			k.noteForward(call, peer, string(Undecided), err.Error())
 			return wire.DurableReply{Code: string(Undecided)}, true
 		case err != nil:
-			k.passedOn(call, other, "unanswered", err.Error())
+			k.noteForward(call, peer, "unanswered", err.Error())
 		case reply.Code == string(NotAccepted) && reply.Reason == string(dispatch.ReasonStoreAway):
 		default:
-			k.counters.passedOn.Add(1)
-			k.passedOn(call, other, reply.Code, reply.Reason)
+			k.counters.forwarded.Add(1)
+			k.noteForward(call, peer, reply.Code, reply.Reason)
 			return reply, true
 		}
 	}
 	return wire.DurableReply{}, false
 }
 
-func (k *Keeper) passedOn(call wire.DurableCall, other Other, outcome, reason string) {
-	k.sink.Decided(decision.Decision{Step: "pass_on_" + string(call.Action), Job: call.ID, Peer: other.Name(), Outcome: outcome, Reason: reason})
+func (k *Keeper) noteForward(call wire.DurableCall, peer Peer, outcome, reason string) {
+	k.sink.Decided(decision.Decision{Step: "forward_" + string(call.Action), Job: call.ID, Peer: peer.Name(), Outcome: outcome, Reason: reason})
 }
 
 // cutOff reports whether this entry can't read the log or not write to it, so
--- a/process/keeper/others_test.go
+++ b/process/keeper/peers_test.go
@@ -43,8 +43,8 @@
 }
 
 // newTurnedAway returns a keeper that the store turns away, with neighbours.
-func newTurnedAway(t *testing.T, c *clock, others ...Other) *Keeper {
-	k := New(Options{Node: "node-a", Self: "a", IsFirst: func() bool { return false }, Others: func() []Other { return others },
+func newTurnedAway(t *testing.T, c *clock, peers ...Peer) *Keeper {
+	k := New(Options{Node: "node-a", Self: "a", IsFirst: func() bool { return false }, Peers: func() []Peer { return peers },
 		Now: c.now, UnixTime: c.now}, turnedAwayLog{}, newRuns(), noSink{})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
@@ -58,7 +58,7 @@
 
 // Guards against callers who are refused, or get no state, though only the entry
 // that they have reached is turned away by the store.
-func TestCallsArePassedOnWhileTheStoreTurnsAnEntryAway(t *testing.T) {
+func TestCallsAreForwardedWhileTheStoreTurnsAnEntryAway(t *testing.T) {
 	log, c, ctx := newSharedLog(), &clock{}, context.Background()
 	b := startEntry(t, log, c, "b")
 	away := newTurnedAway(t, c)
@@ -79,7 +79,7 @@
 	if o := a.Cancel(ctx, "unknown"); o.Code != NotKnown {
 		t.Errorf("cancel of an unknown job: %+v", o)
 	}
-	if got, expected := a.Counts(), (Counts{Accepted: 1, PassedOn: 5}); got != expected {
+	if got, expected := a.Counts(), (Counts{Accepted: 1, Forwarded: 5}); got != expected {
 		t.Errorf("counts %+v, expected %+v", got, expected)
 	}
 	if d := a.Dump(); d.Reads || d.Mine != 0 {
--- a/process/node/agent.go
+++ b/process/node/agent.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 
 	"github.com/azurerouter/azurerouter/connection/stream"
@@ -17,15 +16,8 @@
 	"github.com/azurerouter/azurerouter/process/runner"
 )
 
-// Times of a process.
+// Times and bounds of an agent process.
 const (
-	// tickInterval is how often what is due is looked for.
-	tickInterval = 15 * time.Millisecond
-	// stopMargin is what is left of the grace time when a process gives up
-	// what has not ended.
-	stopMargin = 700 * time.Millisecond
-	// stopPoll is how often a stopping process looks whether it may end.
-	stopPoll = 10 * time.Millisecond
 	// maxHolds is how many calls wait at a target whose answers get lost.
 	maxHolds = 3
 	// targetPoll is the pause before the next look for a target to hold.
@@ -33,7 +25,6 @@
 	// directoryInterval is how often a process that is connected to no entry
 	// asks the platform's store for entries.
 	directoryInterval = 2 * time.Second
-	reportInterval    = time.Second
 )
 
 // TargetClient calls the target beside an agent.
@@ -315,28 +306,3 @@
 	a.observer.Log.Info().Str("step", "stop").Int("runs", a.core.Runs()).Int64("took_ms", time.Since(began).Milliseconds()).Msg("agent ends")
 	return nil
 }
-
-// every calls f at an interval until the context ends.
-func every(ctx context.Context, interval time.Duration, f func()) error {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			f()
-		}
-	}
-}
-
-// addServer adds an HTTP server to a run group.
-func addServer(g *run.Group, name, addr string, handler http.Handler) {
-	server := &http.Server{Addr: addr, Handler: handler, ReadHeaderTimeout: headerTimeout}
-	g.Add(func() error {
-		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
-			return errors.Wrapf(err, "serve %s on %s", name, addr)
-		}
-		return nil
-	}, func(error) { server.Close() })
-}
--- a/process/node/durablecalls.go
+++ b/process/node/durablecalls.go
@@ -51,7 +51,7 @@
 // Name is that of the other entry.
 func (l *processLink) Name() string { return l.name }
 
-// Ask implements keeper.Other.
+// Ask implements keeper.Peer.
 func (l *processLink) Ask(ctx context.Context, call wire.DurableCall) (wire.DurableReply, error) {
 	number, answer := l.calls.add()
 	defer l.calls.remove(number)
@@ -85,19 +85,19 @@
 	}()
 }
 
-// otherEntries returns one connection to each entry that is connected, in the
+// keeperPeers returns one connection to each entry that is connected, in the
 // order of their names.
-func (e *Entry) otherEntries() []keeper.Other {
+func (e *Entry) keeperPeers() []keeper.Peer {
 	e.mu.Lock()
 	byName := make(map[string]*processLink)
 	for l := range e.peers {
 		byName[l.name] = l
 	}
 	e.mu.Unlock()
-	others := make([]keeper.Other, 0, len(byName))
+	peers := make([]keeper.Peer, 0, len(byName))
 	for _, l := range byName {
-		others = append(others, l)
+		peers = append(peers, l)
 	}
-	slices.SortFunc(others, func(a, b keeper.Other) int { return cmp.Compare(a.Name(), b.Name()) })
-	return others
+	slices.SortFunc(peers, func(a, b keeper.Peer) int { return cmp.Compare(a.Name(), b.Name()) })
+	return peers
 }
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -28,9 +28,8 @@
 const (
 	// lingerTime is how long a stopping entry still accepts connections. The
 	// balancer takes it out of rotation after two questions, one a second.
-	lingerTime    = 2500 * time.Millisecond
-	headerTimeout = 3 * time.Second
-	idleTimeout   = time.Minute
+	lingerTime  = 2500 * time.Millisecond
+	idleTimeout = time.Minute
 	// peerPulse keeps the connections to other entries from being idle. With each
 	// pulse of pulsesPerMembers an entry also tells which entries it knows: these
 	// lists grow with the square of the entries.
@@ -101,7 +100,7 @@
 	e := &Entry{options: options, observer: observer, decisions: decisions, self: wire.NewIncarnation(),
 		started: time.Now(), configured: make(chan struct{}), agents: make(map[wire.Incarnation]*processLink), peers: make(map[*processLink]bool)}
 	e.Core = dispatch.New((*entryEnv)(e), e.self, options.Zone, uint64(time.Now().UnixNano()))
-	e.keeper = keeper.New(keeper.Options{Node: options.Node, Self: ledger.Owner(e.self.String()), IsFirst: e.hasFirstName, Others: e.otherEntries, Now: clock.Now, UnixTime: time.Now},
+	e.keeper = keeper.New(keeper.Options{Node: options.Node, Self: ledger.Owner(e.self.String()), IsFirst: e.hasFirstName, Peers: e.keeperPeers, Now: clock.Now, UnixTime: time.Now},
 		options.Jobs, e.Core, decisions)
 	e.metrics = newEntryMetrics(observer, e)
 	e.dialer = newDialer(options.AdvertiseAddr, options.Seeds, observer.Log, e.connect)
--- a/process/node/metrics.go
+++ b/process/node/metrics.go
@@ -66,7 +66,7 @@
 	m.add(observe.DurableSubmissions, observe.TagOutcome, string(keeper.Accepted), n.Accepted)
 	m.add(observe.DurableSubmissions, observe.TagOutcome, string(keeper.NotAccepted), n.NotAccepted)
 	m.add(observe.DurableSubmissions, observe.TagOutcome, string(keeper.Undecided), n.Undecided)
-	m.add(observe.DurablePassedOn, "", "", n.PassedOn)
+	m.add(observe.DurableForwarded, "", "", n.Forwarded)
 	m.add(observe.DurableTakenOver, "", "", n.TakenOver)
 }
 
--- a/process/observe/names.go
+++ b/process/observe/names.go
@@ -90,9 +90,9 @@
 	CallerResponses = "caller_responses"
 	// DurableSubmissions counts submissions of durable jobs, by TagOutcome.
 	DurableSubmissions = "durable_submissions"
-	// DurablePassedOn counts calls about durable jobs that another entry has
+	// DurableForwarded counts calls about durable jobs that another entry has
 	// answered.
-	DurablePassedOn = "durable_calls_passed_on"
+	DurableForwarded = "durable_calls_forwarded"
 	// DurableTakenOver counts durable jobs taken over from entries that are gone.
 	DurableTakenOver = "durable_jobs_taken_over"
 	// DurableHere is the number of durable jobs that run at the entry.
