--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -86,8 +86,15 @@
 	if p := c.pools[service]; p != nil {
 		return p
 	}
-	p = &pool{service: service, random: rand.New(rand.NewPCG(c.seed, uint64(len(c.pools)))),
-		targets: make(map[wire.Incarnation]*target), jobs: make(map[batch.ID]*activeJob), durable: make(map[batch.ID]*activeJob), answers: make(map[batch.ID]keptAnswer), repeats: make(repeats)}
+	p = &pool{
+		service: service,
+		random:  rand.New(rand.NewPCG(c.seed, uint64(len(c.pools)))),
+		targets: make(map[wire.Incarnation]*target),
+		jobs:    make(map[batch.ID]*activeJob),
+		durable: make(map[batch.ID]*activeJob),
+		answers: make(map[batch.ID]keptAnswer),
+		repeats: make(repeats),
+	}
 	c.pools[service] = p
 	return p
 }
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -97,11 +97,15 @@
 // NewEntry prepares an entry process. It opens nothing yet.
 func NewEntry(options EntryOptions, observer *observe.Observer, decisions *observe.Decisions) *Entry {
 	options.AdvertiseAddr = cmp.Or(options.AdvertiseAddr, options.LinkAddr)
-	e := &Entry{options: options, observer: observer, decisions: decisions, self: wire.NewIncarnation(),
-		started: time.Now(), configured: make(chan struct{}), agents: make(map[wire.Incarnation]*processLink), peers: make(map[*processLink]bool)}
+	e := &Entry{
+		options: options, observer: observer, decisions: decisions, self: wire.NewIncarnation(), started: time.Now(),
+		configured: make(chan struct{}),
+		agents:     make(map[wire.Incarnation]*processLink),
+		peers:      make(map[*processLink]bool),
+	}
 	e.Core = dispatch.New((*entryEnv)(e), e.self, options.Zone, uint64(time.Now().UnixNano()))
-	e.keeper = keeper.New(keeper.Options{Node: options.Node, Self: ledger.Owner(e.self.String()), IsFirst: e.hasFirstName, Peers: e.keeperPeers, Now: clock.Now, UnixTime: time.Now},
-		options.Jobs, e.Core, decisions)
+	e.keeper = keeper.New(keeper.Options{Node: options.Node, Self: ledger.Owner(e.self.String()), IsFirst: e.hasFirstName,
+		Peers: e.keeperPeers, Now: clock.Now, UnixTime: time.Now}, options.Jobs, e.Core, decisions)
 	e.metrics = newEntryMetrics(observer, e)
 	e.dialer = newDialer(options.AdvertiseAddr, options.Seeds, observer.Log, e.connect)
 	return e
