keeper: a job that is cancelled is not started by its next owner

The owner was cut off from the store; the cancelling was accepted through another entry. The entry that took the job over ran it first and looked at the cancelling after that, so that orders went out in between and a run lived for 20 ms.

Ruled out: a late order (the run has the number of the second owner, 1001).

Change: an owner that finds a job cancelled records its end without running it. TestCancelledJobIsNotStartedByItsNextOwner fails without it.

--- a/process/keeper/keeper_test.go
+++ b/process/keeper/keeper_test.go
@@ -475,3 +475,26 @@
 		t.Errorf("after reading: open %v, known %v", open, known)
 	}
 }
+
+// Guards against a task of a cancelled job that starts when another entry takes
+// the job over from an owner that could not read the cancelling.
+func TestCancelledJobIsNotStartedByItsNextOwner(t *testing.T) {
+	log, ca, cb, ctx := newSharedLog(), &clock{}, &clock{}, context.Background()
+	a := startEntry(t, log, ca, "a")
+	if o := a.Submit(ctx, submission("j")); o.Code != Accepted {
+		t.Fatalf("%+v", o)
+	}
+	a.stop()
+	b := startEntry(t, log, cb, "b")
+	if o := b.Cancel(ctx, "j"); o.Code != Accepted {
+		t.Fatalf("%+v", o)
+	}
+	cb.advance(2*silentAfter + secondAfter)
+	eventually(t, "the end", func() bool {
+		state, _, _ := b.State(ctx, "j")
+		return state == ledger.Cancelled
+	})
+	if started := b.runs.startedJobs(); len(started) > 0 {
+		t.Errorf("started %+v", started)
+	}
+}
--- a/process/keeper/reader.go
+++ b/process/keeper/reader.go
@@ -94,14 +94,24 @@
 			k.drop(id)
 		}
 	case v.Progress.State != ledger.Open:
-	case !runs && !k.settled[id]:
+	case k.settled[id]:
+	case v.Cancelled:
+		k.cancelOwn(id, v, runs)
+	case !runs:
 		k.start(now, id, v)
 	}
-	if _, runs := k.mine[id]; runs && v.Cancelled && v.Owner == k.self && v.Progress.State == ledger.Open {
-		k.decided(id, "durable", "cancelled", "caller", v.Term)
+}
+
+// cancelOwn ends a job that a caller has cancelled. One that this entry has just
+// taken over is not started first.
+func (k *Keeper) cancelOwn(id batch.ID, v ledger.View, runs bool) {
+	k.decided(id, "durable", "cancelled", "caller", v.Term)
+	if runs {
 		k.run.StopDurable(id)
-		k.finished(id, ledger.Cancelled)
 	}
+	delete(k.notBefore, id)
+	k.mine[id] = v.Term
+	k.finished(id, ledger.Cancelled)
 }
 
 // ended answers the callers who wait for the end of a job.
