platform, keeper, ledger: entries that start read the whole log of kept jobs

Ruled out: rates and history of the store; a trial on a scratch copy with a condition on these reads shows the time-outs at keys three quarters through.

An entry of an earlier build takes the deletion of an accept record for that of the whole job, so builds must not be mixed while jobs are kept.

--- a/process/keeper/dump.go
+++ b/process/keeper/dump.go
@@ -9,6 +9,8 @@
 // counters holds the event counts since the start of the process.
 type counters struct {
 	accepted, notAccepted, undecided, forwarded, takenOver atomic.Uint64
+	// snapshotRecords is the number of records read of the newest snapshot.
+	snapshotRecords atomic.Uint64
 }
 
 // countSubmission counts a submission by its outcome.
@@ -47,8 +49,10 @@
 type Dump struct {
 	// Self is the name under which the entry owns jobs.
 	Self ledger.Owner `json:"self"`
-	// CaughtUp is whether a snapshot of the log has been read.
+	// CaughtUp is whether the log has been read to its end since the start.
 	CaughtUp bool `json:"caught_up"`
+	// SnapshotRecords is the number of records read of the newest snapshot.
+	SnapshotRecords uint64 `json:"snapshot_records"`
 	// LogReadable is whether the last read of the log succeeded.
 	LogReadable bool `json:"reads"`
 	// LogUnavailable is whether the log refuses appends or leaves them unanswered.
@@ -69,6 +73,6 @@
 func (k *Keeper) Dump() Dump {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return Dump{Self: k.self, CaughtUp: k.caughtUp, LogReadable: !k.logReadableSince.IsZero(), LogUnavailable: k.logUnavailable, Suspended: k.suspended,
+	return Dump{Self: k.self, CaughtUp: k.caughtUp, SnapshotRecords: k.counters.snapshotRecords.Load(), LogReadable: !k.logReadableSince.IsZero(), LogUnavailable: k.logUnavailable, Suspended: k.suspended,
 		NextOffset: k.nextOffset, OwnedJobs: len(k.ownedJobs), QueuedRecords: len(k.queue), Counts: k.Counts()}
 }
--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -71,7 +71,7 @@
 	wake chan struct{}
 	// openJobs is the set of durable jobs that have not ended, by batch.ID.
 	openJobs sync.Map
-	// logRead is set once a page of the log has been read.
+	// logRead is set with caughtUp.
 	logRead atomic.Bool
 	unsaved unsavedProgress
 
@@ -82,7 +82,7 @@
 	self       ledger.Owner
 	table      *ledger.Table
 	nextOffset uint64
-	// caughtUp is set once a snapshot of the log has been read.
+	// caughtUp is set once the log has been read to its end.
 	caughtUp bool
 	// logReadableSince is the start of the current period without failed reads of
 	// the log, or zero if the last read failed.
--- a/process/keeper/keeper_test.go
+++ b/process/keeper/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -93,11 +94,11 @@
 	return Done
 }
 
-func (l *memoryLog) Follow(ctx context.Context, apply func(Page), noteResult func(error)) {
+func (l *memoryLog) Follow(ctx context.Context, reader Reader) {
 	next, snapshot := 0, true
 	for ctx.Err() == nil {
 		l.mu.Lock()
-		page := Page{Snapshot: snapshot, Next: uint64(len(l.records))}
+		page := Page{Snapshot: snapshot, UpToDate: true, Next: uint64(len(l.records))}
 		for offset := next; offset < len(l.records); offset++ {
 			page.Records = append(page.Records, ReadRecord{uint64(offset), l.records[offset]})
 		}
@@ -105,8 +106,8 @@
 		l.mu.Unlock()
 		if !blocked && (snapshot || len(page.Records) > 0) {
 			next, snapshot = int(page.Next), false
-			apply(page)
-			noteResult(nil)
+			reader.Apply(page)
+			reader.NoteResult(nil)
 		}
 		select {
 		case <-ctx.Done():
@@ -491,7 +492,7 @@
 	if _, known := b.IsOpen("j"); known {
 		t.Error("IsOpen is known before the log was read")
 	}
-	b.applyPage(Page{Snapshot: true, Next: 1, Records: []ReadRecord{{0, log.records[0]}}})
+	b.applyPage(Page{Snapshot: true, UpToDate: true, Next: 1, Records: []ReadRecord{{0, log.records[0]}}})
 	if open, known := b.IsOpen("j"); !open || !known {
 		t.Errorf("IsOpen after the log was read: open %v, known %v", open, known)
 	}
@@ -519,3 +520,70 @@
 		t.Errorf("started %+v, expected no job", started)
 	}
 }
+
+// newestRecords returns the records that a snapshot of the log has.
+func (l *memoryLog) newestRecords() map[string][]byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	newest := make(map[string][]byte)
+	for _, r := range l.records {
+		if newest[r.Key] = r.Value; len(r.Value) == 0 {
+			delete(newest, r.Key)
+		}
+	}
+	return newest
+}
+
+// Guards against a log in which entries that start have to read the specifications of
+// all jobs that have ended, and against a job that is unknown or runs again at such an
+// entry.
+func TestEndedJobsLeaveOneSmallRecord(t *testing.T) {
+	const maxRecordBytes = 64
+	log, c := newMemoryLog(), &clock{}
+	e := startEntry(t, log, c, "a")
+	job := submission("j")
+	job.Job.Spec = strings.Repeat("x", 4000)
+	if o := e.Submit(context.Background(), job); o.Code != Accepted {
+		t.Fatalf("submit: %+v", o)
+	}
+	eventually(t, "the start of the job", func() bool { return len(e.dispatcher.startedJobs()) == 1 })
+	e.dispatcher.finished["j"](dispatch.Result{Code: dispatch.Completed})
+	eventually(t, "the completed state", func() bool {
+		state, _, _ := e.State(context.Background(), "j")
+		return state == ledger.Completed
+	})
+	records := log.newestRecords()
+	if len(records) != 1 {
+		t.Errorf("%d records in a snapshot, expected the end alone", len(records))
+	}
+	for key, value := range records {
+		if len(value) > maxRecordBytes {
+			t.Errorf("record %s has %d bytes, expected at most %d", key, len(value), maxRecordBytes)
+		}
+	}
+	later := startEntry(t, log, c, "b")
+	if o := later.Submit(context.Background(), job); o.Code != Accepted {
+		t.Errorf("sent again to an entry that started later: %+v", o)
+	}
+	if state, _, _ := later.State(context.Background(), "j"); state != ledger.Completed {
+		t.Errorf("state %s at an entry that started later, expected %s", state, ledger.Completed)
+	}
+	if n := len(later.dispatcher.startedJobs()); n != 0 {
+		t.Errorf("the ended job was started %d times by an entry that started later", n)
+	}
+}
+
+// Guards against an entry that answers calls by a snapshot that it read while others
+// appended records, which are not all in it.
+func TestSnapshotAloneIsNotUpToDate(t *testing.T) {
+	e := New(Options{Owner: "a", Now: time.Now, UnixTime: time.Now}, newMemoryLog(), newFakeDispatcher(), discardSink{})
+	e.noteReadResult(nil)
+	e.applyPage(Page{Snapshot: true, Next: 7})
+	if _, _, code := e.State(context.Background(), "j"); code != Undecided {
+		t.Errorf("state of an unknown job after the snapshot: %s, expected %s", code, Undecided)
+	}
+	e.applyPage(Page{UpToDate: true, Next: 9})
+	if _, _, code := e.State(context.Background(), "j"); code != UnknownJob {
+		t.Errorf("state of an unknown job at the end of the log: %s, expected %s", code, UnknownJob)
+	}
+}
--- a/process/keeper/log.go
+++ b/process/keeper/log.go
@@ -75,6 +75,8 @@
 	// Snapshot is set if the page is a snapshot: it holds the newest record of each
 	// key and replaces everything that was read before.
 	Snapshot bool
+	// UpToDate is set if the page ended at the end of the log when it was read.
+	UpToDate bool
 	Records  []ReadRecord
 	// Next is the offset after the last record of the page.
 	Next uint64
@@ -84,8 +86,19 @@
 type Log interface {
 	// Append appends records to the log.
 	Append(ctx context.Context, a AppendRequest) AppendResult
-	// Follow reads the log and passes each page to apply until the context ends.
-	// It calls noteResult with the error of each failed read and with nil after
-	// each successful one.
-	Follow(ctx context.Context, apply func(Page), noteResult func(error))
+	// Follow reads the log, a snapshot first, and passes it to the reader until the
+	// context ends.
+	Follow(ctx context.Context, reader Reader)
+}
+
+// Reader receives what Log.Follow reads. Its functions are called one at a time.
+type Reader struct {
+	// Apply receives each page in order.
+	Apply func(Page)
+	// NoteResult receives the error of each failed read, and nil after each successful
+	// one.
+	NoteResult func(error)
+	// NoteSnapshot receives the number of records of a snapshot that have been read
+	// while the snapshot is still being read.
+	NoteSnapshot func(records int)
 }
--- a/process/keeper/peers_test.go
+++ b/process/keeper/peers_test.go
@@ -20,8 +20,8 @@
 	return AppendResult{Verdict: Refused, Err: errLogRefused}
 }
 
-func (refusingLog) Follow(ctx context.Context, _ func(Page), noteResult func(error)) {
-	noteResult(errLogRefused)
+func (refusingLog) Follow(ctx context.Context, reader Reader) {
+	reader.NoteResult(errLogRefused)
 	<-ctx.Done()
 }
 
--- a/process/keeper/reader.go
+++ b/process/keeper/reader.go
@@ -24,6 +24,18 @@
 	}
 }
 
+// noteSnapshot notes how many records of a snapshot have been read.
+func (k *Keeper) noteSnapshot(records int) { k.counters.snapshotRecords.Store(uint64(records)) }
+
+// CatchUp reports whether the log has been read to its end since the start of the
+// process, before which no job can be accepted, and how many records the snapshot has
+// of which it was read.
+func (k *Keeper) CatchUp() (done bool, records uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.caughtUp, k.counters.snapshotRecords.Load()
+}
+
 // applyPage applies a page of the log to the table and updates the jobs that it
 // changes.
 func (k *Keeper) applyPage(p Page) {
@@ -31,7 +43,7 @@
 	defer k.mu.Unlock()
 	now := k.options.Now()
 	if p.Snapshot {
-		k.table, k.caughtUp = ledger.NewTable(), true
+		k.table = ledger.NewTable()
 	}
 	changed := make(map[batch.ID]bool)
 	var toUpdate []batch.ID
@@ -62,7 +74,12 @@
 	for _, id := range toUpdate {
 		k.updateJob(now, id)
 	}
-	k.logRead.Store(true)
+	if p.UpToDate && !k.caughtUp {
+		k.caughtUp = true
+		k.logRead.Store(true)
+		k.recorder.Record(decision.Decision{Step: "job_log", Outcome: "caught_up", Version: p.Next, Age: now.Sub(k.started),
+			Inputs: []decision.Input{{Name: "snapshot_records", Value: int64(k.counters.snapshotRecords.Load())}}})
+	}
 }
 
 // updateJob brings this entry in line with the state of a job in the log: it
--- a/process/keeper/takeover.go
+++ b/process/keeper/takeover.go
@@ -34,7 +34,7 @@
 		k.runWriter(ctx)
 	}()
 	go k.runPeriodicTasks(ctx)
-	k.log.Follow(ctx, k.applyPage, k.noteReadResult)
+	k.log.Follow(ctx, Reader{Apply: k.applyPage, NoteResult: k.noteReadResult, NoteSnapshot: k.noteSnapshot})
 	<-done
 	return nil
 }
--- a/process/keeper/writer.go
+++ b/process/keeper/writer.go
@@ -114,21 +114,20 @@
 		if !owned {
 			continue
 		}
-		progress := ledger.Progress{State: ledger.Open}
-		tasks, ends := k.dispatcher.DurableProgress(id)
-		if state := finalStates[id]; state != "" {
-			progress.State = state
-		}
-		for _, t := range tasks {
-			progress.Tasks = append(progress.Tasks, ledger.TaskProgress(t))
-		}
+		progress, ends := k.currentProgress(id, finalStates[id])
 		r, err := ledger.ProgressRecord(id, term, k.self, progress)
 		if err != nil {
 			k.logDecision(id, "durable", "unwritten", err.Error(), term)
 			continue
 		}
-		b.progress = append(b.progress, batchedProgress{id, ends, progress.State != ledger.Open})
+		final := progress.State != ledger.Open
+		b.progress = append(b.progress, batchedProgress{id, ends, final})
 		add(r)
+		if final {
+			for _, tombstone := range k.table.EndedTombstones(id, term, k.self) {
+				add(tombstone)
+			}
+		}
 	}
 	// While the log is unavailable, the heartbeat probes whether it is back.
 	if len(b.records) == 0 && (k.logUnavailable || len(k.ownedJobs) > 0) && k.options.Now().Sub(k.lastAppend) > heartbeatInterval {
@@ -145,6 +144,21 @@
 	return b
 }
 
+// currentProgress returns the progress of a job that runs here and the number of ended
+// runs that it covers. The tasks of a job with a final state are left out, since only
+// the state is needed any more.
+func (k *Keeper) currentProgress(id batch.ID, final ledger.State) (ledger.Progress, int) {
+	tasks, ends := k.dispatcher.DurableProgress(id)
+	if final != "" {
+		return ledger.Progress{State: final}, ends
+	}
+	progress := ledger.Progress{State: ledger.Open}
+	for _, t := range tasks {
+		progress.Tasks = append(progress.Tasks, ledger.TaskProgress(t))
+	}
+	return progress, ends
+}
+
 // appendUntilDecided repeats the append of a batch until it succeeds, the owner is
 // deposed, the batch is empty because all its calls were refused, or the context
 // ends. It reports whether it succeeded, which uses up the sequence number.
--- a/process/ledger/table.go
+++ b/process/ledger/table.go
@@ -15,7 +15,9 @@
 // Table holds the state of all jobs and owners that follows from the records of
 // the log up to an offset. It is not safe for concurrent use.
 type Table struct {
-	jobs   map[batch.ID]*job
+	jobs map[batch.ID]*job
+	// open is the subset of jobs that have been accepted and have not ended.
+	open   map[batch.ID]*job
 	owners map[Owner]*owner
 }
 
@@ -53,8 +55,9 @@
 
 // View is the state of one job according to its current claim.
 type View struct {
-	Owner       Owner
-	Term        uint64
+	Owner Owner
+	Term  uint64
+	// AcceptedJob is empty once the job has ended and its accept record was deleted.
 	AcceptedJob AcceptedJob
 	Progress    Progress
 	Cancelled   bool
@@ -64,7 +67,7 @@
 
 // NewTable returns the table of an empty log.
 func NewTable() *Table {
-	return &Table{jobs: make(map[batch.ID]*job), owners: make(map[Owner]*owner)}
+	return &Table{jobs: make(map[batch.ID]*job), open: make(map[batch.ID]*job), owners: make(map[Owner]*owner)}
 }
 
 // Apply adds the record at an offset, which was read at now, to the table. It
@@ -79,14 +82,30 @@
 	if k.owner != "" && len(r.Value) > 0 {
 		t.markSeen(now, k.owner)
 	}
-	switch k.kind {
-	case kindHeartbeat:
+	if k.kind == kindHeartbeat {
 		return "", t.applyHeartbeat(k.owner, r.Value)
-	case kindCancel:
+	}
+	defer t.updateOpen(k.job)
+	switch {
+	case k.kind == kindCancel:
 		t.applyCancel(k.job, r.Value)
-		return k.job, nil
+	case len(r.Value) == 0:
+		t.applyClaimTombstone(k)
+	default:
+		return k.job, t.applyClaim(now, offset, k, r.Value)
+	}
+	return k.job, nil
+}
+
+// updateOpen updates the set of open jobs after a record of a job was applied.
+func (t *Table) updateOpen(id batch.ID) {
+	if j := t.jobs[id]; j != nil {
+		if c := j.currentClaim(); c != nil && !c.hasEnded() {
+			t.open[id] = j
+			return
+		}
 	}
-	return k.job, t.applyClaim(now, offset, k, r.Value)
+	delete(t.open, id)
 }
 
 // markSeen notes that a record of an owner was read.
@@ -130,15 +149,32 @@
 	t.ensureJob(id).cancelled = true
 }
 
-func (t *Table) applyClaim(now time.Time, offset uint64, k key, value []byte) error {
-	j := t.ensureJob(k.job)
+// applyClaimTombstone deletes one of the records of a claim.
+func (t *Table) applyClaimTombstone(k key) {
+	j := t.jobs[k.job]
+	if j == nil {
+		return
+	}
 	c := claim{k.term, k.owner}
 	state := j.claims[c]
-	if len(value) == 0 {
+	if state == nil {
+		return
+	}
+	if k.kind == kindAccept {
+		state.acceptedJob = nil
+	} else {
+		state.progress = nil
+	}
+	if state.acceptedJob == nil && state.progress == nil {
 		delete(j.claims, c)
 		t.deleteIfUnclaimed(k.job)
-		return nil
 	}
+}
+
+func (t *Table) applyClaim(now time.Time, offset uint64, k key, value []byte) error {
+	j := t.ensureJob(k.job)
+	c := claim{k.term, k.owner}
+	state := j.claims[c]
 	if state == nil {
 		state = &claimState{claim: c}
 		j.claims[c] = state
@@ -156,7 +192,7 @@
 		return errors.Wrapf(err, "decode progress of job %s", k.job)
 	}
 	state.progress = &p
-	if current := j.currentClaim(); current == state && p.State != Open && j.endedAt.IsZero() {
+	if state.hasEnded() && j.endedAt.IsZero() && j.currentClaim() == state {
 		j.endedAt = now
 	}
 	return nil
@@ -169,24 +205,36 @@
 	}
 }
 
+// hasEnded reports whether the claim's owner has recorded the end of the job.
+func (c *claimState) hasEnded() bool { return c.progress != nil && c.progress.State != Open }
+
+// rank orders the claims of one term: the lowest one wins.
+func (c *claimState) rank() uint64 {
+	if c.acceptedJob == nil {
+		return 0
+	}
+	return c.acceptOffset + 1
+}
+
 // currentClaim returns the claim that decides who owns the job: the one with the
-// highest term and, within that term, the lowest offset of its accept record. It
-// is nil if no accept record of the job has been read.
+// highest term and, within that term, the lowest offset of its accept record. A claim
+// whose accept record was deleted when its owner ended the job precedes all others of
+// its term. It is nil if no claim of the job is known.
 func (j *job) currentClaim() *claimState {
 	var best *claimState
 	for _, c := range j.claims {
-		if c.acceptedJob == nil {
+		if c.acceptedJob == nil && !c.hasEnded() {
 			continue
 		}
-		if best == nil || cmp.Or(cmp.Compare(best.term, c.term), cmp.Compare(c.acceptOffset, best.acceptOffset)) < 0 {
+		if best == nil || cmp.Or(cmp.Compare(best.term, c.term), cmp.Compare(c.rank(), best.rank())) < 0 {
 			best = c
 		}
 	}
 	return best
 }
 
-// Job returns the state of a job. It reports false if no accept record of the job
-// has been read.
+// Job returns the state of a job. It reports false if neither an accept record of the
+// job nor its end has been read.
 func (t *Table) Job(id batch.ID) (View, bool) {
 	j := t.jobs[id]
 	if j == nil {
@@ -196,7 +244,10 @@
 	if c == nil {
 		return View{}, false
 	}
-	v := View{Owner: c.owner, Term: c.term, AcceptedJob: *c.acceptedJob, Progress: c.acceptedJob.Progress, Cancelled: j.cancelled, EndedAt: j.endedAt}
+	v := View{Owner: c.owner, Term: c.term, Cancelled: j.cancelled, EndedAt: j.endedAt}
+	if c.acceptedJob != nil {
+		v.AcceptedJob, v.Progress = *c.acceptedJob, c.acceptedJob.Progress
+	}
 	if c.progress != nil {
 		v.Progress = *c.progress
 	}
@@ -223,8 +274,8 @@
 // OpenJobs returns the jobs of an owner that have not ended, sorted by ID.
 func (t *Table) OpenJobs(name Owner) []batch.ID {
 	var open []batch.ID
-	for id := range t.jobs {
-		if v, ok := t.Job(id); ok && v.Owner == name && v.Progress.State == Open {
+	for id, j := range t.open {
+		if j.currentClaim().owner == name {
 			open = append(open, id)
 		}
 	}
@@ -246,9 +297,9 @@
 // replaced them. They are sorted by name.
 func (t *Table) DeadOwners(silentSince time.Time, node string, self Owner) []DeadOwner {
 	open := make(map[Owner][]batch.ID)
-	for id := range t.jobs {
-		if v, ok := t.Job(id); ok && v.Progress.State == Open && v.Owner != self {
-			open[v.Owner] = append(open[v.Owner], id)
+	for id, j := range t.open {
+		if name := j.currentClaim().owner; name != self {
+			open[name] = append(open[name], id)
 		}
 	}
 	var dead []DeadOwner
@@ -265,19 +316,52 @@
 	return dead
 }
 
+// EndedTombstones returns the records that delete all records of a job but the progress
+// record with which an owner ends it in a term. Of an ended job only its state is
+// needed, so that readers that start later have little to read.
+func (t *Table) EndedTombstones(id batch.ID, term uint64, name Owner) []Record {
+	j := t.jobs[id]
+	if j == nil {
+		return nil
+	}
+	return slices.DeleteFunc(j.tombstones(id), func(r Record) bool { return r.Key == claimKey(kindProgress, id, term, name) })
+}
+
+// tombstones returns the records that delete all records of a job.
+func (j *job) tombstones(id batch.ID) []Record {
+	var tombstones []Record
+	for c, state := range j.claims {
+		if state.acceptedJob != nil {
+			tombstones = append(tombstones, Record{Key: claimKey(kindAccept, id, c.term, c.owner)})
+		}
+		if state.progress != nil {
+			tombstones = append(tombstones, Record{Key: claimKey(kindProgress, id, c.term, c.owner)})
+		}
+	}
+	if j.cancelled {
+		tombstones = append(tombstones, Record{Key: string(kindCancel) + "/" + string(id)})
+	}
+	return tombstones
+}
+
 // ExpiredTombstones returns the records that delete all records of the jobs whose
-// end was first read before endedBefore.
+// end was first read before endedBefore, and those of owners without jobs of which
+// no record has been read since.
 func (t *Table) ExpiredTombstones(endedBefore time.Time) []Record {
 	var tombstones []Record
+	withJobs := make(map[Owner]bool)
 	for id, j := range t.jobs {
-		if j.endedAt.IsZero() || !j.endedAt.Before(endedBefore) {
+		if !j.endedAt.IsZero() && j.endedAt.Before(endedBefore) {
+			tombstones = append(tombstones, j.tombstones(id)...)
 			continue
 		}
 		for c := range j.claims {
-			tombstones = append(tombstones, Record{Key: claimKey(kindAccept, id, c.term, c.owner)}, Record{Key: claimKey(kindProgress, id, c.term, c.owner)})
+			withJobs[c.owner] = true
 		}
-		if j.cancelled {
-			tombstones = append(tombstones, Record{Key: string(kindCancel) + "/" + string(id)})
+	}
+	for name, o := range t.owners {
+		if !withJobs[name] && o.lastSeen.Before(endedBefore) {
+			tombstones = append(tombstones, Record{Key: string(kindHeartbeat) + "/" + string(name)})
 		}
 	}
 	return tombstones
@@ -288,9 +372,9 @@
 // tasks begun elsewhere the log holds only the ends.
 func (t *Table) Waiting(service, queue string, begun func(batch.ID) bool) int {
 	waiting := 0
-	for id := range t.jobs {
-		v, ok := t.Job(id)
-		if ok && v.Progress.State == Open && v.AcceptedJob.Service == service && v.AcceptedJob.Queue == queue && len(v.Progress.Tasks) == 0 && !begun(id) {
+	for id := range t.open {
+		v, _ := t.Job(id)
+		if v.AcceptedJob.Service == service && v.AcceptedJob.Queue == queue && len(v.Progress.Tasks) == 0 && !begun(id) {
 			waiting++
 		}
 	}
--- a/process/ledger/table_test.go
+++ b/process/ledger/table_test.go
@@ -100,6 +100,19 @@
 			s.progress("j", 1, "a", Failed)
 			s.records = append(s.records, Record{Key: claimKey(kindAccept, "j", 1, "b")})
 		}, "a", 1, Failed, 0},
+		"an ended job whose other records were deleted": {func(s *logBuilder) {
+			s.accept("j", 1, "a")
+			s.progress("j", 1, "a", Open, done)
+			s.accept("j", 2, "b", done)
+			s.progress("j", 2, "b", Completed)
+			s.records = append(s.records, s.applyAll().EndedTombstones("j", 2, "b")...)
+		}, "b", 2, Completed, 0},
+		"a claim that arrives after the end": {func(s *logBuilder) {
+			s.accept("j", 1, "a")
+			s.progress("j", 1, "a", Cancelled)
+			s.records = append(s.records, s.applyAll().EndedTombstones("j", 1, "a")...)
+			s.accept("j", 1, "b")
+		}, "a", 1, Cancelled, 0},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -165,6 +178,40 @@
 	}
 }
 
+// Guards against records of an ended job that readers who start later would have to
+// read, although only the state of the job is needed.
+func TestEndedJobKeepsOneRecord(t *testing.T) {
+	s := &logBuilder{t: t}
+	s.accept("j", 1, "a")
+	s.progress("j", 1, "a", Open)
+	s.accept("j", 2, "b")
+	s.add(CancelRecord("j"))
+	s.progress("j", 2, "b", Completed)
+	newest := make(map[string]bool)
+	for _, r := range append(s.records, s.applyAll().EndedTombstones("j", 2, "b")...) {
+		newest[r.Key] = len(r.Value) > 0
+	}
+	for key, kept := range newest {
+		if want := key == claimKey(kindProgress, "j", 2, "b"); kept != want {
+			t.Errorf("record %s kept: %v, expected %v", key, kept, want)
+		}
+	}
+}
+
+// Guards against a record of each former owner that stays in the log forever, and
+// against deleting the record of an owner that has jobs.
+func TestTombstonesRemoveSilentOwners(t *testing.T) {
+	s := &logBuilder{t: t}
+	s.accept("open", 1, "a")
+	for _, owner := range []Owner{"a", "b"} {
+		s.add(HeartbeatRecord(owner, Heartbeat{Node: "node"}))
+	}
+	tombstones := s.applyAll().ExpiredTombstones(readTime.Add(time.Second))
+	if len(tombstones) != 1 || tombstones[0].Key != string(kindHeartbeat)+"/b" || len(tombstones[0].Value) > 0 {
+		t.Errorf("tombstones %+v, expected one of owner b", tombstones)
+	}
+}
+
 // Guards against records that stay in the log forever after their job has ended
 // because no tombstone is written for them, and against tombstones for open jobs.
 func TestTombstonesRemoveExpiredJobs(t *testing.T) {
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -122,7 +122,7 @@
 	}
 	e.Core = dispatch.New((*entryEnv)(e), e.incarnation, options.Zone, uint64(time.Now().UnixNano()))
 	e.keeper = keeper.New(keeper.Options{Node: options.Node, Owner: ledger.Owner(e.incarnation.String()), IsFirstByName: e.hasLowestName,
-		Peers: e.keeperPeers, Now: clock.Now, UnixTime: time.Now}, options.Jobs, e.Core, decisions)
+		Peers: e.keeperPeers, Now: clock.Now, UnixTime: time.Now}, observedLog{options.Jobs, observer.Condition("store_jobs")}, e.Core, decisions)
 	e.metrics = newEntryMetrics(observer, e)
 	e.dialer = newDialer(options.AdvertiseAddr, options.Seeds, observer.Log, e.dialEntry)
 	return e
--- a/process/node/metrics.go
+++ b/process/node/metrics.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/azurerouter/azurerouter/process/dispatch"
@@ -33,18 +34,23 @@
 
 // entryMetrics exports the metrics of an entry process.
 type entryMetrics struct {
-	entry          *Entry
-	scope          tally.Scope
-	responseTime   tally.Histogram
-	activeJobs     tally.Gauge
-	durableJobs    tally.Gauge
-	routingVersion tally.Gauge
-	totals         map[string]*cumulativeCounter
+	entry        *Entry
+	scope        tally.Scope
+	responseTime tally.Histogram
+	activeJobs   tally.Gauge
+	durableJobs  tally.Gauge
+	// snapshotRecords is updated, and logUnread set, until the log of durable jobs has
+	// been read to its end.
+	snapshotRecords tally.Gauge
+	logUnread       *observe.Condition
+	routingVersion  tally.Gauge
+	totals          map[string]*cumulativeCounter
 }
 
 func newEntryMetrics(o *observe.Observer, e *Entry) *entryMetrics {
 	m := &entryMetrics{entry: e, scope: o.Metrics, responseTime: o.Metrics.Histogram(observe.ResponseSeconds, responseBuckets),
-		activeJobs: o.Metrics.Gauge(observe.JobsActive), durableJobs: o.Metrics.Gauge(observe.DurableJobsHere), routingVersion: o.Metrics.Gauge(observe.RoutingVersion), totals: make(map[string]*cumulativeCounter)}
+		activeJobs: o.Metrics.Gauge(observe.JobsActive), durableJobs: o.Metrics.Gauge(observe.DurableJobsHere),
+		snapshotRecords: o.Metrics.Gauge(observe.DurableSnapshotRecords), logUnread: o.Condition("durable_log_unread"), routingVersion: o.Metrics.Gauge(observe.RoutingVersion), totals: make(map[string]*cumulativeCounter)}
 	return m
 }
 
@@ -64,9 +70,22 @@
 		m.countJobs(m.entry.Counts())
 		m.countDurableJobs(m.entry.keeper.Counts())
 		m.durableJobs.Update(float64(m.entry.keeper.OwnedJobs()))
+		m.reportCatchUp()
 	})
 }
 
+var errLogUnread = errors.New("the log of durable jobs has not been read to its end; no job can be accepted before")
+
+func (m *entryMetrics) reportCatchUp() {
+	done, records := m.entry.keeper.CatchUp()
+	m.snapshotRecords.Update(float64(records))
+	if done {
+		m.logUnread.End()
+		return
+	}
+	m.logUnread.Begin(errors.Wrapf(errLogUnread, "%d records read", records))
+}
+
 func (m *entryMetrics) countDurableJobs(n keeper.Counts) {
 	m.add(observe.DurableSubmissions, observe.TagOutcome, string(keeper.Accepted), n.Accepted)
 	m.add(observe.DurableSubmissions, observe.TagOutcome, string(keeper.NotAccepted), n.NotAccepted)
--- a/process/observe/names.go
+++ b/process/observe/names.go
@@ -102,6 +102,9 @@
 	DurableJobsTakenOver = "durable_jobs_taken_over"
 	// DurableJobsHere is the number of durable jobs that run at the entry.
 	DurableJobsHere = "durable_jobs_here"
+	// DurableSnapshotRecords is the number of records read of the newest snapshot of
+	// the log of durable jobs.
+	DurableSnapshotRecords = "durable_snapshot_records"
 	// RoutingVersion is the version of the routing configuration in force.
 	RoutingVersion = "routing_version"
 
