agent: report a configuration that is rejected

Cause: looked for what could explain TestConcurrentPublications (KNOWN-RED.txt): agents dropped a configuration that was invalid or disagreed with theirs without a word, so that an agent behind the others left no trace. Whether that happened in the failed run can't be told from its logs.

Ruled out by reading: a message dropped by a full or closed send queue (it ends the connection, which would have been logged); a later configuration sent before an earlier one (both under activeMu); a connection registered after the message was marked as sent.

Change: Env.ReportConfigError; the daemon logs it, and counts a disagreement as a violation of G8, as entries do; simulations count any rejection as a violation. TestRejectedConfigIsReported fails without it. The test stays listed as red.

--- a/bench/capacity/agent.go
+++ b/bench/capacity/agent.go
@@ -63,6 +63,9 @@
 	return func() {}
 }
 
+// ReportConfigError implements agent.Env.
+func (h *agentHarness) ReportConfigError(wire.Incarnation, error) { h.violations++ }
+
 // ReportViolation implements agent.Env.
 func (h *agentHarness) ReportViolation(_, _, _, _ string) { h.violations++ }
 
--- a/bench/capacity/traffic.go
+++ b/bench/capacity/traffic.go
@@ -111,6 +111,9 @@
 // Now implements entry.Env and agent.Env.
 func (t *trafficSim) Now() time.Time { return t.now }
 
+// ReportConfigError implements agent.Env.
+func (t *trafficSim) ReportConfigError(wire.Incarnation, error) { t.violations++ }
+
 // ReportViolation implements entry.Env and agent.Env.
 func (t *trafficSim) ReportViolation(_, _, _, _ string) { t.violations++ }
 
--- a/process/agent/core.go
+++ b/process/agent/core.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/azurerouter/azurerouter/connection/target"
 	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/fencing"
@@ -33,6 +35,8 @@
 	// ended.
 	// cancel stops the call.
 	CallTarget(call target.Call, done func(target.Result)) (cancel func())
+	// ReportConfigError reports a configuration of an entry that was not applied.
+	ReportConfigError(entry wire.Incarnation, err error)
 	// ReportViolation reports a broken guarantee.
 	ReportViolation(guarantee, step, peer, detail string)
 }
@@ -148,7 +152,7 @@
 	case *wire.Fence:
 		c.fence(now, entry, m)
 	case *wire.Config:
-		c.applyConfig(m)
+		c.applyConfig(entry, m)
 	}
 	if !leaseHeld {
 		// Only a new connection renews a lapsed lease.
@@ -287,14 +291,19 @@
 }
 
 // applyConfig applies a configuration that is newer than the one in force.
-func (c *Core) applyConfig(m *wire.Config) {
+func (c *Core) applyConfig(entry wire.Incarnation, m *wire.Config) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	files := make([]config.File, len(m.Files))
 	for i, file := range m.Files {
 		files[i] = config.File{Name: file.Name, Version: file.Version, Content: file.Content}
 	}
-	if !c.config.Restore(m.Offset, files) {
+	var stale *config.OffsetError
+	if err := c.config.RestoreFrom(m.Offset, files); err != nil {
+		// Every entry sends each configuration; only the first copy is newer.
+		if !errors.As(err, &stale) {
+			c.env.ReportConfigError(entry, err)
+		}
 		return
 	}
 	merged, _ := config.Merge(files)
--- a/process/agent/daemon.go
+++ b/process/agent/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/azurerouter/azurerouter/process/fencing"
 	"github.com/azurerouter/azurerouter/process/observe"
 	"github.com/azurerouter/azurerouter/process/settings"
+	"github.com/azurerouter/azurerouter/version/config"
 )
 
 const (
@@ -334,6 +335,15 @@
 	return cancel
 }
 
+// ReportConfigError implements Env.
+func (e *daemonEnv) ReportConfigError(entry wire.Incarnation, err error) {
+	var disagreement *config.DisagreementError
+	e.observer.Log.Warn().Str("step", "config").Str("peer", entry.String()).Err(err).Msg("configuration rejected")
+	if errors.As(err, &disagreement) {
+		e.observer.ReportViolation("G8", "config", entry.String(), err.Error())
+	}
+}
+
 // ReportViolation implements Env.
 func (e *daemonEnv) ReportViolation(guarantee, step, peer, detail string) {
 	e.observer.ReportViolation(guarantee, step, peer, detail)
--- a/process/agent/daemon_test.go
+++ b/process/agent/daemon_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/azurerouter/azurerouter/connection/peer"
+	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/observe"
 	"github.com/azurerouter/azurerouter/process/settings"
 )
@@ -85,6 +86,26 @@
 	}
 }
 
+// Guards against an agent that stays behind the other processes without a word because
+// it rejects a configuration, and against a warning for each further copy of one that
+// is in force.
+func TestRejectedConfigIsReported(t *testing.T) {
+	var log bytes.Buffer
+	d := newTestDaemon(t, &log)
+	published := func(offset, version uint64) *wire.Config {
+		return &wire.Config{Offset: offset, Files: []wire.ConfigFile{{Name: "10-a.json", Version: version, Content: []byte("{}")}}}
+	}
+	d.core.Received(1, published(7, 5))
+	d.core.Received(2, published(7, 5))
+	if strings.Contains(log.String(), "rejected") {
+		t.Errorf("logged for a copy of the configuration in force: %s", log.String())
+	}
+	d.core.Received(1, published(9, 4))
+	if got := d.core.ConfigOffset(); got != 7 || !strings.Contains(log.String(), "configuration rejected") {
+		t.Errorf("offset %d after a configuration with an older file, log %q; expected 7 and a warning", got, log.String())
+	}
+}
+
 // Guards against a second signal that stops the heartbeats but not the drain:
 // the process would keep running while the entries consider it lost.
 func TestDrainEndsOnCancel(t *testing.T) {
--- a/soak/nodes.go
+++ b/soak/nodes.go
@@ -253,6 +253,10 @@
 	return e.node.sim.runTask(e.node, call, done)
 }
 
+func (e *agentEnv) ReportConfigError(entry wire.Incarnation, err error) {
+	e.node.sim.recordViolation("%s rejected a configuration of %s: %v", e.node.name, entry, err)
+}
+
 func (e *agentEnv) ReportViolation(guarantee, step, peer, detail string) {
 	e.node.sim.recordViolation("%s asserted at %s: %s %s: %s", guarantee, e.node.name, step, peer, detail)
 }
