ledger, keeper, runner: malformed records, forwarded jobs and orders harm no process

Cause, found by reading for what one malformed message could bring down: who takes a durable job over relied on checks that only the first owner had made. A job in the log whose step depends on a step that it lacks, or progress of a task with a negative index, ended each entry that took it over by an index out of range, one after the other; a job of 2^40 tasks would have used up its memory. An order with a large run number kept an agent in a loop of that length, under its lock.

Ruled out: frames that can't be decoded (they end the connection; FuzzRead), heartbeats and records of other writers (skipped; tests of platform).

Change: records are checked as they are decoded, and have no effect if they fail; a forwarded job is validated as one of a caller is; an agent looks at the runs that it holds, not at all numbers. Jobs in the tests of ledger have a step now, as every job of a caller does.

TestMalformedRecordsAreRejected (6 cases), TestMalformedForwardedJobIsRefused and TestOrderWithALargeRunNumber fail without the change.

--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -175,6 +175,9 @@
 // refusedLogUnavailable is the refusal of all calls while the log is unavailable.
 var refusedLogUnavailable = Outcome{Code: NotAccepted, Refusal: dispatch.Result{Code: dispatch.NotRun, Reason: dispatch.ReasonStoreUnavailable, RetryAfter: logUnavailableRetryAfter}}
 
+// refusedMalformed is the refusal of a forwarded job that no caller could have submitted.
+var refusedMalformed = Outcome{Code: NotAccepted, Refusal: dispatch.Result{Code: dispatch.NotRun, Reason: dispatch.ReasonUnsupported}}
+
 // New returns a keeper, which does nothing until Run is called.
 func New(options Options, log Log, dispatcher Dispatcher, recorder decision.Recorder) *Keeper {
 	if options.Peers == nil {
--- a/process/keeper/peers.go
+++ b/process/keeper/peers.go
@@ -79,7 +79,9 @@
 // forward the call again.
 func (k *Keeper) ServeForwarded(ctx context.Context, call *wire.DurableCall) wire.DurableReply {
 	switch {
-	case call.Action == wire.DurableSubmit && call.Submission != nil:
+	case call.Action == wire.DurableSubmit && (call.Submission == nil || call.Submission.Job.Validate() != nil):
+		return replyFromOutcome(call, refusedMalformed)
+	case call.Action == wire.DurableSubmit:
 		return replyFromOutcome(call, k.submitHere(ctx, *call.Submission))
 	case k.logInaccessible():
 	case call.Action == wire.DurableState:
--- a/process/keeper/peers_test.go
+++ b/process/keeper/peers_test.go
@@ -107,3 +107,19 @@
 		t.Errorf("submit while the log refuses all entries: %+v", o)
 	}
 }
+
+// Guards against an entry that fails because another one forwards a job that no caller
+// could have submitted.
+func TestMalformedForwardedJobIsRefused(t *testing.T) {
+	log := newMemoryLog()
+	e := startEntry(t, log, &clock{}, "a")
+	malformed := submission("j")
+	malformed.Job.Steps[0].DependsOn = []int{5}
+	reply := e.ServeForwarded(context.Background(), &wire.DurableCall{Number: 1, Action: wire.DurableSubmit, ID: "j", Submission: &malformed})
+	if reply.Code != string(NotAccepted) {
+		t.Errorf("reply %+v, expected %s", reply, NotAccepted)
+	}
+	if records := log.newestRecords(); len(records) != 0 {
+		t.Errorf("records %v in the log, expected none", records)
+	}
+}
--- a/process/ledger/records.go
+++ b/process/ledger/records.go
@@ -121,6 +121,45 @@
 	return Record{Key: key, Value: data}, errors.Wrapf(err, "encode record %s", key)
 }
 
+// decodeAcceptedJob decodes the value of an accept record. Whoever takes the job over
+// relies on the checks that its first owner has made.
+func decodeAcceptedJob(id batch.ID, value []byte) (*AcceptedJob, error) {
+	var a AcceptedJob
+	if err := cbor.Unmarshal(value, &a); err != nil {
+		return nil, err
+	}
+	if a.Job.ID != id {
+		return nil, errors.Newf("the record has job %q", a.Job.ID)
+	}
+	if err := a.Job.Validate(); err != nil {
+		return nil, err
+	}
+	return &a, a.Progress.validate()
+}
+
+func decodeProgress(value []byte) (*Progress, error) {
+	var p Progress
+	if err := cbor.Unmarshal(value, &p); err != nil {
+		return nil, err
+	}
+	return &p, p.validate()
+}
+
+// validate returns an error if no owner could have recorded the progress.
+func (p Progress) validate() error {
+	switch p.State {
+	case Open, Completed, Failed, Cancelled:
+	default:
+		return errors.Newf("unknown state %q", p.State)
+	}
+	for _, t := range p.Tasks {
+		if t.Step < 0 || t.Index < 0 || t.FailedRuns < 0 {
+			return errors.Newf("step %d, index %d and %d failed runs of a task, expected none below 0", t.Step, t.Index, t.FailedRuns)
+		}
+	}
+	return nil
+}
+
 // key is a decoded record key. Heartbeat records have no job, cancel records no
 // owner, and both no term.
 type key struct {
--- a/process/ledger/table.go
+++ b/process/ledger/table.go
@@ -171,33 +171,39 @@
 	}
 }
 
+// applyClaim applies a record of a claim, or returns an error and has no effect.
 func (t *Table) applyClaim(now time.Time, offset uint64, k key, value []byte) error {
-	j := t.ensureJob(k.job)
-	c := claim{k.term, k.owner}
-	state := j.claims[c]
-	if state == nil {
-		state = &claimState{claim: c}
-		j.claims[c] = state
-	}
 	if k.kind == kindAccept {
-		var a AcceptedJob
-		if err := cbor.Unmarshal(value, &a); err != nil {
+		a, err := decodeAcceptedJob(k.job, value)
+		if err != nil {
 			return errors.Wrapf(err, "decode job %s", k.job)
 		}
-		state.acceptedJob, state.acceptOffset = &a, offset
+		_, state := t.ensureClaim(k)
+		state.acceptedJob, state.acceptOffset = a, offset
 		return nil
 	}
-	var p Progress
-	if err := cbor.Unmarshal(value, &p); err != nil {
+	p, err := decodeProgress(value)
+	if err != nil {
 		return errors.Wrapf(err, "decode progress of job %s", k.job)
 	}
-	state.progress = &p
+	j, state := t.ensureClaim(k)
+	state.progress = p
 	if state.hasEnded() && j.endedAt.IsZero() && j.currentClaim() == state {
 		j.endedAt = now
 	}
 	return nil
 }
 
+// ensureClaim returns the job and the claim of a key and adds them if they are missing.
+func (t *Table) ensureClaim(k key) (*job, *claimState) {
+	j := t.ensureJob(k.job)
+	c := claim{k.term, k.owner}
+	if j.claims[c] == nil {
+		j.claims[c] = &claimState{claim: c}
+	}
+	return j, j.claims[c]
+}
+
 // deleteIfUnclaimed removes a job without any claim from the table.
 func (t *Table) deleteIfUnclaimed(id batch.ID) {
 	if j := t.jobs[id]; j != nil && len(j.claims) == 0 {
--- a/process/ledger/table_test.go
+++ b/process/ledger/table_test.go
@@ -30,7 +30,7 @@
 }
 
 func (s *logBuilder) accept(id batch.ID, term uint64, owner Owner, progress ...TaskProgress) {
-	s.add(AcceptRecord(term, owner, AcceptedJob{Job: batch.Job{ID: id}, Service: "card", Queue: "q", Progress: Progress{State: Open, Tasks: progress}}))
+	s.add(AcceptRecord(term, owner, AcceptedJob{Job: batch.Job{ID: id, Steps: []batch.Step{{Tasks: 2}}}, Service: "card", Queue: "q", Progress: Progress{State: Open, Tasks: progress}}))
 }
 
 func (s *logBuilder) progress(id batch.ID, term uint64, owner Owner, state State, tasks ...TaskProgress) {
@@ -252,3 +252,40 @@
 		t.Error("a job is known by an undecodable accept record")
 	}
 }
+
+// Guards against a record that makes every entry fail that takes the job over: a job
+// that no caller could have submitted, or progress of tasks that no job has.
+func TestMalformedRecordsAreRejected(t *testing.T) {
+	step := batch.Step{Tasks: 1}
+	accepted := func(p Progress, steps ...batch.Step) Record {
+		r, err := AcceptRecord(1, "a", AcceptedJob{Job: batch.Job{ID: "j", Steps: steps}, Progress: p})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	negative := Progress{State: Open, Tasks: []TaskProgress{{Index: -1, Done: true}}}
+	progress, err := ProgressRecord("j", 1, "a", negative)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cases := map[string]Record{
+		"no steps":                      accepted(Progress{State: Open}),
+		"depends on a later step":       accepted(Progress{State: Open}, batch.Step{Tasks: 1, DependsOn: []int{5}}),
+		"too many tasks":                accepted(Progress{State: Open}, batch.Step{Tasks: 1 << 40}),
+		"accepted with negative index":  accepted(negative, step),
+		"progress with negative index":  progress,
+		"progress without a known kind": {Key: claimKey(kindProgress, "j", 1, "a"), Value: []byte{0xa0}},
+	}
+	for name, r := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable()
+			if _, err := table.Apply(readTime, 0, r); err == nil {
+				t.Error("the record was applied")
+			}
+			if v, known := table.Job("j"); known {
+				t.Errorf("the job is known: %+v", v)
+			}
+		})
+	}
+}
--- a/process/runner/core_test.go
+++ b/process/runner/core_test.go
@@ -94,9 +94,13 @@
 func (h *harness) sendStartOrder(index int) batch.Run { return h.sendStartOrderTo(targetID, index) }
 
 func (h *harness) sendStartOrderTo(target string, index int) batch.Run {
+	return h.sendNumberedStartOrder(target, index, 1)
+}
+
+func (h *harness) sendNumberedStartOrder(target string, index, number int) batch.Run {
 	h.sequence++
 	start := wire.StartOrder{Job: "0123456789abcdef", Target: target, Demand: batch.Resources{MilliCPU: 1000, MemoryMiB: 64}, EstimateMS: 100,
-		Tasks: []wire.StartTask{{Index: index, RunNumber: 1}}}
+		Tasks: []wire.StartTask{{Index: index, RunNumber: number}}}
 	h.core.HandleMessage(entryID, &wire.Orders{Sequence: h.sequence, ClockEcho: h.now.UnixMicro(), Starts: []wire.StartOrder{start}})
 	return start.Run(start.Tasks[0])
 }
@@ -117,6 +121,20 @@
 	return report, found
 }
 
+// Guards against an agent that stands still because an order has a very large run
+// number, and against a run beside an earlier one of its task.
+func TestOrderWithALargeRunNumber(t *testing.T) {
+	h := newHarness(t)
+	if run := h.sendNumberedStartOrder(targetID, 0, 1<<40); len(h.starts) != 1 || h.lastStart().Run != run {
+		t.Fatalf("starts %+v, expected one of %+v", h.starts, run)
+	}
+	later := h.sendNumberedStartOrder(targetID, 0, 1<<40+1)
+	h.advance(100 * time.Millisecond)
+	if report, _ := h.lastReportOf(later); report.RefusalReason != wire.RefusedSuperseded {
+		t.Errorf("report on a later run of the same task: %+v, expected %s", report, wire.RefusedSuperseded)
+	}
+}
+
 // Guards against a task that runs twice at the same time: the target refuses
 // the retry of a start whose first copy is still in flight, and carries out
 // that copy after the entry has started the task elsewhere.
--- a/process/runner/start.go
+++ b/process/runner/start.go
@@ -53,8 +53,8 @@
 	if !order.Demand.FitsIn(c.target.capacity) {
 		return wire.RefusedInvalid
 	}
-	for number := 1; number <= run.Number; number++ {
-		if _, ok := c.runs[batch.Run{Task: run.Task, Number: number}]; ok {
+	for held := range c.runs {
+		if held.Task == run.Task && held.Number <= run.Number {
 			return wire.RefusedSuperseded
 		}
 	}
