--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -71,7 +71,7 @@
 	wake chan struct{}
 	// openJobs is the set of durable jobs that have not ended, by batch.ID.
 	openJobs sync.Map
-	// logRead is set with caughtUp.
+	// logRead is caughtUp for callers that must not lock mu.
 	logRead atomic.Bool
 	unsaved unsavedProgress
 
--- a/process/keeper/peers.go
+++ b/process/keeper/peers.go
@@ -79,7 +79,7 @@
 // forward the call again.
 func (k *Keeper) ServeForwarded(ctx context.Context, call *wire.DurableCall) wire.DurableReply {
 	switch {
-	case call.Action == wire.DurableSubmit && (call.Submission == nil || call.Submission.Job.Validate() != nil):
+	case call.Action == wire.DurableSubmit && !hasValidJob(call):
 		return replyFromOutcome(call, refusedMalformed)
 	case call.Action == wire.DurableSubmit:
 		return replyFromOutcome(call, k.submitHere(ctx, *call.Submission))
@@ -93,6 +93,10 @@
 	return replyFromOutcome(call, refusedLogUnavailable)
 }
 
+func hasValidJob(call *wire.DurableCall) bool {
+	return call.Submission != nil && call.Submission.Job.Validate() == nil
+}
+
 func replyFromOutcome(call *wire.DurableCall, o Outcome) wire.DurableReply {
 	return wire.DurableReply{Number: call.Number, Code: string(o.Code), Reason: string(o.Refusal.Reason),
 		RetryAfterMS: o.Refusal.RetryAfter.Milliseconds()}
--- a/process/keeper/reader.go
+++ b/process/keeper/reader.go
@@ -28,8 +28,8 @@
 func (k *Keeper) noteSnapshot(records int) { k.counters.snapshotRecords.Store(uint64(records)) }
 
 // CatchUp reports whether the log has been read to its end since the start of the
-// process, before which no job can be accepted, and how many records the snapshot has
-// of which it was read.
+// process, and how many records of the newest snapshot have been read. Until it is done,
+// no job can be accepted here.
 func (k *Keeper) CatchUp() (done bool, records uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/process/ledger/records.go
+++ b/process/ledger/records.go
@@ -121,8 +121,8 @@
 	return Record{Key: key, Value: data}, errors.Wrapf(err, "encode record %s", key)
 }
 
-// decodeAcceptedJob decodes the value of an accept record. Whoever takes the job over
-// relies on the checks that its first owner has made.
+// decodeAcceptedJob decodes and checks the value of an accept record. Nobody checks the
+// job again before its tasks run.
 func decodeAcceptedJob(id batch.ID, value []byte) (*AcceptedJob, error) {
 	var a AcceptedJob
 	if err := cbor.Unmarshal(value, &a); err != nil {
