node, platform: an older copy of the configuration never replaces a newer one

Cause, found by reading for the reports of paused processes and of withdrawn keys in use again: an entry that was paused wakes with the configuration of before and, if its name sorts first, saved that as a copy, and an append that the store carries out late did the same, over the copy of a newer version. Entries that start while the operator's record can't be read would have put the older version in force, if no other copy could be read.

Ruled out: entries that run (versions only rise in a process); several copies that can be read (the newest counts).

Change: a copy is saved under an epoch that is its version, so that the store itself refuses older ones, late ones included.

--- a/process/node/configcopies.go
+++ b/process/node/configcopies.go
@@ -39,8 +39,10 @@
 // operator's record is unavailable and no other entry is running that could send
 // the configuration.
 type CopyStore interface {
-	// SaveCopy replaces the copy with the given number.
-	SaveCopy(ctx context.Context, number int, data []byte) error
+	// SaveCopy replaces the copy with the given number, unless a newer version has been
+	// saved: then it has no effect, also if the store carries it out late. It returns
+	// nil if the copy has this version or a newer one.
+	SaveCopy(ctx context.Context, number int, version uint64, data []byte) error
 	// LoadCopy returns the copy with the given number, or nil if it was never saved.
 	LoadCopy(ctx context.Context, number int) ([]byte, error)
 }
@@ -60,7 +62,7 @@
 			if err != nil || saved[n] >= table.Version {
 				continue
 			}
-			if err = e.options.Copies.SaveCopy(ctx, n, data); err == nil {
+			if err = e.options.Copies.SaveCopy(ctx, n, table.Version, data); err == nil {
 				saved[n] = table.Version
 			}
 		}
--- a/process/node/configcopies_test.go
+++ b/process/node/configcopies_test.go
@@ -21,7 +21,7 @@
 	calls atomic.Int32
 }
 
-func (s *unresponsiveAtFirst) SaveCopy(context.Context, int, []byte) error { return nil }
+func (s *unresponsiveAtFirst) SaveCopy(context.Context, int, uint64, []byte) error { return nil }
 
 func (s *unresponsiveAtFirst) LoadCopy(ctx context.Context, _ int) ([]byte, error) {
 	if s.calls.Add(1) <= configCopies {
