keeper: an entry that lags in reading the log calls no job unknown

Cause: once an entry had read the log to its end, it answered 410 for each job that it had not read, however far its reading had fallen behind since.

Change: behind the end of the log for over a second, an entry answers undecided about jobs that it has not read. TestLaggingReaderKnowsNoJobToBeUnknown fails without it.

--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -84,6 +84,9 @@
 	nextOffset uint64
 	// caughtUp is set once the log has been read to its end.
 	caughtUp bool
+	// behindSince is when the first page of a row was read that did not reach the end of
+	// the log, or zero if the last page reached it.
+	behindSince time.Time
 	// logReadableSince is the start of the current period without failed reads of
 	// the log, or zero if the last read failed.
 	logReadableSince time.Time
@@ -167,6 +170,10 @@
 	// logUnavailableRetryAfter is the delay after which refused callers are asked
 	// to retry while the log is unavailable.
 	logUnavailableRetryAfter = time.Second
+	// maxReadLag is how long the reader may be behind the end of the log while jobs that
+	// it has not read count as unknown. Callers expect an accepted job to be known after
+	// some seconds.
+	maxReadLag = time.Second
 	// jobEndWait is how long a state request waits for an open job to end. It is
 	// about the time that it takes to record an end.
 	jobEndWait = 80 * time.Millisecond
@@ -311,12 +318,19 @@
 	case known:
 		begun := len(v.Progress.Tasks) > 0 || k.dispatcher.HasStarted(id)
 		return v.Progress.State, begun, Accepted
-	case !k.caughtUp || k.logReadableSince.IsZero():
+	case !k.knowsAllJobs():
 		return "", false, Undecided
 	}
 	return "", false, UnknownJob
 }
 
+// knowsAllJobs reports whether a job that has not been read does not exist, unless it
+// was accepted within about maxReadLag.
+func (k *Keeper) knowsAllJobs() bool {
+	behind := !k.behindSince.IsZero() && k.options.Now().Sub(k.behindSince) > maxReadLag
+	return k.caughtUp && !k.logReadableSince.IsZero() && !behind
+}
+
 // endNotification returns a channel that is closed when an open job ends, or nil
 // if the job is not open.
 func (k *Keeper) endNotification(id batch.ID) <-chan struct{} {
@@ -340,7 +354,7 @@
 	case known && (v.Progress.State != ledger.Open || v.Cancelled):
 		k.mu.Unlock()
 		return Outcome{Code: Accepted}
-	case !known && (!k.caughtUp || k.logReadableSince.IsZero()):
+	case !known && !k.knowsAllJobs():
 		k.mu.Unlock()
 		return Outcome{Code: Undecided}
 	case !known:
--- a/process/keeper/keeper_test.go
+++ b/process/keeper/keeper_test.go
@@ -587,3 +587,26 @@
 		t.Errorf("state of an unknown job at the end of the log: %s, expected %s", code, UnknownJob)
 	}
 }
+
+// Guards against an entry that tells callers that their jobs don't exist because it has
+// fallen behind in reading the log.
+func TestLaggingReaderKnowsNoJobToBeUnknown(t *testing.T) {
+	c := &clock{}
+	e := New(Options{Owner: "a", Now: c.now, UnixTime: c.now}, newMemoryLog(), newFakeDispatcher(), discardSink{})
+	e.noteReadResult(nil)
+	e.applyPage(Page{Snapshot: true, Next: 7})
+	e.applyPage(Page{UpToDate: true, Next: 9})
+	e.applyPage(Page{Next: 12})
+	c.advance(2 * maxReadLag)
+	e.applyPage(Page{Next: 15})
+	if _, _, code := e.State(context.Background(), "j"); code != Undecided {
+		t.Errorf("state of a job that was not read: %s, expected %s", code, Undecided)
+	}
+	if o := e.Cancel(context.Background(), "j"); o.Code != Undecided {
+		t.Errorf("cancellation of a job that was not read: %+v, expected %s", o, Undecided)
+	}
+	e.applyPage(Page{UpToDate: true, Next: 18})
+	if _, _, code := e.State(context.Background(), "j"); code != UnknownJob {
+		t.Errorf("state of an unknown job at the end of the log: %s, expected %s", code, UnknownJob)
+	}
+}
--- a/process/keeper/reader.go
+++ b/process/keeper/reader.go
@@ -74,6 +74,12 @@
 	for _, id := range toUpdate {
 		k.updateJob(now, id)
 	}
+	switch {
+	case p.UpToDate:
+		k.behindSince = time.Time{}
+	case k.behindSince.IsZero():
+		k.behindSince = now
+	}
 	if p.UpToDate && !k.caughtUp {
 		k.caughtUp = true
 		k.logRead.Store(true)
