keeper: what an entry has not read decides nothing

(a) Paused for some seconds, or lagging in reading, it took owners for dead of which it had read no record meanwhile, fenced them and so stopped their runs. (b) While it could not read, or lagged, it told agents that ends belong to no open job and may be acknowledged; a job accepted elsewhere meanwhile could run again after that. (c) A job that ended and was deleted while it did not read stayed open for it.

Ruled out: two runs at once by (a), since the claim needs the end of the log and waits for the runs of the former owner.

Takeovers and IsOpen need it to be current, an unknown job a lag of a second at most.

--- a/bench/capacity/capacity_test.go
+++ b/bench/capacity/capacity_test.go
@@ -53,8 +53,8 @@
 	}
 }
 
-// Guards against a message type of the protocol that is not measured. A new type
-// needs a case in messageCases, and the number here.
+// Guards against a message type of the protocol without a case in messageCases. A new
+// type needs one, and the number here.
 func TestEveryMessageTypeIsMeasured(t *testing.T) {
 	measured := make(map[string]bool)
 	for _, messageCase := range messageCases {
--- a/process/keeper/dump.go
+++ b/process/keeper/dump.go
@@ -9,8 +9,6 @@
 // counters holds the event counts since the start of the process.
 type counters struct {
 	accepted, notAccepted, undecided, forwarded, takenOver atomic.Uint64
-	// snapshotRecords is the number of records read of the newest snapshot.
-	snapshotRecords atomic.Uint64
 }
 
 // countSubmission counts a submission by its outcome.
@@ -73,6 +71,6 @@
 func (k *Keeper) Dump() Dump {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return Dump{Self: k.self, CaughtUp: k.caughtUp, SnapshotRecords: k.counters.snapshotRecords.Load(), LogReadable: !k.logReadableSince.IsZero(), LogUnavailable: k.logUnavailable, Suspended: k.suspended,
+	return Dump{Self: k.self, CaughtUp: k.reads.caughtUp, SnapshotRecords: k.snapshotRecords.Load(), LogReadable: !k.reads.readableSince.IsZero(), LogUnavailable: k.logUnavailable, Suspended: k.suspended,
 		NextOffset: k.nextOffset, OwnedJobs: len(k.ownedJobs), QueuedRecords: len(k.queue), Counts: k.Counts()}
 }
--- /dev/null
+++ b/process/keeper/fakes_test.go
@@ -0,0 +1,260 @@
+package keeper
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/azurerouter/azurerouter/process/decision"
+	"github.com/azurerouter/azurerouter/process/dispatch"
+	"github.com/azurerouter/azurerouter/process/ledger"
+	"github.com/azurerouter/azurerouter/request/batch"
+)
+
+// eventTimeout limits each wait for an asynchronous event.
+const eventTimeout = 20 * time.Second
+
+// memoryLog is an in-memory Log that enforces expected offsets, epochs and sequence
+// numbers.
+type memoryLog struct {
+	mu      sync.Mutex
+	records []ledger.Record
+	writers map[string]*writerState
+	// forcedVerdict, if set, is the answer to every append. The append then takes
+	// effect only if appendAnyway is set.
+	forcedVerdict Verdict
+	appendAnyway  bool
+	// readsBlocked keeps readers from reading new records.
+	readsBlocked bool
+	// changed is closed and replaced after each update.
+	changed chan struct{}
+}
+
+// writerState holds the highest epoch of a writer and its next sequence number.
+type writerState struct {
+	epoch, next uint64
+}
+
+func newMemoryLog() *memoryLog {
+	return &memoryLog{writers: make(map[string]*writerState), changed: make(chan struct{})}
+}
+
+// update applies a change and wakes the readers.
+func (l *memoryLog) update(change func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change()
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func (l *memoryLog) Append(_ context.Context, a AppendRequest) AppendResult {
+	var answer AppendResult
+	l.update(func() {
+		if l.forcedVerdict == "" || l.appendAnyway {
+			answer.Verdict = l.append(a)
+		}
+		if l.forcedVerdict != "" {
+			answer.Verdict = l.forcedVerdict
+		}
+	})
+	return answer
+}
+
+func (l *memoryLog) append(a AppendRequest) Verdict {
+	if a.ExpectedEnd != nil && *a.ExpectedEnd != uint64(len(l.records)) {
+		return EndMoved
+	}
+	if a.Writer != "" {
+		w := l.writers[a.Writer]
+		if w == nil {
+			w = &writerState{}
+			l.writers[a.Writer] = w
+		}
+		if a.Epoch < w.epoch {
+			return Fenced
+		}
+		if a.Epoch > w.epoch {
+			w.epoch, w.next = a.Epoch, a.Sequence
+		}
+		switch {
+		case len(a.Records) == 0:
+			return Done
+		case a.Sequence < w.next:
+			return Done
+		case a.Sequence > w.next:
+			return OutOfSequence
+		}
+		w.next++
+	}
+	l.records = append(l.records, a.Records...)
+	return Done
+}
+
+func (l *memoryLog) Follow(ctx context.Context, reader Reader) {
+	next, snapshot := 0, true
+	for ctx.Err() == nil {
+		l.mu.Lock()
+		page := Page{Snapshot: snapshot, UpToDate: true, Next: uint64(len(l.records))}
+		for offset := next; offset < len(l.records); offset++ {
+			page.Records = append(page.Records, ReadRecord{uint64(offset), l.records[offset]})
+		}
+		blocked, changed := l.readsBlocked, l.changed
+		l.mu.Unlock()
+		if !blocked && (snapshot || len(page.Records) > 0) {
+			next, snapshot = int(page.Next), false
+			reader.Apply(page)
+			reader.NoteResult(nil)
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
+
+// fakeDispatcher is a Dispatcher that records its calls and runs no tasks.
+type fakeDispatcher struct {
+	mu        sync.Mutex
+	started   []dispatch.DurableJob
+	finished  map[batch.ID]func(dispatch.Result)
+	progress  map[batch.ID][]dispatch.TaskProgress
+	forgotten map[batch.ID]bool
+	suspended bool
+	// everSuspended is set by the first suspension and never reset.
+	everSuspended bool
+}
+
+func newFakeDispatcher() *fakeDispatcher {
+	return &fakeDispatcher{finished: make(map[batch.ID]func(dispatch.Result)), progress: make(map[batch.ID][]dispatch.TaskProgress), forgotten: make(map[batch.ID]bool)}
+}
+
+func (d *fakeDispatcher) AdmitDurable(batch.Submission) (dispatch.Result, bool) {
+	return dispatch.Result{}, true
+}
+func (d *fakeDispatcher) RunDurable(job dispatch.DurableJob, finished func(dispatch.Result)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.started = append(d.started, job)
+	d.finished[job.Job.ID] = finished
+}
+func (d *fakeDispatcher) DurableProgress(id batch.ID) ([]dispatch.TaskProgress, int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.progress[id], 0
+}
+func (d *fakeDispatcher) ConfirmDurableEnds(batch.ID, int) {}
+func (d *fakeDispatcher) StopDurable(batch.ID)             {}
+func (d *fakeDispatcher) ForgetDurable(id batch.ID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.forgotten[id] = true
+}
+func (d *fakeDispatcher) SuspendDurable(suspended bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.suspended = suspended
+	d.everSuspended = d.everSuspended || suspended
+}
+func (d *fakeDispatcher) HasStarted(batch.ID) bool { return false }
+
+func (d *fakeDispatcher) startedJobs() []dispatch.DurableJob {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]dispatch.DurableJob(nil), d.started...)
+}
+
+// clock is the real clock plus an offset that tests can increase.
+type clock struct {
+	mu     sync.Mutex
+	offset time.Duration
+}
+
+func (c *clock) now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Add(c.offset)
+}
+
+func (c *clock) advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.offset += d
+}
+
+// discardSink discards all decisions.
+type discardSink struct{}
+
+func (discardSink) Record(decision.Decision) {}
+
+// testEntry is a running keeper with its dispatcher.
+type testEntry struct {
+	*Keeper
+	dispatcher *fakeDispatcher
+	stop       func()
+}
+
+// startEntry runs a keeper and waits until it has read a snapshot of the log.
+func startEntry(t *testing.T, log Log, c *clock, name string) *testEntry {
+	e := &testEntry{dispatcher: newFakeDispatcher()}
+	e.Keeper = New(Options{Node: "node-" + name, Owner: ledger.Owner(name), IsFirstByName: func() bool { return true }, Now: c.now, UnixTime: c.now}, log, e.dispatcher, discardSink{})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = e.Run(ctx)
+	}()
+	e.stop = func() { cancel(); <-ended }
+	t.Cleanup(e.stop)
+	eventually(t, "the first read of the log", func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.reads.caughtUp
+	})
+	return e
+}
+
+// advance advances the clock of a running entry by less than what counts as a pause.
+func (e *testEntry) advance(c *clock) {
+	c.advance(minPause / 4)
+	e.notePause()
+}
+
+// isFenced reports whether an owner has been fenced.
+func (l *memoryLog) isFenced(owner string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w := l.writers[owner]
+	return w != nil && w.epoch >= fenceEpoch
+}
+
+// eventually polls until an event has happened and fails the test after
+// eventTimeout.
+func eventually(t *testing.T, event string, happened func() bool) {
+	t.Helper()
+	for end := time.Now().Add(eventTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if happened() {
+			return
+		}
+	}
+	t.Fatalf("%s did not happen within %v", event, eventTimeout)
+}
+
+// submission returns a durable job with two tasks.
+func submission(id batch.ID) batch.Submission {
+	return batch.Submission{Job: batch.Job{ID: id, Durable: true, Steps: []batch.Step{{Tasks: 2}}}, Service: "card", Queue: "q", MaxAttempts: 2}
+}
+
+// newestRecords returns the records that a snapshot of the log has.
+func (l *memoryLog) newestRecords() map[string][]byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	newest := make(map[string][]byte)
+	for _, r := range l.records {
+		if newest[r.Key] = r.Value; len(r.Value) == 0 {
+			delete(newest, r.Key)
+		}
+	}
+	return newest
+}
--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -71,25 +71,23 @@
 	wake chan struct{}
 	// openJobs is the set of durable jobs that have not ended, by batch.ID.
 	openJobs sync.Map
-	// logRead is caughtUp for callers that must not lock mu.
-	logRead atomic.Bool
-	unsaved unsavedProgress
+	// readsCurrent is reads.isCurrent for callers that must not lock mu.
+	readsCurrent atomic.Bool
+	// snapshotRecords is the number of records read of the newest snapshot.
+	snapshotRecords atomic.Uint64
+	// lastPauseCheck is when notePause last ran, as Unix nanoseconds.
+	lastPauseCheck atomic.Int64
+	unsaved        unsavedProgress
 
 	// mu guards the fields below, except appendLatency and counters.
 	mu sync.Mutex
+	// reads is what is known about the reading of the log.
+	reads readState
 	// self is the name under which this entry owns jobs. It changes when the
 	// entry is deposed.
 	self       ledger.Owner
 	table      *ledger.Table
 	nextOffset uint64
-	// caughtUp is set once the log has been read to its end.
-	caughtUp bool
-	// behindSince is when the first page of a row was read that did not reach the end of
-	// the log, or zero if the last page reached it.
-	behindSince time.Time
-	// logReadableSince is the start of the current period without failed reads of
-	// the log, or zero if the last read failed.
-	logReadableSince time.Time
 	// logUnavailable is set while the log refuses appends or leaves
 	// maxUnansweredAppends of them in a row unanswered.
 	logUnavailable bool
@@ -170,10 +168,6 @@
 	// logUnavailableRetryAfter is the delay after which refused callers are asked
 	// to retry while the log is unavailable.
 	logUnavailableRetryAfter = time.Second
-	// maxReadLag is how long the reader may be behind the end of the log while jobs that
-	// it has not read count as unknown. Callers expect an accepted job to be known after
-	// some seconds.
-	maxReadLag = time.Second
 	// jobEndWait is how long a state request waits for an open job to end. It is
 	// about the time that it takes to record an end.
 	jobEndWait = 80 * time.Millisecond
@@ -190,7 +184,7 @@
 	if options.Peers == nil {
 		options.Peers = func() []Peer { return nil }
 	}
-	return &Keeper{
+	k := &Keeper{
 		options: options, log: log, dispatcher: dispatcher, recorder: recorder, started: options.Now(), wake: make(chan struct{}, 1), self: options.Owner,
 		table:         ledger.NewTable(),
 		ownedJobs:     make(map[batch.ID]uint64),
@@ -201,13 +195,15 @@
 		notBefore:     make(map[batch.ID]time.Time),
 		unsaved:       unsavedProgress{dirty: make(map[batch.ID]bool), finalStates: make(map[batch.ID]ledger.State)},
 	}
+	k.lastPauseCheck.Store(k.started.UnixNano())
+	return k
 }
 
 // IsOpen reports whether a job is in the log and has not ended. known is false, and
-// open means nothing, until the log has been read.
+// open means nothing, while this entry may lack records of the log.
 func (k *Keeper) IsOpen(id batch.ID) (open, known bool) {
 	_, open = k.openJobs.Load(id)
-	return open, k.logRead.Load()
+	return open, k.readsCurrent.Load() && !k.wasPaused(k.options.Now())
 }
 
 // NoteProgress records that a task of a job that runs here has ended, so that its
@@ -284,7 +280,7 @@
 // admit reports whether a new job can be accepted now; if not, the result is the
 // refusal.
 func (k *Keeper) admit(s batch.Submission) (dispatch.Result, bool) {
-	if !k.caughtUp || k.logUnavailable {
+	if !k.reads.caughtUp || k.logUnavailable {
 		return refusedLogUnavailable.Refusal, false
 	}
 	return k.dispatcher.AdmitDurable(s)
@@ -327,8 +323,8 @@
 // knowsAllJobs reports whether a job that has not been read does not exist, unless it
 // was accepted within about maxReadLag.
 func (k *Keeper) knowsAllJobs() bool {
-	behind := !k.behindSince.IsZero() && k.options.Now().Sub(k.behindSince) > maxReadLag
-	return k.caughtUp && !k.logReadableSince.IsZero() && !behind
+	now := k.options.Now()
+	return k.reads.lagsAtMost(now, maxReadLag) && !k.wasPaused(now)
 }
 
 // endNotification returns a channel that is closed when an open job ends, or nil
--- a/process/keeper/peers.go
+++ b/process/keeper/peers.go
@@ -144,5 +144,5 @@
 func (k *Keeper) logInaccessible() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return !k.caughtUp || k.logReadableSince.IsZero() || k.logUnavailable
+	return !k.reads.caughtUp || k.reads.readableSince.IsZero() || k.logUnavailable
 }
--- a/process/keeper/reader.go
+++ b/process/keeper/reader.go
@@ -11,21 +11,23 @@
 	"github.com/azurerouter/azurerouter/request/batch"
 )
 
-// noteReadResult updates readableSince after a read of the log that succeeded or
-// failed with err.
+// noteReadResult notes that a read of the log has succeeded, or failed with err.
 func (k *Keeper) noteReadResult(err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	switch {
-	case err != nil:
-		k.logReadableSince = time.Time{}
-	case k.logReadableSince.IsZero():
-		k.logReadableSince = k.options.Now()
-	}
+	k.reads.noteResult(k.options.Now(), err)
+	k.readsCurrent.Store(k.reads.isCurrent())
 }
 
-// noteSnapshot notes how many records of a snapshot have been read.
-func (k *Keeper) noteSnapshot(records int) { k.counters.snapshotRecords.Store(uint64(records)) }
+// noteSnapshot notes how many records of a snapshot have been read. Until all of it and
+// the records after it have been read, records may be lacking.
+func (k *Keeper) noteSnapshot(records int) {
+	k.snapshotRecords.Store(uint64(records))
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.reads.fallBehind(k.options.Now(), 1)
+	k.readsCurrent.Store(false)
+}
 
 // CatchUp reports whether the log has been read to its end since the start of the
 // process, and how many records of the newest snapshot have been read. Until it is done,
@@ -33,7 +35,7 @@
 func (k *Keeper) CatchUp() (done bool, records uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.caughtUp, k.counters.snapshotRecords.Load()
+	return k.reads.caughtUp, k.snapshotRecords.Load()
 }
 
 // applyPage applies a page of the log to the table and updates the jobs that it
@@ -64,27 +66,29 @@
 	}
 	k.nextOffset = p.Next
 	if p.Snapshot {
-		// Own jobs that the snapshot lacks have been deleted from the log.
-		for id := range k.ownedJobs {
-			if !changed[id] {
+		// Open jobs that the snapshot lacks have been deleted from the log.
+		k.openJobs.Range(func(key, _ any) bool {
+			if id := key.(batch.ID); !changed[id] {
 				toUpdate = append(toUpdate, id)
 			}
-		}
+			return true
+		})
 	}
 	for _, id := range toUpdate {
 		k.updateJob(now, id)
 	}
-	switch {
-	case p.UpToDate:
-		k.behindSince = time.Time{}
-	case k.behindSince.IsZero():
-		k.behindSince = now
-	}
-	if p.UpToDate && !k.caughtUp {
-		k.caughtUp = true
-		k.logRead.Store(true)
+	k.notePageRead(now, p)
+}
+
+// notePageRead updates what is known about the reading of the log after a page was
+// applied.
+func (k *Keeper) notePageRead(now time.Time, p Page) {
+	caughtUpBefore := k.reads.caughtUp
+	k.reads.notePage(now, p.UpToDate)
+	k.readsCurrent.Store(k.reads.isCurrent())
+	if k.reads.caughtUp && !caughtUpBefore {
 		k.recorder.Record(decision.Decision{Step: "job_log", Outcome: "caught_up", Version: p.Next, Age: now.Sub(k.started),
-			Inputs: []decision.Input{{Name: "snapshot_records", Value: int64(k.counters.snapshotRecords.Load())}}})
+			Inputs: []decision.Input{{Name: "snapshot_records", Value: int64(k.snapshotRecords.Load())}}})
 	}
 }
 
--- a/process/keeper/takeover.go
+++ b/process/keeper/takeover.go
@@ -34,6 +34,7 @@
 		k.runWriter(ctx)
 	}()
 	go k.runPeriodicTasks(ctx)
+	go k.watchForPauses(ctx)
 	k.log.Follow(ctx, Reader{Apply: k.applyPage, NoteResult: k.noteReadResult, NoteSnapshot: k.noteSnapshot})
 	<-done
 	return nil
@@ -80,11 +81,11 @@
 		timeout += nonFirstTakeoverDelay
 	}
 	silentSince := now.Add(-timeout)
-	if !k.caughtUp || k.logReadableSince.IsZero() || k.logUnavailable {
+	if !k.reads.isCurrent() || k.wasPaused(now) || k.logUnavailable {
 		k.mu.Unlock()
 		return
 	}
-	if k.logReadableSince.After(silentSince) {
+	if k.reads.readableSince.After(silentSince) {
 		// Records of other owners may not have been read yet. Only earlier
 		// incarnations on this instance are certainly dead.
 		silentSince = time.Time{}
