node, observe: late passes and messages by kind show what an entry lacks

Nothing that it wrote said that its passes were late or how many messages it handled.

No logic changes.

--- a/process/node/agent.go
+++ b/process/node/agent.go
@@ -81,6 +81,7 @@
 	decisions *observe.Decisions
 	core      *runner.Core
 	dialer    *dialer
+	ticks     *tickMonitor
 	ctx       context.Context
 
 	mu sync.Mutex
@@ -103,6 +104,7 @@
 	a := &Agent{options: options, observer: observer, decisions: decisions, entries: make(map[wire.Incarnation]*entryLink)}
 	a.core = runner.New((*agentEnv)(a), runner.Options{Agent: wire.NewIncarnation(), Node: options.Node, Zone: options.Zone,
 		Fence: uint64(time.Now().UnixMilli())})
+	a.ticks = newTickMonitor(observer)
 	a.dialer = newDialer("", options.Seeds, observer.Log, a.dialEntry)
 	return a
 }
@@ -164,6 +166,7 @@
 // send queues a message. If the queue of the connection cannot take it, the
 // connection is closed, which Closed then handles.
 func (l *entryLink) send(m wire.Message) {
+	l.agent.observer.CountSent(m)
 	if err := l.conn.Send(m); err != nil {
 		l.agent.observer.Log.Warn().Err(err).Str("step", "send").Msg("message not queued, connection to entry closed")
 	}
@@ -171,6 +174,7 @@
 
 // Received handles a message from an entry.
 func (l *entryLink) Received(m wire.Message) {
+	l.agent.observer.CountReceived(m)
 	switch m := m.(type) {
 	case *wire.EntryHello:
 		l.agent.dialer.add(m.Entries)
@@ -238,7 +242,7 @@
 	actor := func(f func(context.Context) error) {
 		g.Add(func() error { return f(ctx) }, func(error) { cancel() })
 	}
-	actor(func(ctx context.Context) error { return runEvery(ctx, tickInterval, a.core.Tick) })
+	actor(func(ctx context.Context) error { return a.ticks.run(ctx, a.core.Tick) })
 	actor(func(ctx context.Context) error { a.dialer.run(ctx); return nil })
 	for n := range maxConcurrentHolds {
 		actor(func(ctx context.Context) error { return a.runHoldLoop(ctx, n) })
@@ -246,7 +250,7 @@
 	actor(a.lookUpTarget)
 	actor(a.searchEntries)
 	actor(func(ctx context.Context) error { return a.leaveOnSignal(ctx, stop) })
-	actor(newAgentMetrics(a.observer, a.core).report)
+	actor(newAgentMetrics(a.observer, a.core, a.ticks).report)
 	addServer(g, "control", a.options.ControlAddr, a.options.ControlHandler(a.core))
 	if a.options.MetricsAddr != "" {
 		g.Add(observe.AdminOnPrivateNetwork(a.options.MetricsAddr, a.observer, func() any { return a.core.Dump() }, func() error { return nil }))
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -97,6 +97,7 @@
 	keeper   *keeper.Keeper
 	stopping atomic.Bool
 	metrics  *entryMetrics
+	ticks    *tickMonitor
 	started  time.Time
 	// configured is closed when the first configuration is in force.
 	configured chan struct{}
@@ -124,6 +125,7 @@
 	e.keeper = keeper.New(keeper.Options{Node: options.Node, Owner: ledger.Owner(e.incarnation.String()), IsFirstByName: e.hasLowestName,
 		Peers: e.keeperPeers, Now: clock.Now, UnixTime: time.Now}, observedLog{options.Jobs, observer.Condition("store_jobs")}, e.Core, decisions)
 	e.metrics = newEntryMetrics(observer, e)
+	e.ticks = newTickMonitor(observer)
 	e.dialer = newDialer(options.AdvertiseAddr, options.Seeds, observer.Log, e.dialEntry)
 	return e
 }
@@ -252,7 +254,7 @@
 	actor := func(f func(context.Context) error) {
 		g.Add(func() error { return f(ctx) }, func(error) { cancel() })
 	}
-	actor(func(ctx context.Context) error { return runEvery(ctx, tickInterval, e.Core.Tick) })
+	actor(func(ctx context.Context) error { return e.ticks.run(ctx, e.Core.Tick) })
 	actor(func(ctx context.Context) error { e.dialer.run(ctx); return nil })
 	actor(e.followConfig)
 	actor(e.saveCopies)
--- a/process/node/entrylinks.go
+++ b/process/node/entrylinks.go
@@ -25,6 +25,7 @@
 // send queues a message. If the queue of the connection cannot take it, the
 // connection is closed, which Closed then handles.
 func (l *processLink) send(m wire.Message) {
+	l.entry.observer.CountSent(m)
 	if err := l.conn.Send(m); err != nil {
 		l.entry.observer.Log.Warn().Err(err).Str("step", "send").Msg("message not queued, connection closed")
 	}
@@ -52,6 +53,7 @@
 
 // Received handles a message from an agent or another entry.
 func (l *processLink) Received(m wire.Message) {
+	l.entry.observer.CountReceived(m)
 	l.receivedAny = true
 	switch m := m.(type) {
 	case *wire.Enroll:
--- a/process/node/metrics.go
+++ b/process/node/metrics.go
@@ -71,6 +71,7 @@
 		m.countDurableJobs(m.entry.keeper.Counts())
 		m.durableJobs.Update(float64(m.entry.keeper.OwnedJobs()))
 		m.reportCatchUp()
+		m.entry.ticks.report()
 	})
 }
 
@@ -128,13 +129,14 @@
 // agentMetrics exports the metrics of an agent process.
 type agentMetrics struct {
 	core     *runner.Core
+	ticks    *tickMonitor
 	scope    tally.Scope
 	runsHeld tally.Gauge
 	totals   map[string]*cumulativeCounter
 }
 
-func newAgentMetrics(o *observe.Observer, core *runner.Core) *agentMetrics {
-	return &agentMetrics{core: core, scope: o.Metrics, runsHeld: o.Metrics.Gauge(observe.RunsHeld), totals: make(map[string]*cumulativeCounter)}
+func newAgentMetrics(o *observe.Observer, core *runner.Core, ticks *tickMonitor) *agentMetrics {
+	return &agentMetrics{core: core, ticks: ticks, scope: o.Metrics, runsHeld: o.Metrics.Gauge(observe.RunsHeld), totals: make(map[string]*cumulativeCounter)}
 }
 
 // report updates the metrics until the context ends.
@@ -149,5 +151,6 @@
 		for reason, count := range dump.Counters.Refused {
 			reportTotal(m.scope, m.totals, observe.RunsTurnedBack, observe.TagReason, string(reason), count)
 		}
+		m.ticks.report()
 	})
 }
--- /dev/null
+++ b/process/node/ticks.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/azurerouter/azurerouter/process/clock"
+	"github.com/azurerouter/azurerouter/process/observe"
+)
+
+// maxTickDelay is the delay of a pass above which the process counts as short of
+// processor time. Tasks are ordered and sessions renewed that much too late.
+const maxTickDelay = 50 * time.Millisecond
+
+var errProcessorShort = errors.New("passes of the process are late: it lacks processor time or was paused")
+
+// tickMonitor measures how late the passes of a process are.
+type tickMonitor struct {
+	delay     tally.Gauge
+	condition *observe.Condition
+	// longest is the longest delay since the last report, in nanoseconds.
+	longest atomic.Int64
+}
+
+func newTickMonitor(o *observe.Observer) *tickMonitor {
+	return &tickMonitor{delay: o.Metrics.Gauge(observe.TickLateSeconds), condition: o.Condition("processor_short")}
+}
+
+// run calls tick at every tickInterval until the context ends.
+func (t *tickMonitor) run(ctx context.Context, tick func()) error {
+	previous := clock.Now()
+	return runEvery(ctx, tickInterval, func() {
+		now := clock.Now()
+		delay := int64(now.Sub(previous) - tickInterval)
+		previous = now
+		for longest := t.longest.Load(); delay > longest && !t.longest.CompareAndSwap(longest, delay); longest = t.longest.Load() {
+		}
+		tick()
+	})
+}
+
+// report exports the longest delay since the last call.
+func (t *tickMonitor) report() {
+	longest := time.Duration(t.longest.Swap(0))
+	t.delay.Update(longest.Seconds())
+	if longest > maxTickDelay {
+		t.condition.Begin(errors.Wrapf(errProcessorShort, "up to %d ms", longest.Milliseconds()))
+		return
+	}
+	t.condition.End()
+}
--- a/process/observe/names.go
+++ b/process/observe/names.go
@@ -105,6 +105,9 @@
 	// DurableSnapshotRecords is the number of records read of the newest snapshot of
 	// the log of durable jobs.
 	DurableSnapshotRecords = "durable_snapshot_records"
+	// TickLateSeconds is the longest delay of a periodic pass of the process within
+	// the last second, in seconds.
+	TickLateSeconds = "tick_late_seconds"
 	// RoutingVersion is the version of the routing configuration in force.
 	RoutingVersion = "routing_version"
 
--- a/process/observe/observer.go
+++ b/process/observe/observer.go
@@ -32,6 +32,8 @@
 	reporter     http.Handler
 	reportCloser io.Closer
 	violations   violations
+	sent         kindCounters
+	received     kindCounters
 }
 
 // timeFormat is the time format of log lines. It includes milliseconds so that the
