runner: the ends of one job's runs share a message

Each of 8 tasks of a job was reported by a message of its own, though the job is not complete before the last one.

Change: the end of a run that is done is reported at the latest 30 ms later while other runs of its job work here and its entry waits for no room. Failures, refusals, ends to be recorded and the last end of a job are reported at once, as before.

Before (delay of 0): TestEndsOfOneJobShareAMessage: 3 messages report the ends of three runs, want 1.

--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -24,6 +24,9 @@
 	// replyAfter is the time since the last message to an entry after which its
 	// messages are answered at once, so that it learns of the free capacity.
 	replyAfter = wire.SessionRenewInterval / 2
+	// maxReportDelay bounds how long the report of an end waits for those of other
+	// runs of its job.
+	maxReportDelay = 30 * time.Millisecond
 	// invitationTTL is how long freed capacity is reserved for an invited entry.
 	invitationTTL = 10 * time.Millisecond
 )
--- a/process/runner/session.go
+++ b/process/runner/session.go
@@ -31,7 +31,9 @@
 	// pendingReports have not been sent yet. recentReports are repeated when the
 	// entry reconnects.
 	pendingReports []wire.RunReport
-	recentReports  []recentReport
+	// reportAt is when the pending reports are sent at the latest.
+	reportAt      time.Time
+	recentReports []recentReport
 	// sentRevision is the revision of the target state that was last sent.
 	sentRevision uint64
 	// waiting is set while tasks of the entry wait for capacity.
@@ -137,11 +139,11 @@
 		if !s.connected {
 			continue
 		}
-		due := now.Sub(s.lastSentAt) >= c.renewInterval(s)
-		if len(s.pendingReports) == 0 && s.sentRevision == c.revision && !due {
-			continue
+		reportsDue := len(s.pendingReports) > 0 && !now.Before(s.reportAt)
+		renewalDue := now.Sub(s.lastSentAt) >= c.renewInterval(s)
+		if reportsDue || renewalDue || s.sentRevision != c.revision {
+			c.sendReport(now, s, false)
 		}
-		c.sendReport(now, s, false)
 	}
 }
 
@@ -174,15 +176,18 @@
 	}
 }
 
-// queueReport queues a report for an entry and keeps it in case the entry
-// reconnects.
-func (c *Core) queueReport(now time.Time, s *session, report wire.RunReport) {
+// queueReport queues a report for an entry, to be sent after the delay at the
+// latest, and keeps it in case the entry reconnects.
+func (c *Core) queueReport(now time.Time, s *session, report wire.RunReport, delay time.Duration) {
 	if report.RefusalReason != "" {
 		c.counters.Refused[report.RefusalReason]++
 	}
 	if s == nil {
 		return
 	}
+	if at := now.Add(delay); len(s.pendingReports) == 0 || at.Before(s.reportAt) {
+		s.reportAt = at
+	}
 	s.pendingReports = append(s.pendingReports, report)
 	s.recentReports = append(s.recentReports, recentReport{report, now})
 }
--- a/process/runner/start.go
+++ b/process/runner/start.go
@@ -23,7 +23,7 @@
 func (c *Core) handleStartOrder(now time.Time, s *session, order wire.StartOrder, task wire.StartTask) {
 	run := order.Run(task)
 	if reason := c.refusalReason(now, s, order, run); reason != "" {
-		c.queueReport(now, s, wire.RunReport{Run: run, RefusalReason: reason})
+		c.queueReport(now, s, wire.RunReport{Run: run, RefusalReason: reason}, 0)
 		return
 	}
 	h := &heldRun{run: run, entry: s.entry, demand: order.Demand, durable: order.Durable, startedAt: now,
@@ -167,7 +167,7 @@
 		return
 	}
 	c.removeRun(h)
-	c.queueReport(now, c.sessions[h.entry], wire.RunReport{Run: h.run, RefusalReason: reason})
+	c.queueReport(now, c.sessions[h.entry], wire.RunReport{Run: h.run, RefusalReason: reason}, 0)
 }
 
 // updateHealth applies an observation to the health of the target. A change is
@@ -279,7 +279,7 @@
 	if !h.observed && end == batch.EndStopped {
 		report = wire.RunReport{Run: h.run, RefusalReason: h.notStartedReason}
 	}
-	c.queueReport(now, c.sessions[h.entry], report)
+	c.queueReport(now, c.sessions[h.entry], report, c.reportDelay(h, end))
 	c.env.Record(decision.Decision{Step: "run_end", Job: h.run.Task.Job, Run: h.run, Peer: c.target.id, Outcome: string(end),
 		Routine: end == batch.EndDone, Inputs: []decision.Input{{Name: "ran_ms", Value: report.RanMS}}})
 	switch end {
@@ -291,6 +291,23 @@
 	}
 }
 
+// reportDelay returns how long the report of an end may wait for other reports. A job
+// is not complete before the other runs of it here have ended, so that one message is
+// enough for all of them. Ends after which the entry has something to do are reported
+// at once.
+func (c *Core) reportDelay(h *heldRun, end batch.End) time.Duration {
+	s := c.sessions[h.entry]
+	if end != batch.EndDone || h.durable || s == nil || s.waiting {
+		return 0
+	}
+	for _, other := range c.runs {
+		if other.entry == h.entry && other.run.Task.Job == h.run.Task.Job && other.run.Task.Step == h.run.Task.Step && other.state == stateRunning {
+			return maxReportDelay
+		}
+	}
+	return 0
+}
+
 // inviteWaitingEntry notifies the entry with the most urgent waiting tasks that
 // there is free capacity for at least the smallest of them. No other entry is
 // invited until it has answered or invitationTTL has passed.
