node: idle agents and entries wake up a quarter as often

Cause, next after the sessions: each agent woke up some 240 times a second: two hold loops that only look every 20 ms whether answers get lost, and a pass every 15 ms although no run is alive.

Change: the additional hold loops wait for a lost answer instead of looking for one; passes of a process without jobs or runs come every 60 ms.

--- a/process/node/actors.go
+++ b/process/node/actors.go
@@ -11,8 +11,10 @@
 
 // Intervals and timeouts of every process.
 const (
-	// tickInterval is the interval between two calls of a core's Tick.
-	tickInterval = 15 * time.Millisecond
+	// tickInterval is the interval between two calls of a core's Tick,
+	// idleTickInterval the one of a process that has no job or run.
+	tickInterval     = 15 * time.Millisecond
+	idleTickInterval = 4 * tickInterval
 	// reportInterval is how often gauges and counters are updated.
 	reportInterval = time.Second
 	// shutdownReserve is the end of the grace period that is reserved for giving
--- a/process/node/agent.go
+++ b/process/node/agent.go
@@ -83,6 +83,9 @@
 	dialer    *dialer
 	ticks     *tickMonitor
 	ctx       context.Context
+	// answersLost receives a value for each additional hold loop after an answer of
+	// the target was lost.
+	answersLost chan struct{}
 
 	mu sync.Mutex
 	// entries holds the connected entries that have sent their hello.
@@ -101,7 +104,8 @@
 
 // NewAgent returns an agent process that opens no connection before AddTo.
 func NewAgent(options AgentOptions, observer *observe.Observer, decisions *observe.Decisions) *Agent {
-	a := &Agent{options: options, observer: observer, decisions: decisions, entries: make(map[wire.Incarnation]*entryLink)}
+	a := &Agent{options: options, observer: observer, decisions: decisions, entries: make(map[wire.Incarnation]*entryLink),
+		answersLost: make(chan struct{}, maxConcurrentHolds-1)}
 	a.core = runner.New((*agentEnv)(a), runner.Options{Agent: wire.NewIncarnation(), Node: options.Node, Zone: options.Zone,
 		Fence: uint64(time.Now().UnixMilli())})
 	a.ticks = newTickMonitor(observer)
@@ -135,7 +139,11 @@
 }
 
 func (e *agentEnv) Start(c runner.StartCall) {
-	go func() { e.core.HandleStartAnswer(c, e.options.Target.Start(e.ctx, c)) }()
+	go func() {
+		answer := e.options.Target.Start(e.ctx, c)
+		e.core.HandleStartAnswer(c, answer)
+		(*Agent)(e).noteVerdict(answer.Verdict)
+	}()
 }
 
 func (e *agentEnv) Stop(c runner.StopCall) {
@@ -157,6 +165,7 @@
 	answer, verdict := a.options.Target.Hold(a.ctx, call)
 	if verdict != runner.VerdictDone {
 		a.core.HoldFailed(call, verdict)
+		a.noteVerdict(verdict)
 		return false
 	}
 	a.core.HandleHoldAnswer(call, answer)
@@ -243,7 +252,7 @@
 	actor := func(f func(context.Context) error) {
 		g.Add(func() error { return f(ctx) }, func(error) { cancel() })
 	}
-	actor(func(ctx context.Context) error { return a.ticks.run(ctx, a.core.Tick) })
+	actor(func(ctx context.Context) error { return a.ticks.run(ctx, a.core.Tick, a.core.Busy) })
 	actor(func(ctx context.Context) error { a.dialer.run(ctx); return nil })
 	for n := range maxConcurrentHolds {
 		actor(func(ctx context.Context) error { return a.runHoldLoop(ctx, n) })
@@ -276,18 +285,35 @@
 // while no answers get lost only the one with index 0 makes calls.
 func (a *Agent) runHoldLoop(ctx context.Context, index int) error {
 	for ctx.Err() == nil {
-		if (index == 0 || a.core.AnswersLost()) && a.sendHold(true) {
-			pause(ctx, a.core.HoldDelay())
+		if index > 0 && !a.core.AnswersLost() {
+			select {
+			case <-ctx.Done():
+			case <-a.answersLost:
+			}
 			continue
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(holdRetryPause):
+		delay := holdRetryPause
+		if a.sendHold(true) {
+			delay = a.core.HoldDelay()
 		}
+		pause(ctx, delay)
 	}
 	return nil
 }
 
+// noteVerdict wakes the additional hold loops after an answer of the target was lost.
+func (a *Agent) noteVerdict(verdict runner.Verdict) {
+	if verdict != runner.VerdictUnanswered {
+		return
+	}
+	for range cap(a.answersLost) {
+		select {
+		case a.answersLost <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // pause waits for d, or until the context ends.
 func pause(ctx context.Context, d time.Duration) {
 	if d <= 0 {
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -261,7 +261,9 @@
 	actor := func(f func(context.Context) error) {
 		g.Add(func() error { return f(ctx) }, func(error) { cancel() })
 	}
-	actor(func(ctx context.Context) error { return e.ticks.run(ctx, e.Core.Tick) })
+	actor(func(ctx context.Context) error {
+		return e.ticks.run(ctx, e.Core.Tick, func() bool { return e.ActiveJobs() > 0 })
+	})
 	actor(func(ctx context.Context) error { e.dialer.run(ctx); return nil })
 	actor(e.followConfig)
 	actor(e.saveCopies)
--- a/process/node/ticks.go
+++ b/process/node/ticks.go
@@ -30,17 +30,36 @@
 	return &tickMonitor{delay: o.Metrics.Gauge(observe.TickLateSeconds), condition: o.Condition("processor_short")}
 }
 
-// run calls tick at every tickInterval until the context ends.
-func (t *tickMonitor) run(ctx context.Context, tick func()) error {
-	previous := clock.Now()
-	return runEvery(ctx, tickInterval, func() {
-		now := clock.Now()
-		delay := int64(now.Sub(previous) - tickInterval)
-		previous = now
-		for longest := t.longest.Load(); delay > longest && !t.longest.CompareAndSwap(longest, delay); longest = t.longest.Load() {
+// run calls tick until the context ends, at every tickInterval while busy reports that
+// there is something to wait for, otherwise at every idleTickInterval.
+func (t *tickMonitor) run(ctx context.Context, tick func(), busy func() bool) error {
+	interval := tickInterval
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	for due := clock.Now().Add(interval); ; due = clock.Now().Add(interval) {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
 		}
+		t.noteDelay(clock.Now().Sub(due))
 		tick()
-	})
+		interval = idleTickInterval
+		if busy() {
+			interval = tickInterval
+		}
+		timer.Reset(interval)
+	}
+}
+
+// noteDelay records that a pass was late.
+func (t *tickMonitor) noteDelay(delay time.Duration) {
+	for {
+		longest := t.longest.Load()
+		if int64(delay) <= longest || t.longest.CompareAndSwap(longest, int64(delay)) {
+			return
+		}
+	}
 }
 
 // report exports the longest delay since the last call.
--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -238,6 +238,22 @@
 	}
 }
 
+// Busy reports whether Tick has more to do than to renew sessions: runs may be alive,
+// an entry waits for capacity, or ends are not acknowledged.
+func (c *Core) Busy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.runs) > 0 || len(c.foreignRuns) > 0 || c.target.ends.hasUnacked() || c.target.ends.lapsing() {
+		return true
+	}
+	for _, s := range c.sessions {
+		if s.waiting {
+			return true
+		}
+	}
+	return false
+}
+
 // Runs returns the number of runs that may be alive.
 func (c *Core) Runs() int {
 	c.mu.Lock()
