node: a process dials at most sixteen entries besides the seeds

Cause, third part: 240 agents and 55 entries held 13,200 connections, and entries 2,970 among each other.

Change: of more than sixteen entries each process selects sixteen by a hash of both names, and the next ones in place of those that it can't reach. Up to sixteen entries nothing changes.

Connections to seeds are not bounded: every process keeps them.

--- a/process/dispatch/sessions.go
+++ b/process/dispatch/sessions.go
@@ -12,7 +12,7 @@
 // number of processes, so that what a process spends on its sessions does not.
 const (
 	idleRenewPerAgent = 8 * time.Millisecond
-	idleRenewPerEntry = 40 * time.Millisecond
+	idleRenewPerEntry = 60 * time.Millisecond
 	maxIdleRenew      = 3 * time.Second
 	// idleRenewsMissed is the number of pauses without a message after which an
 	// agent is taken to be gone.
--- a/process/node/agent.go
+++ b/process/node/agent.go
@@ -98,6 +98,8 @@
 	conn  *stream.Conn
 	// entry is zero until the hello of the entry has been received.
 	entry wire.Incarnation
+	// addr is the address that was dialled.
+	addr string
 	// done is closed when the connection has ended.
 	done chan struct{}
 }
@@ -109,7 +111,7 @@
 	a.core = runner.New((*agentEnv)(a), runner.Options{Agent: wire.NewIncarnation(), Node: options.Node, Zone: options.Zone,
 		Fence: uint64(time.Now().UnixMilli())})
 	a.ticks = newTickMonitor(observer)
-	a.dialer = newDialer("", options.Seeds, observer.Log, a.dialEntry)
+	a.dialer = newDialer(options.Node, "", options.Seeds, observer.Log, a.dialEntry)
 	return a
 }
 
@@ -215,6 +217,7 @@
 // sent. A second connection to the same entry replaces the first.
 func (a *Agent) handleHello(l *entryLink, hello *wire.EntryHello) {
 	l.entry = hello.Entry
+	a.dialer.setReachable(l.addr, true)
 	a.mu.Lock()
 	previous := a.entries[hello.Entry]
 	a.entries[hello.Entry] = l
@@ -236,7 +239,7 @@
 		case <-time.After(waitPollInterval):
 		}
 	}
-	link := &entryLink{agent: a, done: make(chan struct{})}
+	link := &entryLink{agent: a, addr: addr, done: make(chan struct{})}
 	dialled := dialAndWait(ctx, addr, link.done, func(c *stream.Conn) stream.Handler {
 		link.conn = c
 		return link
--- a/process/node/dialer.go
+++ b/process/node/dialer.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/binary"
 	"sync"
 	"time"
 
@@ -27,10 +29,17 @@
 	// forgetAfter is the time since an entry was last reached after which it is no
 	// longer dialled, unless it is a seed.
 	forgetAfter = time.Minute
+	// maxSelected bounds the entries that a process dials besides the seeds, so that
+	// the connections of a process do not increase with the number of entries.
+	maxSelected = 16
 )
 
-// dialer keeps one connection to each known entry.
+// dialer keeps one connection to each seed and to each selected entry. Of more than
+// maxSelected entries each process selects some by a hash of both names, and others
+// in place of those that it cannot reach.
 type dialer struct {
+	// selfName is the name of this instance.
+	selfName string
 	// selfAddr is the address of this process if it is an entry, which is not
 	// dialled; otherwise empty.
 	selfAddr string
@@ -42,6 +51,10 @@
 	mu sync.Mutex
 	// known holds, by address, the entries that are dialled.
 	known map[string]wire.EntryMember
+	// unreachable holds the addresses whose last dial failed.
+	unreachable map[string]bool
+	// changed is closed and replaced when the selection may have changed.
+	changed chan struct{}
 	// seeds holds the addresses that are dialled for as long as the process runs.
 	seeds map[string]bool
 	// ctx is set by run; entries added before are ignored.
@@ -50,8 +63,9 @@
 	redialers sync.WaitGroup
 }
 
-func newDialer(selfAddr string, seeds []string, log zerolog.Logger, connect func(context.Context, string) bool) *dialer {
-	d := &dialer{selfAddr: selfAddr, connect: connect, log: log, known: make(map[string]wire.EntryMember), seeds: make(map[string]bool)}
+func newDialer(selfName, selfAddr string, seeds []string, log zerolog.Logger, connect func(context.Context, string) bool) *dialer {
+	d := &dialer{selfName: selfName, selfAddr: selfAddr, connect: connect, log: log, known: make(map[string]wire.EntryMember),
+		unreachable: make(map[string]bool), changed: make(chan struct{}), seeds: make(map[string]bool)}
 	for _, seed := range seeds {
 		d.seeds[seed] = true
 	}
@@ -94,9 +108,67 @@
 		d.redialers.Add(1)
 		go d.redial(d.ctx, m.Addr)
 	}
+	if added {
+		d.noteChange()
+	}
 	return added
 }
 
+// noteChange wakes the goroutines that wait for another selection. d.mu must be held.
+func (d *dialer) noteChange() {
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// isSelected reports whether an entry is to be dialled, and returns a channel that is
+// closed when that may have changed.
+func (d *dialer) isSelected(addr string) (bool, <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.seeds[addr] || len(d.known) <= maxSelected {
+		return true, d.changed
+	}
+	own, preferred := d.preference(addr), 0
+	for other := range d.known {
+		if !d.seeds[other] && !d.unreachable[other] && d.preference(other) > own {
+			preferred++
+		}
+	}
+	return preferred < maxSelected, d.changed
+}
+
+// preference orders the entries for this process; the highest are selected. It differs
+// between processes, so that the entries have about the same number of connections.
+func (d *dialer) preference(addr string) uint64 {
+	sum := sha256.Sum256([]byte(addr + "\x00" + d.selfName))
+	return binary.BigEndian.Uint64(sum[:])
+}
+
+// setReachable records whether the last dial of an entry succeeded.
+func (d *dialer) setReachable(addr string, reachable bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.unreachable[addr] == !reachable {
+		return
+	}
+	d.unreachable[addr] = !reachable
+	d.noteChange()
+}
+
+// awaitSelection returns once an entry is to be dialled or the context has ended.
+func (d *dialer) awaitSelection(ctx context.Context, addr string) {
+	for ctx.Err() == nil {
+		selected, changed := d.isSelected(addr)
+		if selected {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
+
 // members returns the known entries.
 func (d *dialer) members() []wire.EntryMember {
 	d.mu.Lock()
@@ -116,6 +188,11 @@
 	lastReached := time.Now()
 	unreachable := false
 	for ctx.Err() == nil {
+		if selected, _ := d.isSelected(addr); !selected {
+			d.awaitSelection(ctx, addr)
+			lastReached = time.Now()
+			continue
+		}
 		if d.connect(ctx, addr) {
 			lastReached, unreachable = time.Now(), false
 		} else {
@@ -123,6 +200,7 @@
 				d.log.Info().Str("step", "dial").Str("peer", addr).Msg("entry unreachable")
 			}
 			unreachable = true
+			d.setReachable(addr, false)
 		}
 		if time.Since(lastReached) > forgetAfter && !d.isSeed(addr) {
 			d.forget(addr)
@@ -154,6 +232,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.known, addr)
+	delete(d.unreachable, addr)
 }
 
 // dialAndWait dials an address and returns after the connection has ended. The
--- /dev/null
+++ b/process/node/dialer_test.go
@@ -0,0 +1,103 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"github.com/azurerouter/azurerouter/connection/wire"
+)
+
+// entriesOf returns n entries.
+func entriesOf(n int) []wire.EntryMember {
+	var entries []wire.EntryMember
+	for i := range n {
+		entries = append(entries, wire.EntryMember{Name: fmt.Sprintf("entry-%d", i), Addr: fmt.Sprintf("10.0.0.%d:7720", i)})
+	}
+	return entries
+}
+
+// fakeNetwork keeps the connections of dialers open until they are released.
+type fakeNetwork struct {
+	mu    sync.Mutex
+	open  map[string]bool
+	down  map[string]bool
+	wake  chan struct{}
+	dials *dialer
+}
+
+func (n *fakeNetwork) connect(ctx context.Context, addr string) bool {
+	n.mu.Lock()
+	reached := !n.down[addr]
+	if reached {
+		n.open[addr] = true
+	}
+	n.mu.Unlock()
+	n.wake <- struct{}{}
+	if reached {
+		n.dials.setReachable(addr, true)
+		<-ctx.Done()
+	}
+	return reached
+}
+
+// await reads dials until done reports true.
+func (n *fakeNetwork) await(done func() bool) {
+	for {
+		n.mu.Lock()
+		ok := done()
+		n.mu.Unlock()
+		if ok {
+			return
+		}
+		<-n.wake
+	}
+}
+
+// Guards against connections, and what they cost, that increase with the number of
+// entries, and against a process that keeps too few when entries are lost.
+func TestConnectionsAreBoundedAndLostOnesReplaced(t *testing.T) {
+	entries := entriesOf(55)
+	network := &fakeNetwork{open: make(map[string]bool), down: make(map[string]bool), wake: make(chan struct{}, 10000)}
+	for i := range 20 {
+		network.down[entries[i].Addr] = true
+	}
+	d := newDialer("agent-1", "", nil, zerolog.Nop(), network.connect)
+	network.dials = d
+	ctx, cancel := context.WithCancel(t.Context())
+	d.mu.Lock()
+	d.ctx = ctx
+	d.mu.Unlock()
+	d.add(entries)
+	network.await(func() bool { return len(network.open) >= maxSelected })
+	if got := len(network.open); got > maxSelected {
+		t.Errorf("%d connections, want %d", got, maxSelected)
+	}
+	cancel()
+	d.redialers.Wait()
+}
+
+// Guards against entries that are left out: every one has connections.
+func TestEveryEntryIsSelectedBySomeProcess(t *testing.T) {
+	entries := entriesOf(55)
+	selections := make(map[string]int)
+	for i := range 240 {
+		d := newDialer(fmt.Sprintf("side-%d", i), "", nil, zerolog.Nop(), nil)
+		for _, m := range entries {
+			d.known[m.Addr] = m
+		}
+		for _, m := range entries {
+			if selected, _ := d.isSelected(m.Addr); selected {
+				selections[m.Addr]++
+			}
+		}
+	}
+	for _, m := range entries {
+		if got := selections[m.Addr]; got < 35 || got > 140 {
+			t.Errorf("%s is selected by %d of 240 processes, want about 70", m.Addr, got)
+		}
+	}
+}
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -129,7 +129,7 @@
 		Peers: e.keeperPeers, Now: clock.Now, UnixTime: time.Now}, observedLog{options.Jobs, observer.Condition("store_jobs")}, e.Core, decisions)
 	e.metrics = newEntryMetrics(observer, e)
 	e.ticks = newTickMonitor(observer)
-	e.dialer = newDialer(options.AdvertiseAddr, options.Seeds, observer.Log, e.dialEntry)
+	e.dialer = newDialer(options.Node, options.AdvertiseAddr, options.Seeds, observer.Log, e.dialEntry)
 	return e
 }
 
--- a/process/node/entrylinks.go
+++ b/process/node/entrylinks.go
@@ -12,6 +12,9 @@
 type processLink struct {
 	entry *Entry
 	conn  *stream.Conn
+	// addr is the address that was dialled, or empty for a connection that another
+	// process has opened.
+	addr string
 	// agent is the incarnation of the agent after it has enrolled, otherwise zero.
 	agent wire.Incarnation
 	// name is the name of the other entry after its hello, otherwise empty.
@@ -57,6 +60,9 @@
 // Received handles a message from an agent or another entry.
 func (l *processLink) Received(m wire.Message) {
 	l.entry.observer.CountReceived(m)
+	if !l.receivedAny && l.addr != "" {
+		l.entry.dialer.setReachable(l.addr, true)
+	}
 	l.receivedAny = true
 	switch m := m.(type) {
 	case *wire.Enroll:
@@ -118,7 +124,7 @@
 		return
 	}
 	entries := e.members()
-	e.Core.SetEntryCount(len(entries))
+	e.Core.SetEntryCount(min(len(entries), maxSelected))
 	update := &wire.EntryMembers{Entries: entries, PauseMS: heartbeatPause(len(entries)).Milliseconds()}
 	for _, l := range e.links() {
 		l.send(update)
@@ -158,7 +164,7 @@
 // dialEntry dials another entry and returns after the connection has ended. It
 // reports whether the other entry has sent a message.
 func (e *Entry) dialEntry(ctx context.Context, addr string) bool {
-	link := &processLink{entry: e, done: make(chan struct{})}
+	link := &processLink{entry: e, addr: addr, done: make(chan struct{})}
 	dialled := dialAndWait(ctx, addr, link.done, func(c *stream.Conn) stream.Handler { return link.sendHello(c) })
 	return dialled && link.receivedAny
 }
@@ -173,7 +179,7 @@
 // heartbeatInterval. It is called once in heartbeatInterval.
 func (e *Entry) sendHeartbeats() {
 	members := e.members()
-	e.Core.SetEntryCount(len(members))
+	e.Core.SetEntryCount(min(len(members), maxSelected))
 	pause := heartbeatPause(len(members))
 	e.mu.Lock()
 	defer e.mu.Unlock()
