runner, dispatch: a task under which two targets have crashed is given up

Cause: the loss of a run with its target counted for nothing, and a job that must be kept has no deadline that ends it. Second: an agent that noticed another target at the address before its first report named no service, whereupon entries moved it to the pool of none and dropped what it reported of its runs.

Class: a retry without a budget. The same was sought elsewhere: failed runs have maxAttempts; starts without an answer, fenced starts and stops have limits of their own; runs lost with an agent restart without limit, which no task can cause.

Change: an agent that finds its target started again or replaced (and not draining) reports under which confirmed runs it had crashed, also those whose lease had lapsed meanwhile. The entry fails a job after two certain crashes under one task, and after three that may have been some it waits up to 4 s for certainty. The number is in the record of progress for a later owner. An agent without a target stays in its pool.

--- a/connection/wire/run.go
+++ b/connection/wire/run.go
@@ -227,6 +227,9 @@
 	// EndUnrecorded is set for an end that the agent keeps until the entry lists
 	// the run in Orders.RecordedEnds or Orders.VoidEnds.
 	EndUnrecorded bool `cbor:"5,keyasint,omitempty"`
+	// TargetCrashed is set if the target crashed while the run was there. Without an
+	// end it is about a run whose end was reported before the crash was certain.
+	TargetCrashed bool `cbor:"6,keyasint,omitempty"`
 }
 
 // AgentReport is a message from an agent to an entry. With no runs and no target
--- a/process/dispatch/cluster_test.go
+++ b/process/dispatch/cluster_test.go
@@ -249,7 +249,12 @@
 			a.c.after(orderTimeout, func() { reply(runner.Answer{Verdict: runner.VerdictUnanswered}) })
 			return
 		}
-		reply(do())
+		answer := do()
+		if n.executor.Crashed {
+			a.c.after(orderTimeout, func() { reply(runner.Answer{Verdict: runner.VerdictUnanswered}) })
+			return
+		}
+		reply(answer)
 	})
 }
 
--- /dev/null
+++ b/process/dispatch/crash_test.go
@@ -0,0 +1,105 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/azurerouter/azurerouter/process/dispatch"
+	"github.com/azurerouter/azurerouter/request/batch"
+	"github.com/azurerouter/azurerouter/standin/executor"
+)
+
+// crashDuration is how long a target is away that a task has crashed.
+const crashDuration = 3 * time.Second
+
+// submitDeadlyJob submits a job that can wait for a minute and has one task that crashes
+// each target that starts it.
+func (c *cluster) submitDeadlyJob(tasks int) (*caller, batch.Task) {
+	s := c.submission("deadly", tasks, 60*time.Millisecond, 1000, 0)
+	s.MaxAttempts, s.Objective, s.CallerTimeout = 100, time.Minute, time.Minute
+	deadly := batch.Task{Job: s.Job.ID}
+	c.work[deadly] = executor.Work{Duration: time.Second, Crashes: true, Demand: s.Job.Steps[0].Demand}
+	return c.call(s, 0), deadly
+}
+
+// runWithCrashes advances the cluster, replaces crashed targets after crashDuration, and
+// returns the number of crashes.
+func (c *cluster) runWithCrashes(d time.Duration) (crashes int) {
+	replacing := make(map[*agentNode]bool)
+	for end := c.now.Add(d); c.now.Before(end); c.step() {
+		for _, a := range c.agents {
+			if !a.executor.Crashed || replacing[a] {
+				continue
+			}
+			crashes++
+			replacing[a] = true
+			c.after(crashDuration, func() {
+				a.replaceCrashedTarget()
+				replacing[a] = false
+			})
+		}
+	}
+	return crashes
+}
+
+// Guards against a task that crashes one target after the other (rule BUDGET).
+func TestTaskUnderWhichTargetsCrashIsGivenUp(t *testing.T) {
+	for _, entryCount := range []int{0, largeFleetEntries} {
+		c := newCluster(t, 21, 2, equalRooms(8, 16000))
+		c.setEntryCount(entryCount)
+		c.run(500 * time.Millisecond)
+		k, _ := c.submitDeadlyJob(4)
+		crashes := c.runWithCrashes(25 * time.Second)
+		if k.result == nil || k.result.Code != dispatch.Failed || k.result.Reason != dispatch.ReasonCrashes {
+			t.Errorf("result %+v, want %s because of %s", k.result, dispatch.Failed, dispatch.ReasonCrashes)
+		}
+		if crashes > 4 {
+			t.Errorf("%d targets have crashed, want at most 4", crashes)
+		}
+	}
+}
+
+// Guards against jobs that are given up although their targets did not crash: they hang
+// and answer again, one after the other.
+func TestJobOnHangingTargetsIsNotGivenUp(t *testing.T) {
+	c := newCluster(t, 22, 2, equalRooms(4, 16000))
+	c.run(500 * time.Millisecond)
+	s := c.submission("q", 2, 600*time.Millisecond, 1000, 0)
+	s.MaxAttempts, s.Objective, s.CallerTimeout = 3, time.Minute, time.Minute
+	k := c.call(s, 0)
+	for range 4 {
+		c.run(100 * time.Millisecond)
+		c.lostAnswerShare = 1
+		c.run(1500 * time.Millisecond)
+		c.lostAnswerShare = 0
+	}
+	c.run(10 * time.Second)
+	if k.result == nil || k.result.Code != dispatch.Completed {
+		t.Errorf("result %+v, want %s", k.result, dispatch.Completed)
+	}
+}
+
+// Guards against a crash that is not counted because the agent notices another target at
+// the address before that one has reported to it.
+func TestCrashNoticedByAnotherTargetAtTheAddressIsCounted(t *testing.T) {
+	c := newCluster(t, 23, 1, equalRooms(6, 16000))
+	c.run(500 * time.Millisecond)
+	k, _ := c.submitDeadlyJob(1)
+	replacing := make(map[*agentNode]bool)
+	for range 25_000 {
+		c.step()
+		for _, a := range c.agents {
+			if a.executor.Crashed && !replacing[a] {
+				replacing[a] = true
+				c.after(crashDuration, func() {
+					a.executor = executor.New(c.now, a.executor.ID+"+", a.executor.Capacity, c.workOf)
+					a.sequence = 0
+					c.after(200*time.Millisecond, func() { a.deliver(a.report); replacing[a] = false })
+				})
+			}
+		}
+	}
+	if k.result == nil || k.result.Reason != dispatch.ReasonCrashes {
+		t.Errorf("result %+v, want %s because of %s", k.result, dispatch.Failed, dispatch.ReasonCrashes)
+	}
+}
--- a/process/dispatch/durable.go
+++ b/process/dispatch/durable.go
@@ -24,13 +24,15 @@
 	NotBefore time.Time
 }
 
-// TaskProgress is what is recorded of one task: whether it is done and how many of
-// its runs have failed.
+// TaskProgress is what is recorded of one task: whether it is done, how many of its
+// runs have failed, and under how many a target has crashed.
 type TaskProgress struct {
 	Step       int
 	Index      int
 	Done       bool
 	FailedRuns int
+	// Crashes is the number of targets that have crashed under the task.
+	Crashes int
 }
 
 // durableEnd is the end of a run that an agent keeps until it is recorded.
@@ -89,7 +91,7 @@
 			continue
 		}
 		t := j.steps[progress.Step].tasks[progress.Index]
-		t.failures = progress.FailedRuns
+		t.failures, t.crashes.certain = progress.FailedRuns, progress.Crashes
 		if progress.Done && !t.done {
 			j.completeTask(t)
 		}
@@ -116,8 +118,8 @@
 		ends = len(j.durableState.unrecordedEnds)
 		for step := range j.steps {
 			for _, t := range j.steps[step].tasks {
-				if t.done || t.failures > 0 {
-					progress = append(progress, TaskProgress{Step: t.step, Index: t.index, Done: t.done, FailedRuns: t.failures})
+				if t.done || t.failures > 0 || t.crashes.certain > 0 {
+					progress = append(progress, TaskProgress{Step: t.step, Index: t.index, Done: t.done, FailedRuns: t.failures, Crashes: t.crashes.certain})
 				}
 			}
 		}
@@ -220,6 +222,9 @@
 // onHold reports whether the tasks of a job must not be assigned now. It is false
 // for a job that is not durable.
 func (c *Core) onHold(now time.Time, j *activeJob) bool {
+	if now.Before(j.heldUntil) {
+		return true
+	}
 	return j.durableState != nil && (c.suspended.Load() || now.Before(j.durableState.notBefore))
 }
 
--- a/process/dispatch/env.go
+++ b/process/dispatch/env.go
@@ -76,6 +76,8 @@
 	ReasonTooLarge Reason = "too_large"
 	// ReasonAttempts: a task has failed in all of its attempts.
 	ReasonAttempts Reason = "attempts"
+	// ReasonCrashes: targets have crashed under a task of the job.
+	ReasonCrashes Reason = "crashes"
 	// ReasonIsolated: the entry has lost contact with every agent of the service.
 	ReasonIsolated Reason = "isolated"
 	// ReasonStoreUnavailable: the job can't be recorded in the store.
--- a/process/dispatch/faults_test.go
+++ b/process/dispatch/faults_test.go
@@ -67,13 +67,7 @@
 		{"crash_target", func(c *cluster) func() {
 			a := c.agents[c.random.IntN(len(c.agents))]
 			a.executor.Crash()
-			return func() {
-				if a.executor.Crashed {
-					a.executor = executor.New(c.now, a.executor.ID+"+", a.executor.Capacity, c.workOf)
-					a.sequence = 0
-					a.deliver(a.report)
-				}
-			}
+			return a.replaceCrashedTarget
 		}},
 		{"applied_late", func(c *cluster) func() {
 			c.lostAnswerShare = 0.1
@@ -92,6 +86,15 @@
 	}
 }
 
+// replaceCrashedTarget starts a new target in place of one that has crashed.
+func (a *agentNode) replaceCrashedTarget() {
+	if a.executor.Crashed {
+		a.executor = executor.New(a.c.now, a.executor.ID+"+", a.executor.Capacity, a.c.workOf)
+		a.sequence = 0
+		a.deliver(a.report)
+	}
+}
+
 // cut interrupts the matching links and returns the function that restores them.
 func (c *cluster) cut(matches func(*link) bool) func() {
 	for _, l := range c.links {
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -22,7 +22,9 @@
 	durableState *durableState
 	// runsStarted counts the runs that were ordered and not refused.
 	runsStarted int
-	ended       bool
+	// heldUntil is the time until which no task of the job is ordered.
+	heldUntil time.Time
+	ended     bool
 	// timeToEnd is the estimated time from the start of each step to the end of
 	// the job.
 	timeToEnd []time.Duration
@@ -50,7 +52,9 @@
 	lastNumber int
 	// failures counts the runs that ended with EndFailed.
 	failures int
-	done     bool
+	// crashes counts the targets that have crashed under the task.
+	crashes crashRecord
+	done    bool
 	// liveRun is the run that may be alive, or nil.
 	liveRun *run
 	// avoidedNodes are the nodes where the target refused or did not complete a
@@ -66,7 +70,11 @@
 	orderedAt time.Time
 	// stopRequested is set once the result of the run is not needed.
 	stopRequested bool
-	demand        batch.Resources
+	// mayHaveCrashed is set if the run was lost at its target, targetCrashed if the
+	// target has certainly crashed.
+	mayHaveCrashed bool
+	targetCrashed  bool
+	demand         batch.Resources
 }
 
 func (t *task) id() batch.Task {
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -17,6 +17,8 @@
 func (c *Core) handleRunReport(now time.Time, p *pool, t *target, report wire.RunReport) {
 	r := t.runs[report.Run]
 	switch {
+	case report.TargetCrashed && report.End == "":
+		c.noteCrash(now, p, report.Run)
 	case r == nil && report.EndUnrecorded:
 		c.resolveLateEnd(now, p, t, report.Run)
 	case r == nil:
@@ -30,6 +32,8 @@
 		if report.End == batch.EndDone {
 			p.durations.record(r.task, t.node, time.Duration(report.RanMS)*time.Millisecond)
 		}
+		r.targetCrashed = report.TargetCrashed
+		r.mayHaveCrashed = report.End == batch.EndLost || report.End == batch.EndLapsed
 		c.addDurableEnd(now, p, r, report.EndUnrecorded)
 		c.runEnded(now, p, r, report.End)
 	}
@@ -96,6 +100,12 @@
 		}
 	default:
 		r.task.avoidedNodes = append(r.task.avoidedNodes, r.target.node)
+		if r.mayHaveCrashed {
+			r.task.crashes.add(now, r.number, r.targetCrashed)
+			if c.judgeCrashes(now, p, r.task) {
+				return
+			}
+		}
 	}
 	r.task.requeue()
 }
--- a/process/dispatch/target.go
+++ b/process/dispatch/target.go
@@ -184,7 +184,9 @@
 	if p == nil {
 		return
 	}
-	if m.Target != nil && m.Target.Service != p.service {
+	// An agent that has lost its target stays in the pool of the service until it
+	// has another one, because it still reports on the runs that were lost.
+	if m.Target != nil && m.Target.Service != "" && m.Target.Service != p.service {
 		p = c.moveTarget(agent, p, m.Target.Service)
 	}
 	p.mu.Lock()
--- a/process/ledger/records.go
+++ b/process/ledger/records.go
@@ -64,6 +64,8 @@
 	Done  bool `cbor:"3,keyasint,omitempty"`
 	// FailedRuns is the number of failed attempts.
 	FailedRuns int `cbor:"4,keyasint,omitempty"`
+	// Crashes is the number of targets that have crashed under the task.
+	Crashes int `cbor:"5,keyasint,omitempty"`
 }
 
 // Heartbeat is the value of a record that an owner appends to show that it is
@@ -153,8 +155,8 @@
 		return errors.Newf("unknown state %q", p.State)
 	}
 	for _, t := range p.Tasks {
-		if t.Step < 0 || t.Index < 0 || t.FailedRuns < 0 {
-			return errors.Newf("step %d, index %d and %d failed runs of a task, expected none below 0", t.Step, t.Index, t.FailedRuns)
+		if t.Step < 0 || t.Index < 0 || t.FailedRuns < 0 || t.Crashes < 0 {
+			return errors.Newf("step %d, index %d, %d failed runs and %d crashes of a task, expected none below 0", t.Step, t.Index, t.FailedRuns, t.Crashes)
 		}
 	}
 	return nil
--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -62,6 +62,9 @@
 	// foreignRuns are the runs at the target that this agent does not hold, with
 	// the time of the last request to stop each of them.
 	foreignRuns map[batch.Run]time.Time
+	// crashSuspects are the runs that lapsed while the target did not answer. Whether
+	// it has crashed shows when it answers again.
+	crashSuspects []crashSuspect
 	// lossyUntil is the end of the period in which calls to the target are
 	// expected to get lost.
 	lossyUntil time.Time
@@ -138,6 +141,8 @@
 	fencedStarts   int
 	// unansweredStarts counts the starts without an answer.
 	unansweredStarts int
+	// targetCrashed is set if the target has crashed while the run was there.
+	targetCrashed bool
 }
 
 // New returns the state of a fresh agent incarnation.
--- /dev/null
+++ b/process/runner/crash_test.go
@@ -0,0 +1,65 @@
+package runner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/azurerouter/azurerouter/connection/wire"
+	"github.com/azurerouter/azurerouter/process/runner"
+)
+
+// crashReports returns the runs under which the agent has reported a crash.
+func (h *harness) crashReports() map[int]bool {
+	reported := make(map[int]bool)
+	for _, m := range h.sent {
+		report, ok := m.(*wire.AgentReport)
+		if !ok {
+			continue
+		}
+		for _, r := range report.Runs {
+			if r.TargetCrashed {
+				reported[r.Run.Task.Index] = true
+			}
+		}
+	}
+	return reported
+}
+
+// silence lets the target leave all calls unanswered until its runs have lapsed. The entry
+// goes on renewing its session.
+func (h *harness) silence() {
+	for range 150 {
+		h.advance(15 * time.Millisecond)
+		h.core.HandleMessage(entryID, &wire.Orders{ClockEcho: h.now.UnixMicro()})
+		h.core.Tick()
+	}
+}
+
+// Guards against a task that is given up for a crash that came before its start, or that
+// is not counted.
+func TestCrashCountsForConfirmedRunsOnly(t *testing.T) {
+	h := newHarness(t)
+	h.sendStartOrder(0)
+	h.answerLastStart(runner.VerdictDone)
+	h.sendStartOrder(1)
+	h.silence()
+	h.reportTarget(2, 1)
+	h.completeHold(2, nil, nil)
+	if got := h.crashReports(); !got[0] || got[1] {
+		t.Errorf("crashes reported for the runs %v, want for run 0 only", got)
+	}
+}
+
+// Guards against crashes of a target that only did not answer for a while.
+func TestSilentTargetHasNotCrashed(t *testing.T) {
+	h := newHarness(t)
+	h.sendStartOrder(0)
+	h.answerLastStart(runner.VerdictDone)
+	h.silence()
+	h.completeHold(1, nil, nil)
+	h.reportTarget(2, 1)
+	h.completeHold(2, nil, nil)
+	if got := h.crashReports(); len(got) != 0 {
+		t.Errorf("crashes reported for the runs %v, want for none", got)
+	}
+}
--- a/process/runner/hold.go
+++ b/process/runner/hold.go
@@ -101,6 +101,7 @@
 	}
 	for _, h := range batch.SortedByRun(c.runs) {
 		if now.Sub(h.latestLeaseEnd(c.target)) > maxLeaseDuration-wire.RunLease {
+			c.suspectCrash(h)
 			c.finishRun(now, h, batch.EndLapsed)
 		}
 	}
@@ -150,6 +151,7 @@
 		c.env.Record(decision.Decision{Step: "judge_target", Peer: c.target.id, Outcome: "open", Reason: "target answers again"})
 	}
 	c.target.unreachable = false
+	c.crashSuspects = nil
 	c.bumpRevision()
 }
 
--- a/process/runner/start.go
+++ b/process/runner/start.go
@@ -275,6 +275,7 @@
 	ran := now.Sub(h.startedAt)
 	c.counters.Ended[end]++
 	report := wire.RunReport{Run: h.run, End: end, RanMS: ran.Milliseconds(),
+		TargetCrashed: h.targetCrashed && end != batch.EndDone && end != batch.EndFailed,
 		EndUnrecorded: h.durable && (end == batch.EndDone || end == batch.EndFailed)}
 	if !h.observed && end == batch.EndStopped {
 		report = wire.RunReport{Run: h.run, RefusalReason: h.notStartedReason}
--- a/process/runner/target.go
+++ b/process/runner/target.go
@@ -117,6 +117,7 @@
 // adoptTarget replaces the target by one with another identity. The runs at the
 // former target are lost.
 func (c *Core) adoptTarget(now time.Time, r TargetReport) {
+	c.reportCrash(now)
 	c.endLostRuns(now, "target was replaced", batch.SortedByRun(c.runs))
 	c.target = target{id: r.Target, startTime: r.StartTime, lastAnswerAt: now}
 	c.health = health{}
@@ -141,6 +142,7 @@
 // dropReplacedTarget forgets the target after another one has taken over its
 // address.
 func (c *Core) dropReplacedTarget(now time.Time, cause string) {
+	c.reportCrash(now)
 	c.endLostRuns(now, cause, batch.SortedByRun(c.runs))
 	c.target = target{}
 	c.bumpRevision()
@@ -180,6 +182,7 @@
 			inFlight = append(inFlight, h)
 		}
 	}
+	c.reportCrash(now)
 	c.endLostRuns(now, "target started again", lost)
 	c.target = target{id: c.target.id, startTime: answer.StartTime, service: c.target.service, capacity: c.target.capacity, labels: c.target.labels, lastAnswerAt: now,
 		leaseUntil: c.target.leaseUntil}
--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -19,12 +19,14 @@
 const maxEndsPerAnswer = 500
 
 // Work describes the simulated execution of a task: its run time, the resources that
-// it occupies, and whether it fails. It replaces the specification in a start
+// it occupies, and whether it fails or crashes the target. It replaces the specification in a start
 // request, which the stand-in does not interpret.
 type Work struct {
 	Duration time.Duration
 	Demand   batch.Resources
 	Fails    bool
+	// Crashes makes the target crash when the task has started.
+	Crashes bool
 }
 
 // Executor is one incarnation of a target. It is not safe for concurrent use.
@@ -106,6 +108,9 @@
 		e.OnStart(c.Run)
 	}
 	e.highestNumber[c.Run.Task] = max(e.highestNumber[c.Run.Task], c.Run.Number-1)
+	if work.Crashes {
+		e.Crash()
+	}
 	return answer
 }
 
