--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -15,6 +15,9 @@
 // stopDuration is the time from a stop request to the end of the run.
 const stopDuration = 40 * time.Millisecond
 
+// crashDelay is the time from the start of a run to the crash that it causes.
+const crashDelay = 10 * time.Millisecond
+
 // maxEndsPerAnswer limits the ended runs in one answer.
 const maxEndsPerAnswer = 500
 
@@ -25,7 +28,7 @@
 	Duration time.Duration
 	Demand   batch.Resources
 	Fails    bool
-	// Crashes makes the target crash when the task has started.
+	// Crashes makes the target crash when the task has run for crashDelay.
 	Crashes bool
 }
 
@@ -108,9 +111,6 @@
 		e.OnStart(c.Run)
 	}
 	e.highestNumber[c.Run.Task] = max(e.highestNumber[c.Run.Task], c.Run.Number-1)
-	if work.Crashes {
-		e.Crash()
-	}
 	return answer
 }
 
@@ -215,6 +215,9 @@
 func (e *Executor) Advance(now time.Time) {
 	for _, a := range batch.SortedByRun(e.runs) {
 		switch {
+		case a.work.Crashes && now.Sub(a.startedAt) >= crashDelay:
+			e.Crash()
+			return
 		case now.After(e.leaseUntil):
 			e.endRun(a, batch.EndLapsed)
 		case !a.stopRequestedAt.IsZero() && now.Sub(a.stopRequestedAt) >= stopDuration:
