runner, platform: a target that is not listening is closed at once

Cause: an agent took a refused connection for a lost answer.

Change: nothing listens at the address of the target: it is closed at once, until it answers. Its runs still continue until their lease has lapsed, because a refusal does not prove that they have ended (a cut may refuse too).

TestTargetThatIsNotListeningIsClosedAtOnce does not compile before.

--- a/process/runner/crash_test.go
+++ b/process/runner/crash_test.go
@@ -63,3 +63,20 @@
 		t.Errorf("crashes reported for the runs %v, want for none", got)
 	}
 }
+
+// Guards against runs that are sent for 0.4 s to a target of which it is known that it
+// is not there.
+func TestTargetThatIsNotListeningIsClosedAtOnce(t *testing.T) {
+	h := newHarness(t)
+	h.sendStartOrder(0)
+	h.answerLastStart(runner.VerdictNotListening)
+	refused := h.sendStartOrder(1)
+	if report, _ := h.lastReportOf(refused); report.RefusalReason != wire.RefusedClosed {
+		t.Errorf("refused for %q, want %q", report.RefusalReason, wire.RefusedClosed)
+	}
+	h.completeHold(1, nil, nil)
+	accepted := h.sendStartOrder(2)
+	if report, found := h.lastReportOf(accepted); found {
+		t.Errorf("report %+v on a run ordered after the target has answered, want none", report)
+	}
+}
--- a/process/runner/env.go
+++ b/process/runner/env.go
@@ -121,6 +121,9 @@
 	VerdictInvalid Verdict = "invalid"
 	// VerdictOtherTarget: another incarnation answers at the address.
 	VerdictOtherTarget Verdict = "other_target"
+	// VerdictNotListening: nothing accepts connections at the address of the target.
+	// An earlier copy of the call may have been carried out.
+	VerdictNotListening Verdict = "not_listening"
 	// VerdictUnanswered: there was no answer; the call may still be carried out.
 	VerdictUnanswered Verdict = "unanswered"
 )
--- a/process/runner/hold.go
+++ b/process/runner/hold.go
@@ -71,6 +71,8 @@
 	}
 	now := c.env.Now()
 	switch verdict {
+	case VerdictNotListening:
+		c.closeUnreachable(now)
 	case VerdictUnanswered:
 		c.lossyUntil = now.Add(lossyPeriod)
 	case VerdictFenced:
@@ -89,12 +91,8 @@
 	if c.target.id == "" {
 		return
 	}
-	sinceLastAnswer := now.Sub(c.target.lastAnswerAt)
-	if !c.target.unreachable && sinceLastAnswer > unreachableAfter {
-		c.target.unreachable = true
-		c.bumpRevision()
-		c.env.Record(decision.Decision{Step: "judge_target", Peer: c.target.id, Outcome: "closed",
-			Reason: string(wire.ClosedUnreachable), Age: sinceLastAnswer, Inputs: []decision.Input{{Name: "runs", Value: int64(len(c.runs))}}})
+	if now.Sub(c.target.lastAnswerAt) > unreachableAfter {
+		c.closeUnreachable(now)
 	}
 	if !c.target.unreachable {
 		return
@@ -107,6 +105,18 @@
 	}
 }
 
+// closeUnreachable closes a target that does not answer. Its runs continue until their
+// lease has certainly expired, because it may be alive.
+func (c *Core) closeUnreachable(now time.Time) {
+	if c.target.unreachable || c.target.id == "" {
+		return
+	}
+	c.target.unreachable = true
+	c.bumpRevision()
+	c.env.Record(decision.Decision{Step: "judge_target", Peer: c.target.id, Outcome: "closed", Reason: string(wire.ClosedUnreachable),
+		Age: now.Sub(c.target.lastAnswerAt), Inputs: []decision.Input{{Name: "runs", Value: int64(len(c.runs))}}})
+}
+
 // latestLeaseEnd returns when the lease of a run ends at the latest. A run that
 // has not been listed may have been started after a restart of the target, with
 // the longest lease that targets grant.
--- a/process/runner/start.go
+++ b/process/runner/start.go
@@ -80,6 +80,9 @@
 		c.startConfirmed(now, h)
 	case VerdictUnanswered:
 		c.startUnanswered(now, h, call)
+	case VerdictNotListening:
+		c.closeUnreachable(now)
+		c.startUnanswered(now, h, call)
 	case VerdictFenced:
 		c.startFenced(now, h, call)
 	case VerdictOtherTarget:
