dispatch: a malformed report of a crash does not end the entry

The look-up stood twice and is one function now, also for the progress that is read from the log.

TestCrashReportOfAnUnknownTaskIsIgnored: a step of -1 panicked before (index out of range, by reading; the test was run on the changed code only).

--- a/process/dispatch/crash.go
+++ b/process/dispatch/crash.go
@@ -51,11 +51,11 @@
 // reported before.
 func (c *Core) noteCrash(now time.Time, p *pool, id batch.Run) {
 	j := p.jobs[id.Task.Job]
-	if j == nil || id.Task.Step >= len(j.steps) || id.Task.Index >= len(j.steps[id.Task.Step].tasks) {
+	if j == nil {
 		return
 	}
-	t := j.steps[id.Task.Step].tasks[id.Task.Index]
-	if t.done || !t.crashes.isSuspected(id.Number) {
+	t := j.task(id.Task.Step, id.Task.Index)
+	if t == nil || t.done || !t.crashes.isSuspected(id.Number) {
 		return
 	}
 	t.crashes.add(now, id.Number, true)
--- a/process/dispatch/crash_test.go
+++ b/process/dispatch/crash_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/dispatch"
 	"github.com/azurerouter/azurerouter/request/batch"
 	"github.com/azurerouter/azurerouter/standin/executor"
@@ -103,3 +104,20 @@
 		t.Errorf("result %+v, want %s because of %s", k.result, dispatch.Failed, dispatch.ReasonCrashes)
 	}
 }
+
+// Guards against a malformed report that ends the entry.
+func TestCrashReportOfAnUnknownTaskIsIgnored(t *testing.T) {
+	c := newCluster(t, 24, 1, equalRooms(1, 16000))
+	c.run(500 * time.Millisecond)
+	s := c.submission("q", 1, time.Second, 1000, 0)
+	k := c.call(s, 0)
+	c.run(50 * time.Millisecond)
+	for _, task := range []batch.Task{{Job: s.Job.ID, Step: -1}, {Job: s.Job.ID, Index: -1}, {Job: s.Job.ID, Step: 7}, {Job: s.Job.ID, Index: 7}, {Job: "other"}} {
+		report := wire.RunReport{Run: batch.Run{Task: task, Number: 1}, TargetCrashed: true}
+		c.entries[0].core.HandleReport(c.agents[0].id, &wire.AgentReport{Clock: c.now.UnixMicro(), Runs: []wire.RunReport{report}})
+	}
+	c.run(2 * time.Second)
+	if k.result == nil || k.result.Code != dispatch.Completed {
+		t.Errorf("result %+v, want %s", k.result, dispatch.Completed)
+	}
+}
--- a/process/dispatch/durable.go
+++ b/process/dispatch/durable.go
@@ -87,10 +87,10 @@
 		}
 	}
 	for _, progress := range d.Progress {
-		if progress.Step >= len(j.steps) || progress.Index >= len(j.steps[progress.Step].tasks) {
+		t := j.task(progress.Step, progress.Index)
+		if t == nil {
 			continue
 		}
-		t := j.steps[progress.Step].tasks[progress.Index]
 		t.failures, t.crashes.certain = progress.FailedRuns, progress.Crashes
 		if progress.Done && !t.done {
 			j.completeTask(t)
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -102,6 +102,14 @@
 	return j
 }
 
+// task returns a task of the job, or nil if it has none with these numbers.
+func (j *activeJob) task(step, index int) *task {
+	if step < 0 || step >= len(j.steps) || index < 0 || index >= len(j.steps[step].tasks) {
+		return nil
+	}
+	return j.steps[step].tasks[index]
+}
+
 // estimateTimesToEnd sets timeToEnd from the estimates of the steps.
 func (j *activeJob) estimateTimesToEnd() {
 	steps := j.Job.Steps
--- a/process/dispatch/sessions.go
+++ b/process/dispatch/sessions.go
@@ -56,7 +56,7 @@
 func (c *Core) renewSession(now time.Time, p *pool, t *target) {
 	interval := wire.SessionRenewInterval
 	if !t.active() {
-		interval = c.idleRenewInterval(p) * 5 / 4
+		interval = c.idleRenewInterval(p) + replyAfter
 	}
 	if t.connected && now.Sub(t.lastSent) >= interval {
 		c.send(now, p, t, &wire.Orders{Waiting: c.announcedWaiting(now, p, t)})
