dispatch, ledger: crashes that an earlier owner suspected count for the next one

Change: the number of suspected crashes is part of the recorded progress; they count at the next owner until they are dropped. After one certain crash a task waits at the next suspected one.

TestSuspectedCrashesOfAnEarlierOwnerCount: 3 crashes at the second owner without the restored number, 2 with it.

--- a/process/dispatch/crash.go
+++ b/process/dispatch/crash.go
@@ -12,8 +12,9 @@
 	// maxCrashes is the number of targets that may crash under a task before it is
 	// given up.
 	maxCrashes = 2
-	// maxSuspectedCrashes is the number of crashes, certain or not, after which a
-	// task waits for certainty, for crashVerdictTimeout at most.
+	// maxSuspectedCrashes is the number of crashes that are not certain after which a
+	// task waits for certainty, for crashVerdictTimeout at most. After a certain one it
+	// waits at the next.
 	maxSuspectedCrashes = 3
 	crashVerdictTimeout = 4 * time.Second
 )
@@ -43,6 +44,24 @@
 	r.suspected = append(r.suspected, suspectedCrash{runNumber, now})
 }
 
+// restore takes over what an earlier owner of the job has recorded. Its suspicions can't
+// be confirmed any more, but count until they are dropped.
+func (r *crashRecord) restore(now time.Time, progress TaskProgress) {
+	r.certain = progress.Crashes
+	for range min(progress.SuspectedCrashes, maxSuspectedCrashes) {
+		r.suspected = append(r.suspected, suspectedCrash{at: now})
+	}
+}
+
+// awaitsVerdict reports whether the task must not start again before it is certain
+// whether targets have crashed under it.
+func (r *crashRecord) awaitsVerdict() bool {
+	suspected := len(r.suspected)
+	return suspected > 0 && (r.certain > 0 || suspected >= maxSuspectedCrashes)
+}
+
+func (r *crashRecord) empty() bool { return r.certain == 0 && len(r.suspected) == 0 }
+
 func (r *crashRecord) isSuspected(runNumber int) bool {
 	return slices.ContainsFunc(r.suspected, func(s suspectedCrash) bool { return s.runNumber == runNumber })
 }
@@ -76,7 +95,7 @@
 		c.endJob(now, p, j, Result{Code: Failed, Reason: ReasonCrashes})
 		return true
 	}
-	if t.crashes.certain+len(t.crashes.suspected) >= maxSuspectedCrashes {
+	if t.crashes.awaitsVerdict() {
 		j.heldUntil = now.Add(crashVerdictTimeout)
 		c.env.Record(decision.Decision{Step: "place", Job: j.Job.ID, Outcome: "held", Reason: string(ReasonCrashes),
 			Inputs: []decision.Input{{Name: "crashes", Value: int64(t.crashes.certain)}, {Name: "suspected", Value: int64(len(t.crashes.suspected))}}})
--- a/process/dispatch/crash_test.go
+++ b/process/dispatch/crash_test.go
@@ -121,3 +121,23 @@
 		t.Errorf("result %+v, want %s", k.result, dispatch.Completed)
 	}
 }
+
+// Guards against an owner that takes a job over and starts a task again as often as the
+// one before, under which targets may have crashed (rule BUDGET).
+func TestSuspectedCrashesOfAnEarlierOwnerCount(t *testing.T) {
+	c := newCluster(t, 25, 1, equalRooms(10, 16000))
+	c.run(500 * time.Millisecond)
+	s := c.submission("deadly", 1, 60*time.Millisecond, 1000, 0)
+	deadly := batch.Task{Job: s.Job.ID}
+	c.work[deadly] = executor.Work{Duration: time.Second, Crashes: true, Demand: s.Job.Steps[0].Demand}
+	var result *dispatch.Result
+	c.entries[0].core.RunDurable(dispatch.DurableJob{Submission: s, Term: 2, NotBefore: c.now,
+		Progress: []dispatch.TaskProgress{{SuspectedCrashes: 2}}}, func(r dispatch.Result) { result = &r })
+	crashes := c.runWithCrashes(25 * time.Second)
+	if result == nil || result.Reason != dispatch.ReasonCrashes {
+		t.Errorf("result %+v, want %s because of %s", result, dispatch.Failed, dispatch.ReasonCrashes)
+	}
+	if crashes > 2 {
+		t.Errorf("%d targets have crashed at the second owner, want at most 2", crashes)
+	}
+}
--- a/process/dispatch/durable.go
+++ b/process/dispatch/durable.go
@@ -33,6 +33,8 @@
 	FailedRuns int
 	// Crashes is the number of targets that have crashed under the task.
 	Crashes int
+	// SuspectedCrashes is the number of further targets that may have crashed under it.
+	SuspectedCrashes int
 }
 
 // durableEnd is the end of a run that an agent keeps until it is recorded.
@@ -71,7 +73,7 @@
 	j.waiters[0] = finished
 	p.jobs[d.Job.ID] = j
 	p.durable[d.Job.ID] = j
-	j.resume(d)
+	j.resume(now, d)
 	if j.isComplete() {
 		c.endJob(now, p, j, Result{Code: Completed})
 		return
@@ -80,7 +82,7 @@
 }
 
 // resume applies the progress that earlier owners have recorded.
-func (j *activeJob) resume(d DurableJob) {
+func (j *activeJob) resume(now time.Time, d DurableJob) {
 	for step := range j.steps {
 		for _, t := range j.steps[step].tasks {
 			t.lastNumber = int(d.Term-1) * runNumbersPerTerm
@@ -91,7 +93,8 @@
 		if t == nil {
 			continue
 		}
-		t.failures, t.crashes.certain = progress.FailedRuns, progress.Crashes
+		t.failures = progress.FailedRuns
+		t.crashes.restore(now, progress)
 		if progress.Done && !t.done {
 			j.completeTask(t)
 		}
@@ -118,8 +121,9 @@
 		ends = len(j.durableState.unrecordedEnds)
 		for step := range j.steps {
 			for _, t := range j.steps[step].tasks {
-				if t.done || t.failures > 0 || t.crashes.certain > 0 {
-					progress = append(progress, TaskProgress{Step: t.step, Index: t.index, Done: t.done, FailedRuns: t.failures, Crashes: t.crashes.certain})
+				if t.done || t.failures > 0 || !t.crashes.empty() {
+					progress = append(progress, TaskProgress{Step: t.step, Index: t.index, Done: t.done, FailedRuns: t.failures,
+						Crashes: t.crashes.certain, SuspectedCrashes: len(t.crashes.suspected)})
 				}
 			}
 		}
