--- a/review/_standins/platform/client.go
+++ b/review/_standins/platform/client.go
@@ -37,6 +37,8 @@
 	tasks      int
 	length     time.Duration
 	bestEffort bool
+	// deadly is set if each task crashes the executor that starts it.
+	deadly bool
 	// perExecutor is the most tasks of a step at one executor, or 0.
 	perExecutor int
 }
@@ -55,6 +57,9 @@
 		steps = append(steps, step)
 	}
 	body := map[string]any{"spec": fmt.Sprintf("ms=%d cpu=1600", ms), "steps": steps}
+	if j.deadly {
+		body["spec"] = fmt.Sprintf("ms=%d cpu=1600 deadly", ms)
+	}
 	if j.bestEffort {
 		body["bestEffort"] = true
 	}
--- a/review/_standins/platform/executor.go
+++ b/review/_standins/platform/executor.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -18,6 +20,8 @@
 	advanceInterval = 2 * time.Millisecond
 	heartbeat       = 1500 * time.Millisecond
 	maxEnds         = 500
+	// deadlyDown is how long an executor is down after a task has crashed it.
+	deadlyDown = 3 * time.Second
 )
 
 // executor is a stand-in of an executor with its machine. The lock of the world guards
@@ -29,6 +33,8 @@
 	control string
 	service string
 	cpu     int
+	// room is what is left of cpu, or 0 if all is.
+	room int
 
 	lives  int
 	id     string
@@ -39,9 +45,11 @@
 	sequence int
 	fence    uint64
 	lease    time.Time
-	runs     map[runKey]*activeRun
-	ends     []endedRun
-	lastEnd  uint64
+	// crashes is set when a task that crashes the executor has started.
+	crashes bool
+	runs    map[runKey]*activeRun
+	ends    []endedRun
+	lastEnd uint64
 	// highest is, by task, the highest number of a run that was stopped or has ended.
 	highest map[string]int
 }
@@ -118,6 +126,16 @@
 	server.Close()
 }
 
+// crashFor crashes the executor and starts it again after a time.
+func (e *executor) crashFor(down time.Duration) {
+	e.crash()
+	time.AfterFunc(down, func() {
+		if err := e.startLife(); err != nil {
+			e.w.log("executor at %s doesn't start: %v", e.machine, err)
+		}
+	})
+}
+
 func (e *executor) sendHeartbeats(life int) {
 	client := &http.Client{Timeout: time.Second}
 	for {
@@ -128,7 +146,7 @@
 		}
 		e.sequence++
 		body, _ := json.Marshal(map[string]any{"service": e.service, "address": e.addr, "zone": "a", "version": "v1", "capacity": 8, "state": "ready",
-			"coldRemainingMs": 0, "room": map[string]int{"cpu": e.cpu, "memMb": 65536, "gpu": 0}, "labels": []string{"a", "r1-1"},
+			"coldRemainingMs": 0, "room": map[string]int{"cpu": cmp.Or(e.room, e.cpu), "memMb": 65536, "gpu": 0}, "labels": []string{"a", "r1-1"},
 			"clockMs": e.clock(time.Now()), "sequence": e.sequence, "born": e.born.UnixMilli()})
 		id := e.id
 		e.w.mu.Unlock()
@@ -195,6 +213,13 @@
 		e.fence = c.Fence
 		status, body = f(c)
 	}
+	if e.crashes {
+		// A task that crashes the executor has started.
+		e.crashes = false
+		e.w.mu.Unlock()
+		e.crashFor(deadlyDown)
+		panic(http.ErrAbortHandler)
+	}
 	if e.lives != life || !e.up {
 		e.w.mu.Unlock()
 		panic(http.ErrAbortHandler)
@@ -247,12 +272,15 @@
 	for _, a := range e.runs {
 		used += a.cpu
 	}
-	if used > e.cpu {
+	if e.w.countOver && used > cmp.Or(e.room, e.cpu) {
+		e.w.breaksLocked("LIMIT: %s run %d brings %s to %d of %d", c.Task, c.Run, e.id, used, e.room)
+	} else if used > e.cpu {
 		return http.StatusConflict, map[string]any{"reason": "room"}
 	}
 	a := &activeRun{record: &runRecord{task: c.Task, number: c.Run, executor: e.id, started: now}, cpu: cpu, due: now.Add(length), length: length}
 	e.runs[key] = a
 	e.w.started(a.record)
+	e.crashes = strings.Contains(c.Spec, "deadly")
 	return http.StatusOK, map[string]any{}
 }
 
--- a/review/_standins/platform/fleet.go
+++ b/review/_standins/platform/fleet.go
@@ -35,7 +35,6 @@
 	store   *platformtest.Store
 	fronts  []*front
 	sides   []*side
-	mu      sync.Mutex
 	version int
 }
 
@@ -69,7 +68,6 @@
 	pause   time.Duration
 	stopped bool
 	ended   chan struct{}
-	exits   int
 }
 
 // newFleet starts a deployment on loopback addresses of its own.
--- a/review/_standins/platform/loop.go
+++ b/review/_standins/platform/loop.go
@@ -12,11 +12,9 @@
 // store ceases to answer it, CUT milliseconds after the other one was killed.
 func playLoop(f *fleet) error {
 	stop := f.load(24, 300*time.Millisecond, job{tasks: 2, length: 60 * time.Millisecond}, f.fronts...)
-	var jobs []job
 	for n := range 12 {
 		j := job{id: newID(), steps: 30, tasks: 2, length: 3 * time.Second}
 		f.w.newClient("l", f.fronts[1+n%2]).send(http.MethodPost, j, 4*time.Second)
-		jobs = append(jobs, j)
 	}
 	time.Sleep(2 * time.Second)
 	for n := range 4 {
--- a/review/_standins/platform/main.go
+++ b/review/_standins/platform/main.go
@@ -24,18 +24,20 @@
 	sides int
 }
 
-// cases are the cases by name.
+// cases are the cases, and other searches and trials that the report names, by name.
 var cases = map[string]scenario{
 	"ends":    {playEnds, 7},
 	"resend":  {playResend, 7},
+	"deadly":  {playDeadly, 7},
+	"silent":  {playSilent, 11},
+	"thaw":    {playThaw, 7},
 	"crashes": {playCrashes, 7},
 	"cancel":  {playCancel, 7},
 	"stop":    {playStop, 7},
-	"silent":  {playSilent, 11},
+	"loop":    {playLoop, 7},
 	"foreign": {playForeign, 7},
+	"room":    {playRoom, 7},
 	"solo":    {playSolo, 7},
-	"thaw":    {playThaw, 7},
-	"loop":    {playLoop, 7},
 }
 
 func main() {
--- a/review/_standins/platform/world.go
+++ b/review/_standins/platform/world.go
@@ -46,7 +46,9 @@
 	// late is the share of orders to executors that get no answer and are carried out
 	// late, lost the share of answers of executors that get lost.
 	late, lost float64
-	broken     []string
+	// countOver is set while starts over the room of an executor break LIMIT.
+	countOver bool
+	broken    []string
 }
 
 func newWorld(path string) (*world, error) {
