--- a/review/_standins/platform/cases.go
+++ b/review/_standins/platform/cases.go
@@ -90,7 +90,7 @@
 // reset, while new ones work.
 func playSilent(f *fleet) error {
 	const (
-		rounds  = 24
+		rounds  = 30
 		share   = 0.55
 		between = 2800 * time.Millisecond
 	)
