dispatch: an entry that can't read the log confirms no ends of durable runs

Cause: after an agent has started again, it asks every entry about the ends that it finds at its target, and the first answer counts. An entry confirmed each end whose job was not open as far as it had read the log. An entry that has lost the log notices that only when its long poll ends, up to 2.8 s later, and lacks the jobs that were accepted meanwhile. Change: absence from what was read proves nothing. An entry confirms the ends that it has recorded itself and those of jobs that were submitted to it and are not durable. About all others it first reads the log to its end as it is at the time of the question (keeper.AfterLogRead). With the new decision taken without that read, TestEntryThatCannotReadTheLogConfirmsNoEnds fails: the end is confirmed.

--- a/process/dispatch/cluster_test.go
+++ b/process/dispatch/cluster_test.go
@@ -35,6 +35,8 @@
 	serviceName = "card"
 	// maxApplyDelay bounds the delay of a call that is carried out late.
 	maxApplyDelay = 3 * time.Second
+	// logReadDelay is how long it takes to read the log to its end.
+	logReadDelay = 10 * time.Millisecond
 )
 
 // cluster runs entries, agents and executors in virtual time.
@@ -50,6 +52,10 @@
 	// lostAnswerShare is the share of calls to the executor that get no answer.
 	// Starts and stops among them are carried out later.
 	lostAnswerShare float64
+	// durableJobs holds the states of the jobs in the log. logRead, if set, is called
+	// when an entry reads the log to its end, and reports whether it could.
+	durableJobs map[batch.ID]dispatch.DurableJobState
+	logRead     func() bool
 	// overlaps counts the errors that checkOverlap has reported.
 	overlaps int
 	// entryCount is the number of entries that every entry takes into account.
@@ -191,10 +197,22 @@
 
 type entryEnv entryNode
 
-func (e *entryEnv) Now() time.Time                               { return e.c.now }
-func (e *entryEnv) Record(decision.Decision)                     {}
-func (e *entryEnv) NoteProgress(batch.ID)                        {}
-func (e *entryEnv) IsDurableJobOpen(batch.ID) (open, known bool) { return false, true }
+func (e *entryEnv) Now() time.Time           { return e.c.now }
+func (e *entryEnv) Record(decision.Decision) {}
+func (e *entryEnv) NoteProgress(batch.ID)    {}
+func (e *entryEnv) DurableJobState(id batch.ID) dispatch.DurableJobState {
+	if state, known := e.c.durableJobs[id]; known {
+		return state
+	}
+	return dispatch.DurableUnknown
+}
+func (e *entryEnv) AfterLogRead(f func(bool)) {
+	if e.c.logRead != nil {
+		e.c.after(logReadDelay, func() { f(e.c.logRead()) })
+		return
+	}
+	e.c.after(logReadDelay, func() { f(true) })
+}
 func (e *entryEnv) Send(agent wire.Incarnation, m wire.Message) {
 	for _, l := range e.c.links {
 		if l.entry.id == e.id && l.agent.id == agent && l.open {
--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -62,7 +62,9 @@
 	jobs map[batch.ID]*activeJob
 	// durable holds the durable jobs until ForgetDurable is called: an ended job
 	// stays until its end is recorded.
-	durable map[batch.ID]*activeJob
+	durable       map[batch.ID]*activeJob
+	recordedEnds  recordedEnds
+	unsettledEnds unsettledEnds
 	// retainedAnswers holds the answers of ended jobs; see answerRetention.
 	retainedAnswers map[batch.ID]retainedAnswer
 	// answerOrder holds the keys of retainedAnswers, the oldest first.
--- a/process/dispatch/durable.go
+++ b/process/dispatch/durable.go
@@ -49,6 +49,9 @@
 	// unrecordedEnds are the ends that are not confirmed as recorded, the oldest
 	// first.
 	unrecordedEnds []durableEnd
+	// endRecorded is set once the end of the job is recorded, after which no task of it
+	// starts again.
+	endRecorded bool
 }
 
 // AdmitDurable reports whether a new durable job is admitted, and returns the
@@ -137,12 +140,11 @@
 func (c *Core) ConfirmDurableEnds(id batch.ID, ends int) {
 	c.withDurable(id, func(p *pool, j *activeJob) {
 		now := c.env.Now()
-		for _, end := range j.durableState.unrecordedEnds[:min(ends, len(j.durableState.unrecordedEnds))] {
-			if t := p.targets[end.agent]; t != nil && t.connected {
-				c.send(now, p, t, &wire.Orders{RecordedEnds: []batch.Run{end.run}, Waiting: c.announcedWaiting(now, p, t)})
-			}
+		ends = min(ends, len(j.durableState.unrecordedEnds))
+		for _, end := range j.durableState.unrecordedEnds[:ends] {
+			c.confirmEnd(now, p, end)
 		}
-		j.durableState.unrecordedEnds = j.durableState.unrecordedEnds[min(ends, len(j.durableState.unrecordedEnds)):]
+		j.durableState.unrecordedEnds = j.durableState.unrecordedEnds[ends:]
 	})
 }
 
@@ -166,17 +168,16 @@
 	c.stopJob(now, p, j)
 }
 
-// ForgetDurable removes a job and stops its runs. It is called once the end of the
-// job is recorded, or when another entry owns the job and may run its tasks again.
-func (c *Core) ForgetDurable(id batch.ID) {
+// ForgetDurable removes a job and stops its runs. endRecorded is set once the end of
+// the job is recorded; otherwise another entry owns the job and may run its tasks again.
+func (c *Core) ForgetDurable(id batch.ID, endRecorded bool) {
 	c.withDurable(id, func(p *pool, j *activeJob) {
 		now := c.env.Now()
 		delete(p.durable, id)
 		c.stopDurableLocked(now, p, j)
+		j.durableState.endRecorded = endRecorded
 		for _, end := range j.durableState.unrecordedEnds {
-			if t := p.targets[end.agent]; t != nil {
-				c.resolveEnd(now, p, t, end.run)
-			}
+			c.settleForgottenEnd(now, p, j, end)
 		}
 		c.assign(now, p)
 	})
@@ -240,40 +241,40 @@
 	if j.durableState == nil {
 		return
 	}
+	end := durableEnd{agent: r.target.agent, run: r.id()}
 	if p.durable[j.Job.ID] != j {
 		if unstored {
-			c.resolveEnd(now, p, r.target, r.id())
+			c.settleForgottenEnd(now, p, j, end)
 		}
 		return
 	}
 	if unstored {
-		j.durableState.unrecordedEnds = append(j.durableState.unrecordedEnds, durableEnd{agent: r.target.agent, run: r.id()})
+		j.durableState.unrecordedEnds = append(j.durableState.unrecordedEnds, end)
 	}
 	c.env.NoteProgress(j.Job.ID)
 }
 
-// resolveLateEnd answers an agent that keeps the end of a run which this entry no
-// longer waits for, unless the end still has to be recorded.
-func (c *Core) resolveLateEnd(now time.Time, p *pool, t *target, run batch.Run) {
-	if j := p.durable[run.Task.Job]; j != nil && slices.Contains(j.durableState.unrecordedEnds, durableEnd{t.agent, run}) {
-		return
-	}
-	c.resolveEnd(now, p, t, run)
+// awaitsRecord reports whether the job of an end runs here and the end is not recorded
+// yet.
+func (p *pool) awaitsRecord(end durableEnd) bool {
+	j := p.durable[end.run.Task.Job]
+	return j != nil && slices.Contains(j.durableState.unrecordedEnds, end)
 }
 
-// resolveEnd sends an agent the decision on an end that it keeps. While the job is
-// open the end is void, because the task may run again; once the job has ended it
-// may be acknowledged. Until the state of the job is certain, nothing is sent.
-func (c *Core) resolveEnd(now time.Time, p *pool, t *target, run batch.Run) {
-	open, known := c.env.IsDurableJobOpen(run.Task.Job)
-	if !t.connected || !known {
-		return
+// settleForgottenEnd settles an end that was reported while its run was alive, of a job
+// that has been forgotten.
+func (c *Core) settleForgottenEnd(now time.Time, p *pool, j *activeJob, end durableEnd) {
+	if j.durableState.endRecorded {
+		c.confirmEnd(now, p, end)
+	} else if t := p.targets[end.agent]; t != nil && t.connected {
+		c.resolveLateEnd(now, p, t, end.run)
 	}
-	m := &wire.Orders{Waiting: c.announcedWaiting(now, p, t)}
-	if open {
-		m.VoidEnds = []batch.Run{run}
-	} else {
-		m.RecordedEnds = []batch.Run{run}
+}
+
+// confirmEnd notes that an end is recorded and reports this to the agent that keeps it.
+func (c *Core) confirmEnd(now time.Time, p *pool, end durableEnd) {
+	p.recordedEnds.add(now, end.run)
+	if t := p.targets[end.agent]; t != nil && t.connected {
+		c.send(now, p, t, &wire.Orders{RecordedEnds: []batch.Run{end.run}, Waiting: c.announcedWaiting(now, p, t)})
 	}
-	c.send(now, p, t, m)
 }
--- a/process/dispatch/env.go
+++ b/process/dispatch/env.go
@@ -27,11 +27,30 @@
 	// NoteProgress reports that a durable job has progress to record; see
 	// Core.DurableProgress.
 	NoteProgress(id batch.ID)
-	// IsDurableJobOpen reports whether a job is durable and has not ended, at this
-	// entry or at another. known is false until that is certain.
-	IsDurableJobOpen(id batch.ID) (open, known bool)
+	// DurableJobState returns the state of a job in the log as far as this entry has
+	// read it.
+	DurableJobState(id batch.ID) DurableJobState
+	// AfterLogRead calls f from another goroutine: with true once this entry has read
+	// every record that the log had at the time of the call, or with false if that
+	// takes too long.
+	AfterLogRead(f func(ok bool))
 }
 
+// DurableJobState is the state of a job in the log of durable jobs.
+type DurableJobState string
+
+// Values of DurableJobState.
+const (
+	// DurableUnknown: the part of the log that was read has no such job.
+	DurableUnknown DurableJobState = "unknown"
+	// DurableOpen: the job has not ended.
+	DurableOpen DurableJobState = "open"
+	// DurableEnded: the job has ended.
+	DurableEnded DurableJobState = "ended"
+	// DurableUncertain: this entry is known to lack records of the log.
+	DurableUncertain DurableJobState = "uncertain"
+)
+
 // Code is the outcome of a submission.
 type Code string
 
--- a/process/keeper/fakes_test.go
+++ b/process/keeper/fakes_test.go
@@ -92,6 +92,12 @@
 	return Done
 }
 
+func (l *memoryLog) End(context.Context, uint64) (uint64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return uint64(len(l.records)), nil
+}
+
 func (l *memoryLog) Follow(ctx context.Context, reader Reader) {
 	next, snapshot := 0, true
 	for ctx.Err() == nil {
@@ -146,7 +152,7 @@
 }
 func (d *fakeDispatcher) ConfirmDurableEnds(batch.ID, int) {}
 func (d *fakeDispatcher) StopDurable(batch.ID)             {}
-func (d *fakeDispatcher) ForgetDurable(id batch.ID) {
+func (d *fakeDispatcher) ForgetDurable(id batch.ID, _ bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.forgotten[id] = true
--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -28,8 +28,9 @@
 	ConfirmDurableEnds(id batch.ID, ends int)
 	// StopDurable stops the runs of a job that has been cancelled.
 	StopDurable(id batch.ID)
-	// ForgetDurable stops the runs of a job and removes the job.
-	ForgetDurable(id batch.ID)
+	// ForgetDurable stops the runs of a job and removes the job. endRecorded is set if
+	// the log contains the end of the job.
+	ForgetDurable(id batch.ID, endRecorded bool)
 	// SuspendDurable stops the runs of all durable jobs and starts no more, or
 	// resumes them.
 	SuspendDurable(suspended bool)
@@ -69,8 +70,9 @@
 	started    time.Time
 	// wake has room for one signal, which makes the writer build the next batch.
 	wake chan struct{}
-	// openJobs is the set of durable jobs that have not ended, by batch.ID.
-	openJobs sync.Map
+	// jobStates holds the dispatch.DurableJobState of each job in the log, by batch.ID.
+	jobStates sync.Map
+	endReads  endReads
 	// readsCurrent is reads.isCurrent for callers that must not lock mu.
 	readsCurrent atomic.Bool
 	// snapshotRecords is the number of records read of the newest snapshot.
@@ -88,6 +90,8 @@
 	self       ledger.Owner
 	table      *ledger.Table
 	nextOffset uint64
+	// pageApplied, if set, is closed when the next page has been applied.
+	pageApplied chan struct{}
 	// logUnavailable is set while the log refuses appends or leaves
 	// maxUnansweredAppends of them in a row unanswered.
 	logUnavailable bool
@@ -199,11 +203,17 @@
 	return k
 }
 
-// IsOpen reports whether a job is in the log and has not ended. known is false, and
-// open means nothing, while this entry may lack records of the log.
-func (k *Keeper) IsOpen(id batch.ID) (open, known bool) {
-	_, open = k.openJobs.Load(id)
-	return open, k.readsCurrent.Load() && !k.wasPaused(k.options.Now())
+// JobState returns the state of a durable job as far as this entry has read the log, or
+// DurableUncertain while it is known to lack records. A job that has just been accepted
+// may be DurableUnknown here; see AfterLogRead.
+func (k *Keeper) JobState(id batch.ID) dispatch.DurableJobState {
+	if !k.readsCurrent.Load() || k.wasPaused(k.options.Now()) {
+		return dispatch.DurableUncertain
+	}
+	if state, known := k.jobStates.Load(id); known {
+		return state.(dispatch.DurableJobState)
+	}
+	return dispatch.DurableUnknown
 }
 
 // NoteProgress records that a task of a job that runs here has ended, so that its
@@ -320,8 +330,8 @@
 	return "", false, UnknownJob
 }
 
-// knowsAllJobs reports whether a job that has not been read does not exist, unless it
-// was accepted within about maxReadLag.
+// knowsAllJobs reports whether this entry lacks no record of the log as far as it knows,
+// except those of about maxReadLag.
 func (k *Keeper) knowsAllJobs() bool {
 	now := k.options.Now()
 	return k.reads.lagsAtMost(now, maxReadLag) && !k.wasPaused(now)
--- a/process/keeper/log.go
+++ b/process/keeper/log.go
@@ -86,6 +86,9 @@
 type Log interface {
 	// Append appends records to the log.
 	Append(ctx context.Context, a AppendRequest) AppendResult
+	// End returns the offset after the last record of the log at the time of the call.
+	// from is the offset up to which the caller has read it.
+	End(ctx context.Context, from uint64) (uint64, error)
 	// Follow reads the log, a snapshot first, and passes it to the reader until the
 	// context ends.
 	Follow(ctx context.Context, reader Reader)
--- a/process/keeper/peers_test.go
+++ b/process/keeper/peers_test.go
@@ -20,6 +20,8 @@
 	return AppendResult{Verdict: Refused, Err: errLogRefused}
 }
 
+func (refusingLog) End(context.Context, uint64) (uint64, error) { return 0, errLogRefused }
+
 func (refusingLog) Follow(ctx context.Context, reader Reader) {
 	reader.NoteResult(errLogRefused)
 	<-ctx.Done()
--- a/process/keeper/reader.go
+++ b/process/keeper/reader.go
@@ -66,8 +66,8 @@
 	}
 	k.nextOffset = p.Next
 	if p.Snapshot {
-		// Open jobs that the snapshot lacks have been deleted from the log.
-		k.openJobs.Range(func(key, _ any) bool {
+		// Jobs that the snapshot lacks have been deleted from the log.
+		k.jobStates.Range(func(key, _ any) bool {
 			if id := key.(batch.ID); !changed[id] {
 				toUpdate = append(toUpdate, id)
 			}
@@ -78,6 +78,10 @@
 		k.updateJob(now, id)
 	}
 	k.notePageRead(now, p)
+	if k.pageApplied != nil {
+		close(k.pageApplied)
+		k.pageApplied = nil
+	}
 }
 
 // notePageRead updates what is known about the reading of the log after a page was
@@ -99,7 +103,7 @@
 	_, runsHere := k.ownedJobs[id]
 	delete(k.maybeAccepted, id)
 	if !known {
-		k.openJobs.Delete(id)
+		k.jobStates.Delete(id)
 		k.notifyEnd(id)
 		if runsHere {
 			k.releaseJob(id)
@@ -107,9 +111,9 @@
 		return
 	}
 	if v.Progress.State == ledger.Open {
-		k.openJobs.Store(id, true)
+		k.jobStates.Store(id, dispatch.DurableOpen)
 	} else {
-		k.openJobs.Delete(id)
+		k.jobStates.Store(id, dispatch.DurableEnded)
 		delete(k.endAppended, id)
 		k.notifyEnd(id)
 	}
@@ -156,7 +160,7 @@
 // releaseJob stops the runs of a job that this entry no longer owns.
 func (k *Keeper) releaseJob(id batch.ID) {
 	delete(k.ownedJobs, id)
-	k.dispatcher.ForgetDurable(id)
+	k.dispatcher.ForgetDurable(id, false)
 }
 
 // runOwnedJob runs the remaining tasks of a job that this entry owns. The time
--- a/process/keeper/reader_test.go
+++ b/process/keeper/reader_test.go
@@ -22,13 +22,13 @@
 		t.Fatalf("submit: %+v", o)
 	}
 	b := New(Options{Owner: "b", IsFirstByName: func() bool { return false }, Now: c.now, UnixTime: c.now}, log, newFakeDispatcher(), discardSink{})
-	if _, known := b.IsOpen("j"); known {
-		t.Error("IsOpen is known before the log was read")
+	if state := b.JobState("j"); state != dispatch.DurableUncertain {
+		t.Errorf("state %s before the log was read, expected %s", state, dispatch.DurableUncertain)
 	}
 	b.noteReadResult(nil)
 	b.applyPage(Page{Snapshot: true, UpToDate: true, Next: 1, Records: []ReadRecord{{0, log.records[0]}}})
-	if open, known := b.IsOpen("j"); !open || !known {
-		t.Errorf("IsOpen after the log was read: open %v, known %v", open, known)
+	if state := b.JobState("j"); state != dispatch.DurableOpen {
+		t.Errorf("state %s after the log was read, expected %s", state, dispatch.DurableOpen)
 	}
 }
 
@@ -122,17 +122,17 @@
 	steps := []struct {
 		name  string
 		do    func()
-		known bool
+		state dispatch.DurableJobState
 	}{
-		{"read to its end", func() {}, true},
-		{"a failed read", func() { e.noteReadResult(errors.New("no answer")) }, false},
-		{"a read that did not reach the end", func() { e.noteReadResult(nil); e.applyPage(Page{Next: 5}) }, false},
-		{"a read that reached the end", func() { e.applyPage(Page{UpToDate: true, Next: 9}) }, true},
+		{"read to its end", func() {}, dispatch.DurableUnknown},
+		{"a failed read", func() { e.noteReadResult(errors.New("no answer")) }, dispatch.DurableUncertain},
+		{"a read that did not reach the end", func() { e.noteReadResult(nil); e.applyPage(Page{Next: 5}) }, dispatch.DurableUncertain},
+		{"a read that reached the end", func() { e.applyPage(Page{UpToDate: true, Next: 9}) }, dispatch.DurableUnknown},
 	}
 	for _, step := range steps {
 		step.do()
-		if _, known := e.IsOpen("j"); known != step.known {
-			t.Errorf("%s: IsOpen known %v, expected %v", step.name, known, step.known)
+		if state := e.JobState("j"); state != step.state {
+			t.Errorf("%s: state %s, expected %s", step.name, state, step.state)
 		}
 	}
 }
@@ -180,11 +180,11 @@
 		t.Fatalf("submit: %+v", o)
 	}
 	b := startEntry(t, log, &clock{}, "b")
-	if open, _ := b.IsOpen("j"); !open {
-		t.Fatal("the job is not open")
+	if state := b.JobState("j"); state != dispatch.DurableOpen {
+		t.Fatalf("state %s, expected %s", state, dispatch.DurableOpen)
 	}
 	b.applyPage(Page{Snapshot: true, UpToDate: true, Next: 100})
-	if open, known := b.IsOpen("j"); open || !known {
-		t.Errorf("IsOpen after a snapshot without the job: open %v, known %v", open, known)
+	if state := b.JobState("j"); state != dispatch.DurableUnknown {
+		t.Errorf("state %s after a snapshot without the job, expected %s", state, dispatch.DurableUnknown)
 	}
 }
--- a/process/keeper/writer.go
+++ b/process/keeper/writer.go
@@ -269,7 +269,7 @@
 	for _, p := range b.progress {
 		k.dispatcher.ConfirmDurableEnds(p.id, p.ends)
 		if p.final {
-			k.dispatcher.ForgetDurable(p.id)
+			k.dispatcher.ForgetDurable(p.id, true)
 		}
 	}
 	if resume {
@@ -324,7 +324,7 @@
 	defer k.mu.Unlock()
 	k.logDecision("", "durable", "deposed", string(answer.Verdict), 0, decision.Input{Name: "jobs", Value: int64(len(k.ownedJobs))})
 	for id := range k.ownedJobs {
-		k.dispatcher.ForgetDurable(id)
+		k.dispatcher.ForgetDurable(id, false)
 	}
 	clear(k.ownedJobs)
 	clear(k.endAppended)
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -183,7 +183,11 @@
 
 func (e *entryEnv) NoteProgress(id batch.ID) { e.keeper.NoteProgress(id) }
 
-func (e *entryEnv) IsDurableJobOpen(id batch.ID) (open, known bool) { return e.keeper.IsOpen(id) }
+func (e *entryEnv) DurableJobState(id batch.ID) dispatch.DurableJobState {
+	return e.keeper.JobState(id)
+}
+
+func (e *entryEnv) AfterLogRead(f func(ok bool)) { e.keeper.AfterLogRead(f) }
 
 func (e *entryEnv) Send(agent wire.Incarnation, m wire.Message) {
 	e.mu.Lock()
