keeper: an entry that lost the log unnoticed calls no job unknown

Change: before a job is called unknown, the entry reads the log to its end as of the call. If it can't, it asks another entry, and one that can't tell either is passed over. Evidence: without that read TestEntryThatLostTheLogUnnoticedKnowsNoJobToBeUnknown, TestJobOfAnUnreadRecordIsNotUnknown and TestCallsAreForwardedByAnEntryThatLostTheLogUnnoticed fail (not_known in place of undecided, accepted and accepted).

--- a/process/keeper/fakes_test.go
+++ b/process/keeper/fakes_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/azurerouter/azurerouter/process/decision"
 	"github.com/azurerouter/azurerouter/process/dispatch"
 	"github.com/azurerouter/azurerouter/process/ledger"
@@ -98,6 +100,24 @@
 	return uint64(len(l.records)), nil
 }
 
+// silencedLog is a memoryLog that can be read once and then answers no call, of which
+// its reader learns nothing.
+type silencedLog struct{ *memoryLog }
+
+func (l *silencedLog) Append(context.Context, AppendRequest) AppendResult {
+	return AppendResult{Verdict: Unknown}
+}
+
+func (l *silencedLog) End(context.Context, uint64) (uint64, error) {
+	return 0, errors.New("no answer")
+}
+
+func (l *silencedLog) Follow(ctx context.Context, reader Reader) {
+	reader.Apply(Page{Snapshot: true, UpToDate: true})
+	reader.NoteResult(nil)
+	<-ctx.Done()
+}
+
 func (l *memoryLog) Follow(ctx context.Context, reader Reader) {
 	next, snapshot := 0, true
 	for ctx.Err() == nil {
--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -317,6 +317,7 @@
 		case <-ctx.Done():
 		}
 	}
+	current := k.readIfUnknown(ctx, id)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	v, known := k.table.Job(id)
@@ -324,12 +325,27 @@
 	case known:
 		begun := len(v.Progress.Tasks) > 0 || k.dispatcher.HasStarted(id)
 		return v.Progress.State, begun, Accepted
-	case !k.knowsAllJobs():
+	case !current || !k.knowsAllJobs():
 		return "", false, Undecided
 	}
 	return "", false, UnknownJob
 }
 
+// readIfUnknown reads the log to its present end if it is not known to contain a job. It
+// returns false if that is not possible, so that the job may exist all the same.
+func (k *Keeper) readIfUnknown(ctx context.Context, id batch.ID) bool {
+	k.mu.Lock()
+	_, known := k.table.Job(id)
+	mayBeKnown := known || !k.knowsAllJobs()
+	k.mu.Unlock()
+	if mayBeKnown {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, currentReadTimeout)
+	defer cancel()
+	return k.awaitCurrent(ctx) == nil
+}
+
 // knowsAllJobs reports whether this entry lacks no record of the log as far as it knows,
 // except those of about maxReadLag.
 func (k *Keeper) knowsAllJobs() bool {
@@ -354,13 +370,14 @@
 
 // cancelHere appends a request to cancel a job.
 func (k *Keeper) cancelHere(ctx context.Context, id batch.ID) Outcome {
+	current := k.readIfUnknown(ctx, id)
 	k.mu.Lock()
 	v, known := k.table.Job(id)
 	switch {
 	case known && (v.Progress.State != ledger.Open || v.Cancelled):
 		k.mu.Unlock()
 		return Outcome{Code: Accepted}
-	case !known && !k.knowsAllJobs():
+	case !known && !(current && k.knowsAllJobs()):
 		k.mu.Unlock()
 		return Outcome{Code: Undecided}
 	case !known:
--- a/process/keeper/peers.go
+++ b/process/keeper/peers.go
@@ -56,23 +56,37 @@
 // Accepted for a known job, UnknownJob if the log does not contain it, and
 // Undecided if no entry that was asked can read the log.
 func (k *Keeper) State(ctx context.Context, id batch.ID) (ledger.State, bool, Code) {
-	if k.logInaccessible() {
-		if reply, answered := k.forwardToPeers(ctx, wire.DurableCall{Action: wire.DurableState, ID: id}); answered {
-			return ledger.State(reply.State), reply.Started, Code(reply.Code)
+	inaccessible := k.logInaccessible()
+	if !inaccessible {
+		if state, begun, code := k.stateHere(ctx, id); code != Undecided {
+			return state, begun, code
 		}
 	}
-	return k.stateHere(ctx, id)
+	if reply, answered := k.forwardToPeers(ctx, wire.DurableCall{Action: wire.DurableState, ID: id}); answered {
+		return ledger.State(reply.State), reply.Started, Code(reply.Code)
+	}
+	if inaccessible {
+		return k.stateHere(ctx, id)
+	}
+	return "", false, Undecided
 }
 
 // Cancel requests the cancellation of a job. Accepted means that the request is in
 // the log or that the job has ended.
 func (k *Keeper) Cancel(ctx context.Context, id batch.ID) Outcome {
-	if k.logInaccessible() {
-		if reply, answered := k.forwardToPeers(ctx, wire.DurableCall{Action: wire.DurableCancel, ID: id}); answered {
-			return outcomeFromReply(reply)
+	inaccessible := k.logInaccessible()
+	if !inaccessible {
+		if o := k.cancelHere(ctx, id); o.Code != Undecided {
+			return o
 		}
 	}
-	return k.cancelHere(ctx, id)
+	if reply, answered := k.forwardToPeers(ctx, wire.DurableCall{Action: wire.DurableCancel, ID: id}); answered {
+		return outcomeFromReply(reply)
+	}
+	if inaccessible {
+		return k.cancelHere(ctx, id)
+	}
+	return Outcome{Code: Undecided}
 }
 
 // ServeForwarded answers a call that another entry has forwarded. It does not
@@ -126,6 +140,7 @@
 		case err != nil:
 			k.logForward(call, peer, "unanswered", err.Error())
 		case reply.Code == string(NotAccepted) && reply.Reason == string(dispatch.ReasonStoreUnavailable):
+		case reply.Code == string(Undecided) && call.Action != wire.DurableSubmit:
 		default:
 			k.counters.forwarded.Add(1)
 			k.logForward(call, peer, reply.Code, reply.Reason)
--- a/process/keeper/peers_test.go
+++ b/process/keeper/peers_test.go
@@ -125,3 +125,27 @@
 		t.Errorf("records %v in the log, expected none", records)
 	}
 }
+
+// Guards against a cancellation that is lost, or left undecided, because the entry that
+// was called has lost the connection to the log without knowing it.
+func TestCallsAreForwardedByAnEntryThatLostTheLogUnnoticed(t *testing.T) {
+	log, c := newMemoryLog(), &clock{}
+	a := startEntry(t, log, c, "a")
+	if o := a.Submit(context.Background(), submission("j")); o.Code != Accepted {
+		t.Fatalf("submit: %+v", o)
+	}
+	b := startEntry(t, &silencedLog{memoryLog: log}, c, "b")
+	b.options.Peers = func() []Peer {
+		return []Peer{localPeer{testEntry: startEntry(t, &silencedLog{memoryLog: log}, c, "c")}, localPeer{testEntry: a}}
+	}
+	if state, _, code := b.State(context.Background(), "j"); code != Accepted || state != ledger.Open {
+		t.Errorf("state %s %s, expected %s %s", code, state, Accepted, ledger.Open)
+	}
+	if o := b.Cancel(context.Background(), "j"); o.Code != Accepted {
+		t.Errorf("cancel: %+v, expected %s", o, Accepted)
+	}
+	eventually(t, "the cancelled state", func() bool {
+		state, _, _ := a.State(context.Background(), "j")
+		return state == ledger.Cancelled
+	})
+}
--- a/process/keeper/reader_test.go
+++ b/process/keeper/reader_test.go
@@ -188,3 +188,36 @@
 		t.Errorf("state %s after a snapshot without the job, expected %s", state, dispatch.DurableUnknown)
 	}
 }
+
+// Guards against a caller who is told that its job does not exist by an entry that has
+// lost the connection to the log without knowing it, and whose cancellation is lost.
+func TestEntryThatLostTheLogUnnoticedKnowsNoJobToBeUnknown(t *testing.T) {
+	log, c := newMemoryLog(), &clock{}
+	a := startEntry(t, log, c, "a")
+	b := startEntry(t, &silencedLog{memoryLog: log}, c, "b")
+	if o := a.Submit(context.Background(), submission("j")); o.Code != Accepted {
+		t.Fatalf("submit: %+v", o)
+	}
+	if o := b.Cancel(context.Background(), "j"); o.Code != Undecided {
+		t.Errorf("cancellation: %+v, expected %s", o, Undecided)
+	}
+	if _, _, code := b.State(context.Background(), "j"); code != Undecided {
+		t.Errorf("state: %s, expected %s", code, Undecided)
+	}
+}
+
+// Guards against a job that is unknown because its record is on its way to this entry.
+func TestJobOfAnUnreadRecordIsNotUnknown(t *testing.T) {
+	log, c := newMemoryLog(), &clock{}
+	a := startEntry(t, log, c, "a")
+	b := startEntry(t, log, c, "b")
+	log.update(func() { log.readsBlocked = true })
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go a.Submit(ctx, submission("j"))
+	eventually(t, "the append", func() bool { return len(log.newestRecords()) > 0 })
+	time.AfterFunc(50*time.Millisecond, func() { log.update(func() { log.readsBlocked = false }) })
+	if _, _, code := b.State(context.Background(), "j"); code != Accepted {
+		t.Errorf("state: %s, expected %s", code, Accepted)
+	}
+}
