dispatch: orders to stop runs are repeated when their agent reconnects

Cause: an order to stop a run was sent once, and only if the agent was connected. If it was lost with the connection, or the connection was gone, nothing stopped the run: the agent reconnects within its session, lists the run as held, and the entry still knew the run. Change: the first message to an agent that enrolls repeats the orders to stop runs that may be alive.

--- a/process/dispatch/sessions_test.go
+++ b/process/dispatch/sessions_test.go
@@ -81,3 +81,37 @@
 		t.Error("contact with an agent 2 s after all links were cut")
 	}
 }
+
+// Guards against runs that go on because the order to stop them was lost with the
+// connection to their agent, and whose tasks start again at another entry (review/2).
+func TestLostStopIsRepeatedWhenTheAgentReconnects(t *testing.T) {
+	for name, leave := range map[string]func(c *cluster, cancel func()){
+		"lost on its way": func(c *cluster, cancel func()) { cancel(); c.closeLink(c.links[0]) },
+		"never sent":      func(c *cluster, cancel func()) { c.closeLink(c.links[0]); cancel() },
+		"sent and lost two times": func(c *cluster, cancel func()) {
+			cancel()
+			c.closeLink(c.links[0])
+			for !c.links[0].open {
+				c.step()
+			}
+			c.step()
+			c.closeLink(c.links[0])
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 51, 1, equalRooms(1, 16000))
+			c.run(500 * time.Millisecond)
+			s := c.submission("q", 3, 3*time.Second, 1000, 0)
+			cancel := c.entries[0].core.Submit(s, func(dispatch.Result) {})
+			c.run(100 * time.Millisecond)
+			if running := len(c.agents[0].executor.Running()); running != 3 {
+				t.Fatalf("%d runs before the caller leaves, expected 3", running)
+			}
+			leave(c, cancel)
+			c.run(300 * time.Millisecond)
+			if running := c.agents[0].executor.Running(); len(running) > 0 {
+				t.Errorf("runs %v go on after their caller has left", running)
+			}
+		})
+	}
+}
--- a/process/dispatch/target.go
+++ b/process/dispatch/target.go
@@ -90,7 +90,7 @@
 	// The held reports may include refusals of earlier sessions, which don't
 	// apply to this one.
 	t.sessionRefused = false
-	c.send(now, p, t, &wire.Orders{})
+	c.send(now, p, t, &wire.Orders{Stops: t.requestedStops()})
 	c.assign(now, p)
 }
 
@@ -132,6 +132,18 @@
 	}
 }
 
+// requestedStops returns the runs that are to be stopped and may be alive. The orders to
+// stop them may have been lost with an earlier connection.
+func (t *target) requestedStops() []batch.Run {
+	var stops []batch.Run
+	for _, r := range batch.SortedByRun(t.runs) {
+		if r.stopRequested {
+			stops = append(stops, r.id())
+		}
+	}
+	return stops
+}
+
 // HandleDisconnect handles the end of an agent's connection. cause may be nil. Runs
 // there may be alive until the agent enrolls again or its session and the lease of
 // its target have ended.
