runner, dispatch: a task that crashes targets before they answer its start is given up

Cause: a crash counted only for runs whose start the target had confirmed. If no start is answered, each loss is a suspicion, and suspicions never become certain: after three the task is held for 4 s and started again, and suspicions are dropped after 8 s. Change: the agent also reports a crash for runs of which a start got no answer and may have reached the target, marked as unconfirmed. Three crashes of both kinds give the task up (two if all are confirmed, as before). A late verdict counts for a minute; what a task waits for stays at 8 s. The next owner finds the number in the log.

--- a/connection/wire/run.go
+++ b/connection/wire/run.go
@@ -230,6 +230,9 @@
 	// TargetCrashed is set if the target crashed while the run was there. Without an
 	// end it is about a run whose end was reported before the crash was certain.
 	TargetCrashed bool `cbor:"6,keyasint,omitempty"`
+	// StartUnconfirmed is set with TargetCrashed if the target did not answer the start
+	// of the run, which it may have received only after the crash.
+	StartUnconfirmed bool `cbor:"7,keyasint,omitempty"`
 }
 
 // AgentReport is a message from an agent to an entry. With no runs and no target
--- a/process/dispatch/crash.go
+++ b/process/dispatch/crash.go
@@ -4,24 +4,59 @@
 	"slices"
 	"time"
 
+	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/decision"
 	"github.com/azurerouter/azurerouter/request/batch"
 )
 
 const (
-	// maxCrashes is the number of targets that may crash under a task before it is
-	// given up.
+	// maxCrashes is the number of targets that may crash under confirmed runs of a task
+	// before it is given up.
 	maxCrashes = 2
-	// maxSuspectedCrashes is the number of crashes that are not certain after which a
-	// task waits for certainty, for crashVerdictTimeout at most. After a certain one it
-	// waits at the next.
+	// maxAllCrashes is the same if runs count whose start the target did not confirm. It
+	// is higher because such a start may have come after the crash.
+	maxAllCrashes = 3
+	// maxSuspectedCrashes is the number of crashes, certain or not, after which a task
+	// waits for certainty, for crashVerdictTimeout at most. After a certain one it waits
+	// at the next.
 	maxSuspectedCrashes = 3
 	crashVerdictTimeout = 4 * time.Second
+	// suspicionTTL is how long a task may have to wait because of a suspicion,
+	// suspicionRetention how long the suspicion can still be confirmed.
+	suspicionTTL       = 2 * crashVerdictTimeout
+	suspicionRetention = time.Minute
 )
 
+// crashKind is what is known of the crash of a target with a run.
+type crashKind uint8
+
+const (
+	noCrash crashKind = iota
+	// crashSuspected: the run was lost at a target that may have crashed.
+	crashSuspected
+	// crashUnconfirmed: the target has crashed and had not confirmed the start of the run.
+	crashUnconfirmed
+	// crashCertain: the target has crashed while the run was there.
+	crashCertain
+)
+
+// crashKindOf returns what a report on a run says of a crash of its target.
+func crashKindOf(report wire.RunReport) crashKind {
+	switch {
+	case report.TargetCrashed && report.StartUnconfirmed:
+		return crashUnconfirmed
+	case report.TargetCrashed:
+		return crashCertain
+	case report.End == batch.EndLost || report.End == batch.EndLapsed:
+		return crashSuspected
+	}
+	return noCrash
+}
+
 // crashRecord counts the targets that have crashed under a task.
 type crashRecord struct {
-	certain int
+	certain     int
+	unconfirmed int
 	// suspected are the runs that were lost at a target that may have crashed.
 	suspected []suspectedCrash
 }
@@ -31,36 +66,50 @@
 	at        time.Time
 }
 
-// add counts the end of a run with its target. A suspicion that has not been confirmed
-// for twice the timeout is dropped.
-func (r *crashRecord) add(now time.Time, runNumber int, certain bool) {
+// add counts the end of a run with its target.
+func (r *crashRecord) add(now time.Time, runNumber int, kind crashKind) {
 	r.suspected = slices.DeleteFunc(r.suspected, func(s suspectedCrash) bool {
-		return s.runNumber == runNumber || now.Sub(s.at) > 2*crashVerdictTimeout
+		return s.runNumber == runNumber || now.Sub(s.at) > suspicionRetention
 	})
-	if certain {
+	switch kind {
+	case crashCertain:
 		r.certain++
-		return
+	case crashUnconfirmed:
+		r.unconfirmed++
+	default:
+		r.suspected = append(r.suspected, suspectedCrash{runNumber, now})
 	}
-	r.suspected = append(r.suspected, suspectedCrash{runNumber, now})
 }
 
 // restore takes over what an earlier owner of the job has recorded. Its suspicions can't
 // be confirmed any more, but count until they are dropped.
 func (r *crashRecord) restore(now time.Time, progress TaskProgress) {
-	r.certain = progress.Crashes
+	r.certain, r.unconfirmed = progress.Crashes, progress.UnconfirmedCrashes
 	for range min(progress.SuspectedCrashes, maxSuspectedCrashes) {
 		r.suspected = append(r.suspected, suspectedCrash{at: now})
 	}
 }
 
+// tooMany reports whether the task must not start again.
+func (r *crashRecord) tooMany() bool {
+	return r.certain >= maxCrashes || r.certain+r.unconfirmed >= maxAllCrashes
+}
+
 // awaitsVerdict reports whether the task must not start again before it is certain
 // whether targets have crashed under it.
-func (r *crashRecord) awaitsVerdict() bool {
-	suspected := len(r.suspected)
-	return suspected > 0 && (r.certain > 0 || suspected >= maxSuspectedCrashes)
+func (r *crashRecord) awaitsVerdict(now time.Time) bool {
+	suspected := 0
+	for _, s := range r.suspected {
+		if now.Sub(s.at) <= suspicionTTL {
+			suspected++
+		}
+	}
+	return suspected > 0 && (r.certain > 0 || r.unconfirmed+suspected >= maxSuspectedCrashes)
 }
 
-func (r *crashRecord) empty() bool { return r.certain == 0 && len(r.suspected) == 0 }
+func (r *crashRecord) empty() bool {
+	return r.certain == 0 && r.unconfirmed == 0 && len(r.suspected) == 0
+}
 
 func (r *crashRecord) isSuspected(runNumber int) bool {
 	return slices.ContainsFunc(r.suspected, func(s suspectedCrash) bool { return s.runNumber == runNumber })
@@ -68,7 +117,7 @@
 
 // noteCrash handles a report that the target has crashed under a run whose end was
 // reported before.
-func (c *Core) noteCrash(now time.Time, p *pool, id batch.Run) {
+func (c *Core) noteCrash(now time.Time, p *pool, id batch.Run, kind crashKind) {
 	j := p.jobs[id.Task.Job]
 	if j == nil {
 		return
@@ -77,7 +126,7 @@
 	if t == nil || t.done || !t.crashes.isSuspected(id.Number) {
 		return
 	}
-	t.crashes.add(now, id.Number, true)
+	t.crashes.add(now, id.Number, kind)
 	j.heldUntil = time.Time{}
 	c.judgeCrashes(now, p, t)
 }
@@ -89,16 +138,17 @@
 	if j.durableState != nil {
 		c.env.NoteProgress(j.Job.ID)
 	}
-	if t.crashes.certain >= maxCrashes {
+	inputs := []decision.Input{{Name: "crashes", Value: int64(t.crashes.certain)}, {Name: "unconfirmed", Value: int64(t.crashes.unconfirmed)},
+		{Name: "suspected", Value: int64(len(t.crashes.suspected))}}
+	if t.crashes.tooMany() {
 		c.env.Record(decision.Decision{Step: "answer", Job: j.Job.ID, Run: batch.Run{Task: t.id(), Number: t.lastNumber}, Outcome: "given_up",
-			Reason: string(ReasonCrashes), Inputs: []decision.Input{{Name: "crashes", Value: int64(t.crashes.certain)}}})
+			Reason: string(ReasonCrashes), Inputs: inputs})
 		c.endJob(now, p, j, Result{Code: Failed, Reason: ReasonCrashes})
 		return true
 	}
-	if t.crashes.awaitsVerdict() {
+	if t.crashes.awaitsVerdict(now) {
 		j.heldUntil = now.Add(crashVerdictTimeout)
-		c.env.Record(decision.Decision{Step: "place", Job: j.Job.ID, Outcome: "held", Reason: string(ReasonCrashes),
-			Inputs: []decision.Input{{Name: "crashes", Value: int64(t.crashes.certain)}, {Name: "suspected", Value: int64(len(t.crashes.suspected))}}})
+		c.env.Record(decision.Decision{Step: "place", Job: j.Job.ID, Outcome: "held", Reason: string(ReasonCrashes), Inputs: inputs})
 	}
 	return false
 }
--- a/process/dispatch/crash_test.go
+++ b/process/dispatch/crash_test.go
@@ -23,9 +23,9 @@
 	return c.call(s, 0), deadly
 }
 
-// runWithCrashes advances the cluster, replaces crashed targets after crashDuration, and
-// returns the number of crashes.
-func (c *cluster) runWithCrashes(d time.Duration) (crashes int) {
+// runWithCrashes advances the cluster, replaces crashed targets after the time restart,
+// and returns the number of crashes.
+func (c *cluster) runWithCrashes(d, restart time.Duration) (crashes int) {
 	replacing := make(map[*agentNode]bool)
 	for end := c.now.Add(d); c.now.Before(end); c.step() {
 		for _, a := range c.agents {
@@ -34,7 +34,7 @@
 			}
 			crashes++
 			replacing[a] = true
-			c.after(crashDuration, func() {
+			c.after(restart, func() {
 				a.replaceCrashedTarget()
 				replacing[a] = false
 			})
@@ -50,7 +50,7 @@
 		c.setEntryCount(entryCount)
 		c.run(500 * time.Millisecond)
 		k, _ := c.submitDeadlyJob(4)
-		crashes := c.runWithCrashes(25 * time.Second)
+		crashes := c.runWithCrashes(25*time.Second, crashDuration)
 		if k.result == nil || k.result.Code != dispatch.Failed || k.result.Reason != dispatch.ReasonCrashes {
 			t.Errorf("result %+v, want %s because of %s", k.result, dispatch.Failed, dispatch.ReasonCrashes)
 		}
@@ -60,6 +60,27 @@
 	}
 }
 
+// Guards against a task that is started for ever because it crashes each target before
+// the start is answered (rule BUDGET, review/3).
+func TestTaskThatCrashesTargetsBeforeTheyAnswerIsGivenUp(t *testing.T) {
+	for _, restart := range []time.Duration{crashDuration, 5 * time.Second} {
+		c := newCluster(t, 26, 1, equalRooms(10, 16000))
+		c.run(500 * time.Millisecond)
+		s := c.submission("deadly", 1, 60*time.Millisecond, 1000, 0)
+		deadly := batch.Task{Job: s.Job.ID}
+		c.work[deadly] = executor.Work{Duration: time.Second, CrashesAtStart: true, Demand: s.Job.Steps[0].Demand}
+		var result *dispatch.Result
+		c.entries[0].core.RunDurable(dispatch.DurableJob{Submission: s, Term: 1, NotBefore: c.now}, func(r dispatch.Result) { result = &r })
+		crashes := c.runWithCrashes(40*time.Second, restart)
+		if result == nil || result.Reason != dispatch.ReasonCrashes {
+			t.Errorf("targets away for %v: result %+v, want %s because of %s", restart, result, dispatch.Failed, dispatch.ReasonCrashes)
+		}
+		if crashes > 5 {
+			t.Errorf("targets away for %v: %d have crashed, want at most 5", restart, crashes)
+		}
+	}
+}
+
 // Guards against jobs that are given up although their targets did not crash: they hang
 // and answer again, one after the other.
 func TestJobOnHangingTargetsIsNotGivenUp(t *testing.T) {
@@ -133,7 +154,7 @@
 	var result *dispatch.Result
 	c.entries[0].core.RunDurable(dispatch.DurableJob{Submission: s, Term: 2, NotBefore: c.now,
 		Progress: []dispatch.TaskProgress{{SuspectedCrashes: 2}}}, func(r dispatch.Result) { result = &r })
-	crashes := c.runWithCrashes(25 * time.Second)
+	crashes := c.runWithCrashes(25*time.Second, crashDuration)
 	if result == nil || result.Reason != dispatch.ReasonCrashes {
 		t.Errorf("result %+v, want %s because of %s", result, dispatch.Failed, dispatch.ReasonCrashes)
 	}
--- a/process/dispatch/durable.go
+++ b/process/dispatch/durable.go
@@ -33,6 +33,9 @@
 	FailedRuns int
 	// Crashes is the number of targets that have crashed under the task.
 	Crashes int
+	// UnconfirmedCrashes is the number of further targets that have crashed after a start
+	// of the task that they did not confirm.
+	UnconfirmedCrashes int
 	// SuspectedCrashes is the number of further targets that may have crashed under it.
 	SuspectedCrashes int
 }
@@ -126,7 +129,7 @@
 			for _, t := range j.steps[step].tasks {
 				if t.done || t.failures > 0 || !t.crashes.empty() {
 					progress = append(progress, TaskProgress{Step: t.step, Index: t.index, Done: t.done, FailedRuns: t.failures,
-						Crashes: t.crashes.certain, SuspectedCrashes: len(t.crashes.suspected)})
+						Crashes: t.crashes.certain, UnconfirmedCrashes: t.crashes.unconfirmed, SuspectedCrashes: len(t.crashes.suspected)})
 				}
 			}
 		}
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -70,11 +70,9 @@
 	orderedAt time.Time
 	// stopRequested is set once the result of the run is not needed.
 	stopRequested bool
-	// mayHaveCrashed is set if the run was lost at its target, targetCrashed if the
-	// target has certainly crashed.
-	mayHaveCrashed bool
-	targetCrashed  bool
-	demand         batch.Resources
+	// crash is what is known of a crash of the target once the run has ended.
+	crash  crashKind
+	demand batch.Resources
 }
 
 func (t *task) id() batch.Task {
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -18,7 +18,7 @@
 	r := t.runs[report.Run]
 	switch {
 	case report.TargetCrashed && report.End == "":
-		c.noteCrash(now, p, report.Run)
+		c.noteCrash(now, p, report.Run, crashKindOf(report))
 	case r == nil && report.EndUnrecorded:
 		c.resolveLateEnd(now, p, t, report.Run)
 	case r == nil:
@@ -32,8 +32,7 @@
 		if report.End == batch.EndDone {
 			p.durations.record(r.task, t.node, time.Duration(report.RanMS)*time.Millisecond)
 		}
-		r.targetCrashed = report.TargetCrashed
-		r.mayHaveCrashed = report.End == batch.EndLost || report.End == batch.EndLapsed
+		r.crash = crashKindOf(report)
 		c.addDurableEnd(now, p, r, report.EndUnrecorded)
 		c.runEnded(now, p, r, report.End)
 	}
@@ -100,8 +99,8 @@
 		}
 	default:
 		r.task.avoidedNodes = append(r.task.avoidedNodes, r.target.node)
-		if r.mayHaveCrashed {
-			r.task.crashes.add(now, r.number, r.targetCrashed)
+		if r.crash != noCrash {
+			r.task.crashes.add(now, r.number, r.crash)
 			if c.judgeCrashes(now, p, r.task) {
 				return
 			}
--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -139,8 +139,10 @@
 	// token.
 	missingAnswers int
 	fencedStarts   int
-	// unansweredStarts counts the starts without an answer.
-	unansweredStarts int
+	// unansweredStarts counts the starts without an answer. startMayHaveArrived is set
+	// if one of them may have reached the target.
+	unansweredStarts    int
+	startMayHaveArrived bool
 	// targetCrashed is set if the target has crashed while the run was there.
 	targetCrashed bool
 }
--- a/process/runner/crash.go
+++ b/process/runner/crash.go
@@ -15,13 +15,18 @@
 type crashSuspect struct {
 	run   batch.Run
 	entry wire.Incarnation
+	// startConfirmed is false if the start of the run may have reached the target only
+	// after the crash.
+	startConfirmed bool
 }
 
-// suspectCrash remembers a run that has lapsed at a target that does not answer. A run
-// whose start was never answered may have been sent after the crash.
+// mayHaveCrashedTarget reports whether the target may have received the run.
+func (h *heldRun) mayHaveCrashedTarget() bool { return h.observed || h.startMayHaveArrived }
+
+// suspectCrash remembers a run that has lapsed at a target that does not answer.
 func (c *Core) suspectCrash(h *heldRun) {
-	if h.observed && len(c.crashSuspects) < maxCrashSuspects {
-		c.crashSuspects = append(c.crashSuspects, crashSuspect{h.run, h.entry})
+	if h.mayHaveCrashedTarget() && len(c.crashSuspects) < maxCrashSuspects {
+		c.crashSuspects = append(c.crashSuspects, crashSuspect{h.run, h.entry, h.observed})
 	}
 }
 
@@ -36,9 +41,9 @@
 	c.env.Record(decision.Decision{Step: "target", Peer: c.target.id, Outcome: "crashed",
 		Inputs: []decision.Input{{Name: "runs", Value: int64(len(c.runs))}, {Name: "runs_lapsed", Value: int64(len(suspects))}}})
 	for _, suspect := range suspects {
-		c.queueReport(now, c.sessions[suspect.entry], wire.RunReport{Run: suspect.run, TargetCrashed: true}, 0)
+		c.queueReport(now, c.sessions[suspect.entry], wire.RunReport{Run: suspect.run, TargetCrashed: true, StartUnconfirmed: !suspect.startConfirmed}, 0)
 	}
 	for _, h := range c.runs {
-		h.targetCrashed = h.observed
+		h.targetCrashed = h.mayHaveCrashedTarget()
 	}
 }
--- a/process/runner/crash_test.go
+++ b/process/runner/crash_test.go
@@ -50,6 +50,37 @@
 	}
 }
 
+// Guards against a task that crashes target after target without being suspected, because
+// none of them answers its start, and against suspecting one that never reached a target.
+func TestCrashCountsForStartsThatMayHaveArrived(t *testing.T) {
+	cases := []struct {
+		name     string
+		verdicts []runner.Verdict
+		reported bool
+	}{
+		{"no answer", []runner.Verdict{runner.VerdictUnanswered, runner.VerdictNotListening, runner.VerdictNotListening}, true},
+		{"never received", []runner.Verdict{runner.VerdictNotListening, runner.VerdictNotListening, runner.VerdictNotListening}, false},
+	}
+	for _, step := range cases {
+		for _, early := range []bool{false, true} {
+			h := newHarness(t)
+			run := h.sendStartOrder(0)
+			for _, verdict := range step.verdicts {
+				h.answerLastStart(verdict)
+			}
+			if !early {
+				h.silence()
+			}
+			h.reportTarget(2, 1)
+			h.completeHold(2, nil, nil)
+			h.silence()
+			if got := h.crashReports()[run.Task.Index]; got != step.reported {
+				t.Errorf("%s, before the runs have lapsed %t: crash reported %t, want %t", step.name, early, got, step.reported)
+			}
+		}
+	}
+}
+
 // Guards against crashes of a target that only did not answer for a while.
 func TestSilentTargetHasNotCrashed(t *testing.T) {
 	h := newHarness(t)
--- a/process/runner/start.go
+++ b/process/runner/start.go
@@ -79,6 +79,7 @@
 	case VerdictDone:
 		c.startConfirmed(now, h)
 	case VerdictUnanswered:
+		h.startMayHaveArrived = true
 		c.startUnanswered(now, h, call)
 	case VerdictNotListening:
 		c.closeUnreachable(now)
@@ -278,7 +279,7 @@
 	ran := now.Sub(h.startedAt)
 	c.counters.Ended[end]++
 	report := wire.RunReport{Run: h.run, End: end, RanMS: ran.Milliseconds(),
-		TargetCrashed: h.targetCrashed && end != batch.EndDone && end != batch.EndFailed,
+		TargetCrashed: h.targetCrashed && end != batch.EndDone && end != batch.EndFailed, StartUnconfirmed: h.targetCrashed && !h.observed,
 		EndUnrecorded: h.durable && (end == batch.EndDone || end == batch.EndFailed)}
 	if !h.observed && end == batch.EndStopped {
 		report = wire.RunReport{Run: h.run, RefusalReason: h.notStartedReason}
--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -30,6 +30,8 @@
 	Fails    bool
 	// Crashes makes the target crash when the task has run for crashDelay.
 	Crashes bool
+	// CrashesAtStart makes the target crash before it answers the request to start it.
+	CrashesAtStart bool
 }
 
 // Executor is one incarnation of a target. It is not safe for concurrent use.
@@ -111,6 +113,9 @@
 		e.OnStart(c.Run)
 	}
 	e.highestNumber[c.Run.Task] = max(e.highestNumber[c.Run.Task], c.Run.Number-1)
+	if work.CrashesAtStart {
+		e.Crash()
+	}
 	return answer
 }
 
