dispatch, runner: a crash that becomes certain after a takeover counts

An agent reports a crash only to the entry that ordered the run, and the next owner knew how many runs were suspected, but not which, so that it could not count the crash when it became certain. Change: the log has the numbers of the suspected runs. Agents report crashes under durable runs to all connected entries. An owner that takes over a task with three suspicions waits for certainty before the first start. Evidence: TestCrashesThatBecomeCertainAfterATakeoverCount and TestCrashUnderADurableRunIsReportedToAllEntries, which can't pass before: the progress has no run numbers there.

--- a/process/dispatch/crash.go
+++ b/process/dispatch/crash.go
@@ -81,15 +81,22 @@
 	}
 }
 
-// restore takes over what an earlier owner of the job has recorded. Its suspicions can't
-// be confirmed any more, but count until they are dropped.
+// restore takes over what an earlier owner of the job has recorded.
 func (r *crashRecord) restore(now time.Time, progress TaskProgress) {
 	r.certain, r.unconfirmed = progress.Crashes, progress.UnconfirmedCrashes
-	for range min(progress.SuspectedCrashes, maxSuspectedCrashes) {
-		r.suspected = append(r.suspected, suspectedCrash{at: now})
+	for _, number := range progress.SuspectedRuns {
+		r.suspected = append(r.suspected, suspectedCrash{number, now})
 	}
 }
 
+func (r *crashRecord) suspectedRuns() []int {
+	var numbers []int
+	for _, s := range r.suspected {
+		numbers = append(numbers, s.runNumber)
+	}
+	return numbers
+}
+
 // tooMany reports whether the task must not start again.
 func (r *crashRecord) tooMany() bool {
 	return r.certain >= maxCrashes || r.certain+r.unconfirmed >= maxAllCrashes
--- a/process/dispatch/crash_test.go
+++ b/process/dispatch/crash_test.go
@@ -153,7 +153,7 @@
 	c.work[deadly] = executor.Work{Duration: time.Second, Crashes: true, Demand: s.Job.Steps[0].Demand}
 	var result *dispatch.Result
 	c.entries[0].core.RunDurable(dispatch.DurableJob{Submission: s, Term: 2, NotBefore: c.now,
-		Progress: []dispatch.TaskProgress{{SuspectedCrashes: 2}}}, func(r dispatch.Result) { result = &r })
+		Progress: []dispatch.TaskProgress{{SuspectedRuns: []int{1, 2}}}}, func(r dispatch.Result) { result = &r })
 	crashes := c.runWithCrashes(25*time.Second, crashDuration)
 	if result == nil || result.Reason != dispatch.ReasonCrashes {
 		t.Errorf("result %+v, want %s because of %s", result, dispatch.Failed, dispatch.ReasonCrashes)
@@ -162,3 +162,31 @@
 		t.Errorf("%d targets have crashed at the second owner, want at most 2", crashes)
 	}
 }
+
+// Guards against crashes that are not counted because they became certain only after
+// another owner had taken the job over (rule BUDGET).
+func TestCrashesThatBecomeCertainAfterATakeoverCount(t *testing.T) {
+	c := newCluster(t, 27, 1, equalRooms(1, 16000))
+	c.run(500 * time.Millisecond)
+	s := c.submission("deadly", 1, 10*time.Second, 1000, 0)
+	var result *dispatch.Result
+	c.entries[0].core.RunDurable(dispatch.DurableJob{Submission: s, Term: 2, NotBefore: c.now,
+		Progress: []dispatch.TaskProgress{{SuspectedRuns: []int{1, 2, 3}}}}, func(r dispatch.Result) { result = &r })
+	c.run(time.Second)
+	if running := c.agents[0].executor.Running(); len(running) > 0 {
+		t.Errorf("runs %v started while it is not certain whether targets have crashed", running)
+	}
+	for _, number := range []int{1, 2, 2, 3} {
+		if result != nil {
+			t.Fatalf("result %+v before the third crash was reported", result)
+		}
+		report := wire.RunReport{Run: batch.Run{Task: batch.Task{Job: s.Job.ID}, Number: number}, TargetCrashed: true, StartUnconfirmed: true}
+		c.entries[0].core.HandleReport(c.agents[0].id, &wire.AgentReport{Clock: c.now.UnixMicro(), Runs: []wire.RunReport{report}})
+	}
+	if result == nil || result.Reason != dispatch.ReasonCrashes {
+		t.Errorf("result %+v, want %s because of %s", result, dispatch.Failed, dispatch.ReasonCrashes)
+	}
+	if progress, _ := c.entries[0].core.DurableProgress(s.Job.ID); len(progress) != 1 || progress[0].UnconfirmedCrashes != 3 || len(progress[0].SuspectedRuns) != 0 {
+		t.Errorf("progress %+v, want three crashes and no suspected run", progress)
+	}
+}
--- a/process/dispatch/durable.go
+++ b/process/dispatch/durable.go
@@ -36,8 +36,9 @@
 	// UnconfirmedCrashes is the number of further targets that have crashed after a start
 	// of the task that they did not confirm.
 	UnconfirmedCrashes int
-	// SuspectedCrashes is the number of further targets that may have crashed under it.
-	SuspectedCrashes int
+	// SuspectedRuns are the numbers of the runs that were lost at further targets, which
+	// may have crashed.
+	SuspectedRuns []int
 }
 
 // durableEnd is the end of a run that an agent keeps until it is recorded.
@@ -101,6 +102,9 @@
 		}
 		t.failures = progress.FailedRuns
 		t.crashes.restore(now, progress)
+		if t.crashes.awaitsVerdict(now) {
+			j.heldUntil = now.Add(crashVerdictTimeout)
+		}
 		if progress.Done && !t.done {
 			j.completeTask(t)
 		}
@@ -129,7 +133,7 @@
 			for _, t := range j.steps[step].tasks {
 				if t.done || t.failures > 0 || !t.crashes.empty() {
 					progress = append(progress, TaskProgress{Step: t.step, Index: t.index, Done: t.done, FailedRuns: t.failures,
-						Crashes: t.crashes.certain, UnconfirmedCrashes: t.crashes.unconfirmed, SuspectedCrashes: len(t.crashes.suspected)})
+						Crashes: t.crashes.certain, UnconfirmedCrashes: t.crashes.unconfirmed, SuspectedRuns: t.crashes.suspectedRuns()})
 				}
 			}
 		}
--- a/process/keeper/keeper_test.go
+++ b/process/keeper/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"testing"
 	"time"
 
@@ -151,7 +152,7 @@
 	eventually(t, "the end of the takeover", func() bool { return b.counters.takenOver.Load() == 1 })
 	b.suspendIfOwnershipExpired()
 	got := b.dispatcher.startedJobs()[0]
-	if got.Term != 2 || len(got.Progress) != 1 || got.Progress[0] != done[0] {
+	if got.Term != 2 || len(got.Progress) != 1 || !reflect.DeepEqual(got.Progress[0], done[0]) {
 		t.Errorf("taken over as %+v, expected term 2 with progress %+v", got, done)
 	}
 	if got.NotBefore.Before(takenOverAt.Add(wire.RunsLostAfter)) {
--- a/process/ledger/records.go
+++ b/process/ledger/records.go
@@ -69,8 +69,9 @@
 	// UnconfirmedCrashes is the number of further targets that have crashed after a start
 	// of the task that they did not confirm.
 	UnconfirmedCrashes int `cbor:"7,keyasint,omitempty"`
-	// SuspectedCrashes is the number of further targets that may have crashed under it.
-	SuspectedCrashes int `cbor:"6,keyasint,omitempty"`
+	// SuspectedRuns are the numbers of the runs that were lost at further targets, which
+	// may have crashed.
+	SuspectedRuns []int `cbor:"8,keyasint,omitempty"`
 }
 
 // Heartbeat is the value of a record that an owner appends to show that it is
@@ -160,8 +161,8 @@
 		return errors.Newf("unknown state %q", p.State)
 	}
 	for _, t := range p.Tasks {
-		if t.Step < 0 || t.Index < 0 || t.FailedRuns < 0 || t.Crashes < 0 || t.UnconfirmedCrashes < 0 || t.SuspectedCrashes < 0 {
-			return errors.Newf("step %d, index %d, %d failed runs and %d+%d+%d crashes of a task, expected none below 0", t.Step, t.Index, t.FailedRuns, t.Crashes, t.UnconfirmedCrashes, t.SuspectedCrashes)
+		if t.Step < 0 || t.Index < 0 || t.FailedRuns < 0 || t.Crashes < 0 || t.UnconfirmedCrashes < 0 {
+			return errors.Newf("step %d, index %d, %d failed runs and %d+%d crashes of a task, expected none below 0", t.Step, t.Index, t.FailedRuns, t.Crashes, t.UnconfirmedCrashes)
 		}
 	}
 	return nil
--- a/process/runner/crash.go
+++ b/process/runner/crash.go
@@ -15,6 +15,8 @@
 type crashSuspect struct {
 	run   batch.Run
 	entry wire.Incarnation
+	// durable is set if another entry may own the job of the run meanwhile.
+	durable bool
 	// startConfirmed is false if the start of the run may have reached the target only
 	// after the crash.
 	startConfirmed bool
@@ -26,7 +28,16 @@
 // suspectCrash remembers a run that has lapsed at a target that does not answer.
 func (c *Core) suspectCrash(h *heldRun) {
 	if h.mayHaveCrashedTarget() && len(c.crashSuspects) < maxCrashSuspects {
-		c.crashSuspects = append(c.crashSuspects, crashSuspect{h.run, h.entry, h.observed})
+		c.crashSuspects = append(c.crashSuspects, crashSuspect{h.run, h.entry, h.durable, h.observed})
+	}
+}
+
+// queueReportToOthers queues a report for all connected entries but one.
+func (c *Core) queueReportToOthers(now time.Time, entry wire.Incarnation, report wire.RunReport) {
+	for _, s := range c.sessions {
+		if s.connected && s.entry != entry {
+			c.queueReport(now, s, report, 0)
+		}
 	}
 }
 
@@ -41,7 +52,11 @@
 	c.env.Record(decision.Decision{Step: "target", Peer: c.target.id, Outcome: "crashed",
 		Inputs: []decision.Input{{Name: "runs", Value: int64(len(c.runs))}, {Name: "runs_lapsed", Value: int64(len(suspects))}}})
 	for _, suspect := range suspects {
-		c.queueReport(now, c.sessions[suspect.entry], wire.RunReport{Run: suspect.run, TargetCrashed: true, StartUnconfirmed: !suspect.startConfirmed}, 0)
+		report := wire.RunReport{Run: suspect.run, TargetCrashed: true, StartUnconfirmed: !suspect.startConfirmed}
+		c.queueReport(now, c.sessions[suspect.entry], report, 0)
+		if suspect.durable {
+			c.queueReportToOthers(now, suspect.entry, report)
+		}
 	}
 	for _, h := range c.runs {
 		h.targetCrashed = h.mayHaveCrashedTarget()
--- a/process/runner/crash_test.go
+++ b/process/runner/crash_test.go
@@ -111,3 +111,21 @@
 		t.Errorf("report %+v on a run ordered after the target has answered, want none", report)
 	}
 }
+
+// Guards against a crash that only the entry that ordered the run is told of, though
+// another one may own the job by then.
+func TestCrashUnderADurableRunIsReportedToAllEntries(t *testing.T) {
+	const otherEntry = entryID + 1
+	h := newHarness(t)
+	h.core.Connected(otherEntry)
+	run, other := h.startDurableRun(0), h.sendStartOrder(1)
+	h.answerLastStart(runner.VerdictDone)
+	h.silence()
+	h.core.Disconnected(entryID)
+	h.sent = nil
+	h.reportTarget(2, 1)
+	h.completeHold(2, nil, nil)
+	if got := h.crashReports(); !got[run.Task.Index] || got[other.Task.Index] {
+		t.Errorf("crashes reported to the other entry for the runs %v, want for the durable run only", got)
+	}
+}
