--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -62,14 +62,21 @@
 	// any more.
 	highestNumber map[batch.Task]int
 	// unacknowledged holds the ended runs that no caller has confirmed, in the
-	// order of their numbers; lastEnd is the latest number.
+	// order of their numbers; lastEnd is the latest number. lastVoid is the latest one
+	// that the lease has lapsed after.
 	unacknowledged []runner.EndedRun
 	lastEnd        uint64
+	lastVoid       uint64
 	// Starts counts the started runs of each task.
 	Starts map[batch.Task]int
 	// OnStart and OnEnd, if set, are called for each run that starts or ends.
 	OnStart func(batch.Run)
 	OnEnd   func(batch.Run, batch.End)
+	// OnAcknowledged, if set, is called for each end that is acknowledged, unless the
+	// lease has lapsed between the two.
+	OnAcknowledged func(batch.Run, batch.End)
+	// OnCrash, if set, is called when a run crashes the target.
+	OnCrash func(batch.Run)
 }
 
 // activeRun is a run that has started and not ended.
@@ -114,7 +121,7 @@
 	}
 	e.highestNumber[c.Run.Task] = max(e.highestNumber[c.Run.Task], c.Run.Number-1)
 	if work.CrashesAtStart {
-		e.Crash()
+		e.crashUnder(c.Run)
 	}
 	return answer
 }
@@ -191,7 +198,7 @@
 	if c.LeaseUntil > 0 {
 		e.extendLease(now, c.LeaseUntil)
 	}
-	e.unacknowledged = slices.DeleteFunc(e.unacknowledged, func(end runner.EndedRun) bool { return end.Number <= c.AckedEnds })
+	e.acknowledge(c.AckedEnds)
 	answer := runner.HoldAnswer{Clock: e.Clock(now), StartTime: e.StartedAtMS, Ended: slices.Clone(e.unacknowledged[:min(len(e.unacknowledged), maxEndsPerAnswer)])}
 	for _, a := range batch.SortedByRun(e.runs) {
 		answer.Running = append(answer.Running, runner.RunningRun{Run: a.run, Percent: a.percent(now)})
@@ -199,6 +206,17 @@
 	return answer, runner.VerdictDone
 }
 
+// acknowledge discards the ended runs up to a number.
+func (e *Executor) acknowledge(number uint64) {
+	for len(e.unacknowledged) > 0 && e.unacknowledged[0].Number <= number {
+		end := e.unacknowledged[0]
+		e.unacknowledged = e.unacknowledged[1:]
+		if e.OnAcknowledged != nil && end.Number > e.lastVoid {
+			e.OnAcknowledged(end.Run, end.End)
+		}
+	}
+}
+
 // HasEnds reports whether a run has ended with a number above seen.
 func (e *Executor) HasEnds(seen uint64) bool { return e.lastEnd > seen }
 
@@ -221,7 +239,7 @@
 	for _, a := range batch.SortedByRun(e.runs) {
 		switch {
 		case a.work.Crashes && now.Sub(a.startedAt) >= crashDelay:
-			e.Crash()
+			e.crashUnder(a.run)
 			return
 		case now.After(e.leaseUntil):
 			e.endRun(a, batch.EndLapsed)
@@ -234,6 +252,16 @@
 			e.endRun(a, batch.EndDone)
 		}
 	}
+	if now.After(e.leaseUntil) {
+		e.lastVoid = e.lastEnd
+	}
+}
+
+func (e *Executor) crashUnder(run batch.Run) {
+	e.Crash()
+	if e.OnCrash != nil {
+		e.OnCrash(run)
+	}
 }
 
 // endRun ends a run and keeps the end for the answers to Hold.
