runner: a report of another target ends no runs of a live one

Cause: an agent that received a report of a target with another identity took its own target for gone: it reported all runs as lost, also as crashed under them, and the entry started them again at once, while the target worked on for up to a second. Such a report may be one of an earlier target that was delayed (without a start time nothing shows that it is old), or of another writer. Change: the report is kept, and the target is asked. It is adopted once another target answers at the address, dropped when the known one does. The answer to a start or stop of the former target no longer sets the clock of its successor, which would prolong the leases there. Evidence: TestReportOfAnotherTargetEndsNoRuns fails before (lost, target crashed, while the target is alive), TestLateAnswerOfThePredecessorSetsNoClock with the order of two lines as it was.

--- a/process/runner/hold.go
+++ b/process/runner/hold.go
@@ -80,7 +80,7 @@
 			c.fence = call.Fence + fenceIncrement
 		}
 	case VerdictOtherTarget:
-		c.dropReplacedTarget(now, "another target answers at the address")
+		c.dropReplacedTarget(now)
 	}
 	c.flush(now)
 }
@@ -144,6 +144,7 @@
 	clockWasKnown := c.target.clockKnown
 	c.target.updateClock(now, answer.Clock)
 	c.target.lastAnswerAt = now
+	c.dropSuccessor(call)
 	if c.target.unreachable || !clockWasKnown {
 		c.markReachable(now)
 	}
--- a/process/runner/start.go
+++ b/process/runner/start.go
@@ -70,9 +70,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.env.Now()
+	if call.Target != c.target.id {
+		return
+	}
 	c.target.updateClock(now, answer.Clock)
 	h := c.runs[call.Run]
-	if h == nil || call.Target != c.target.id {
+	if h == nil {
 		return
 	}
 	switch answer.Verdict {
@@ -87,7 +90,7 @@
 	case VerdictFenced:
 		c.startFenced(now, h, call)
 	case VerdictOtherTarget:
-		c.dropReplacedTarget(now, "another target answers at the address")
+		c.dropReplacedTarget(now)
 	default:
 		c.startRefused(now, h, answer.Verdict)
 	}
@@ -241,10 +244,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.env.Now()
-	c.target.updateClock(now, answer.Clock)
 	if call.Target != c.target.id {
 		return
 	}
+	c.target.updateClock(now, answer.Clock)
 	switch answer.Verdict {
 	case VerdictDone:
 		if h := c.runs[call.Run]; h != nil {
@@ -256,7 +259,7 @@
 			c.fence = call.Fence + fenceIncrement
 		}
 	case VerdictOtherTarget:
-		c.dropReplacedTarget(now, "another target answers at the address")
+		c.dropReplacedTarget(now)
 	}
 	c.flush(now)
 }
--- a/process/runner/target.go
+++ b/process/runner/target.go
@@ -33,6 +33,10 @@
 	// agent's clock.
 	leaseUntil time.Time
 	ends       endTracker
+	// successor is the newest report of another target, or nil. It is adopted once that
+	// target answers at the address. successorAt is when the report was received.
+	successor   *TargetReport
+	successorAt time.Time
 	// capacityRefusedAt is when the target refused a run for which the agent had
 	// counted enough free capacity. It is zero once the target has listed its
 	// runs in answer to a later call.
@@ -76,14 +80,36 @@
 		return false
 	}
 	switch {
-	case r.Target != c.target.id:
+	case c.target.id == "":
 		c.adoptTarget(now, r)
+	case r.Target != c.target.id:
+		return c.noteSuccessor(now, r)
 	case r.StartTime != 0 && c.target.startTime != 0 && r.StartTime != c.target.startTime:
 		// The target has restarted. Only its list of runs shows which of them
 		// began after the restart.
 		c.requestPoll()
 		return true
 	}
+	c.applyReport(r)
+	c.inviteWaitingEntry(now)
+	c.flush(now)
+	return true
+}
+
+// noteSuccessor notes a report of another target than the known one. The report may be
+// delayed, or of another writer: only the answers to calls show which target is there. It
+// returns false if a newer target has reported.
+func (c *Core) noteSuccessor(now time.Time, r TargetReport) bool {
+	if known := c.target.successor; known != nil && r.StartTime < known.StartTime {
+		return false
+	}
+	c.target.successor, c.target.successorAt = &r, now
+	c.requestPoll()
+	return true
+}
+
+// applyReport takes over what the target reports about itself.
+func (c *Core) applyReport(r TargetReport) {
 	before := c.target
 	c.target.service, c.target.sequence = r.Service, r.Sequence
 	c.target.capacity, c.target.labels = r.Capacity, r.Labels
@@ -93,9 +119,6 @@
 		c.env.Record(decision.Decision{Step: "target_report", Peer: r.Target, Outcome: reportOutcome(c.target.draining),
 			Version: r.Sequence, Inputs: []decision.Input{{Name: "room_millicpu", Value: int64(r.Capacity.MilliCPU)}}})
 	}
-	c.inviteWaitingEntry(now)
-	c.flush(now)
-	return true
 }
 
 func reportOutcome(draining bool) string {
@@ -114,11 +137,8 @@
 	return r.Target == c.target.id && r.Sequence <= c.target.sequence
 }
 
-// adoptTarget replaces the target by one with another identity. The runs at the
-// former target are lost.
+// adoptTarget makes a target the one of this agent, which has none.
 func (c *Core) adoptTarget(now time.Time, r TargetReport) {
-	c.reportCrash(now)
-	c.endLostRuns(now, "target was replaced", batch.SortedByRun(c.runs))
 	c.target = target{id: r.Target, startTime: r.StartTime, lastAnswerAt: now}
 	c.health = health{}
 	c.bumpRevision()
@@ -139,13 +159,28 @@
 	c.flush(c.env.Now())
 }
 
-// dropReplacedTarget forgets the target after another one has taken over its
-// address.
-func (c *Core) dropReplacedTarget(now time.Time, cause string) {
+// dropReplacedTarget forgets the target after another one has answered at its address,
+// and adopts that one if it has reported. The runs at the former target are lost.
+func (c *Core) dropReplacedTarget(now time.Time) {
+	successor := c.target.successor
 	c.reportCrash(now)
-	c.endLostRuns(now, cause, batch.SortedByRun(c.runs))
+	c.endLostRuns(now, "another target answers at the address", batch.SortedByRun(c.runs))
 	c.target = target{}
 	c.bumpRevision()
+	if successor != nil {
+		c.adoptTarget(now, *successor)
+		c.applyReport(*successor)
+	}
+}
+
+// dropSuccessor forgets the report of another target if the known one has answered a
+// call that was made after the report.
+func (c *Core) dropSuccessor(answered HoldCall) {
+	if c.target.successor == nil || !answered.SentAt.After(c.target.successorAt) {
+		return
+	}
+	c.env.Record(decision.Decision{Step: "target_report", Peer: c.target.successor.Target, Outcome: "ignored", Reason: "target " + c.target.id + " answers at the address"})
+	c.target.successor = nil
 }
 
 // endLostRuns ends runs that were lost with their target.
--- /dev/null
+++ b/process/runner/target_test.go
@@ -0,0 +1,77 @@
+package runner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/azurerouter/azurerouter/process/runner"
+	"github.com/azurerouter/azurerouter/request/batch"
+)
+
+// Guards against runs that count as lost, and are started again elsewhere, because of a
+// report of another target while theirs is alive: a delayed one, or of another writer.
+func TestReportOfAnotherTargetEndsNoRuns(t *testing.T) {
+	h := newHarness(t)
+	run := h.sendStartOrder(0)
+	h.answerLastStart(runner.VerdictDone)
+	h.completeHold(1, []batch.Run{run}, nil)
+	h.core.HandleTargetReport(runner.TargetReport{Target: "other", Service: "other", StartTime: 2, Sequence: 1, Capacity: h.targetCapacity()})
+	if report, found := h.lastReportOf(run); found {
+		t.Fatalf("reported %+v while the target is alive", report)
+	}
+	h.advanceWithAnswers(100*time.Millisecond, []batch.Run{run}, nil)
+	h.completeHold(1, nil, h.endRows(run, batch.EndDone))
+	if report, _ := h.lastReportOf(run); report.End != batch.EndDone {
+		t.Errorf("reported %+v, expected %s", report, batch.EndDone)
+	}
+	next := h.sendStartOrder(1)
+	if report, found := h.lastReportOf(next); found {
+		t.Errorf("reported %+v", report)
+	}
+	if h.lastStart().Run != next || h.lastStart().Target != targetID {
+		t.Errorf("last start %+v, expected one of %v at %s", h.lastStart(), next, targetID)
+	}
+}
+
+// Guards against a target that stays unused because its predecessor has to answer first.
+func TestSuccessorIsAdoptedOnceItAnswersAtTheAddress(t *testing.T) {
+	h := newHarness(t)
+	run := h.sendStartOrder(0)
+	h.answerLastStart(runner.VerdictDone)
+	report := runner.TargetReport{Target: "successor", Service: "card", StartTime: 3, Sequence: 1, Capacity: h.targetCapacity()}
+	h.core.HandleTargetReport(report)
+	h.core.HandleTargetReport(runner.TargetReport{Target: "earlier", Service: "card", StartTime: 2, Sequence: 9, Capacity: h.targetCapacity()})
+	h.advance(answerDelay)
+	call, _ := h.core.NextHold(false)
+	h.core.HoldFailed(call, runner.VerdictOtherTarget)
+	if report, _ := h.lastReportOf(run); report.End != batch.EndLost {
+		t.Errorf("reported %+v, expected that the run is lost with its target", report)
+	}
+	h.clock = 10
+	h.completeHold(3, nil, nil)
+	h.sendStartOrderTo("successor", 1)
+	if h.lastStart().Target != "successor" {
+		t.Errorf("last start at %s, expected the successor", h.lastStart().Target)
+	}
+}
+
+// Guards against leases far beyond their time at a target, because an answer of its
+// predecessor, whose clock was ahead, arrived after it was adopted.
+func TestLateAnswerOfThePredecessorSetsNoClock(t *testing.T) {
+	h := newHarness(t)
+	h.clock = 1_000_000
+	h.completeHold(1, nil, nil)
+	h.sendStartOrder(0)
+	late, lateStop := h.lastStart(), runner.StopCall{Target: targetID, Run: h.lastStart().Run}
+	h.core.HandleTargetReport(runner.TargetReport{Target: "successor", Service: "card", StartTime: 3, Sequence: 1, Capacity: h.targetCapacity()})
+	call, _ := h.core.NextHold(false)
+	h.core.HoldFailed(call, runner.VerdictOtherTarget)
+	h.clock = 10
+	h.completeHold(3, nil, nil)
+	h.core.HandleStartAnswer(late, runner.Answer{Verdict: runner.VerdictDone, Clock: 1_000_050})
+	h.core.HandleStopAnswer(lateStop, runner.Answer{Verdict: runner.VerdictDone, Clock: 1_000_060})
+	h.sendStartOrderTo("successor", 1)
+	if got := h.lastStart().LeaseUntil; got > 2000 {
+		t.Errorf("lease until %d on the clock of a target that has just started", got)
+	}
+}
