dispatch: a job ends when its caller has stopped waiting

Cause: a job that is not durable ended at its deadline only while a task of it waited for room. While all of its tasks ran it went on, and a run that was lost after the deadline was ordered again at once. An entry that doesn't learn that its caller has left, since the connection is cut or went silent, so ran the job beside the entry to which the caller sent it next. Change: when the last caller has stopped waiting, by the time that it stated, the job ends and its runs are stopped. Answers that come late but before that are delivered as before. TestJobEndsWhenItsCallerStopsWaiting fails before (no answer; tasks run on).

--- /dev/null
+++ b/process/dispatch/abandoned_test.go
@@ -0,0 +1,53 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/azurerouter/azurerouter/process/dispatch"
+)
+
+// Guards against runs of a job that go on, or start again, after its caller has stopped
+// waiting, without this entry learning of it. The caller may have submitted the job to
+// another entry, and its tasks would run twice at the same time.
+func TestJobEndsWhenItsCallerStopsWaiting(t *testing.T) {
+	c := newCluster(t, 61, 1, equalRooms(3, 16000))
+	c.run(500 * time.Millisecond)
+	s := c.submission("q", 2, 10*time.Second, 1000, 0)
+	s.CallerTimeout = 1500 * time.Millisecond
+	var result *dispatch.Result
+	var answeredAt time.Duration
+	start := c.now
+	c.entries[0].core.Submit(s, func(r dispatch.Result) { result, answeredAt = &r, c.now.Sub(start) })
+	c.run(1400 * time.Millisecond)
+	if result != nil || c.running() != 2 {
+		t.Fatalf("result %+v, %d runs before the caller stops waiting, expected none and 2", result, c.running())
+	}
+	for _, a := range c.agents {
+		a.executor.Crash()
+	}
+	c.after(200*time.Millisecond, func() {
+		for _, a := range c.agents {
+			a.replaceCrashedTarget()
+		}
+	})
+	c.run(300 * time.Millisecond)
+	if result == nil || result.Code != dispatch.GaveUp || answeredAt > s.CallerTimeout+2*tickInterval {
+		t.Errorf("result %+v after %v, expected %s after %v", result, answeredAt, dispatch.GaveUp, s.CallerTimeout)
+	}
+	for range 2000 {
+		c.step()
+		if c.running() > 0 {
+			t.Fatal("a task runs after the caller has stopped waiting")
+		}
+	}
+}
+
+// running returns the number of runs at all targets.
+func (c *cluster) running() int {
+	running := 0
+	for _, a := range c.agents {
+		running += len(a.executor.Running())
+	}
+	return running
+}
--- a/process/dispatch/admit.go
+++ b/process/dispatch/admit.go
@@ -137,6 +137,8 @@
 			// Durable jobs run however late they are.
 		case isolated:
 			c.endJob(now, p, j, unfinishedResult(j, ReasonIsolated))
+		case j.abandoned(now):
+			c.endJob(now, p, j, unfinishedResult(j, ReasonDeadline))
 		case !j.hasReadyTasks():
 		case now.Add(time.Duration(requiredWorkShare * float64(j.estimatedRemaining()))).After(j.expiresAt):
 			c.endJob(now, p, j, unfinishedResult(j, ReasonDeadline))
--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -152,6 +152,7 @@
 				{Name: "patience_ms", Value: s.CallerTimeout.Milliseconds()},
 				{Name: "waited_ms", Value: s.PriorWait.Milliseconds()}, {Name: "active_jobs", Value: int64(len(p.jobs))}}})
 	}
+	j.callersLeaveAt = later(j.callersLeaveAt, now.Add(s.CallerTimeout))
 	id := c.lastWaiterID.Add(1)
 	j.waiters[id] = reply
 	c.assign(now, p)
--- a/process/dispatch/durable.go
+++ b/process/dispatch/durable.go
@@ -231,10 +231,9 @@
 	}
 }
 
-// onHold reports whether the tasks of a job must not be assigned now. It is false
-// for a job that is not durable.
+// onHold reports whether the tasks of a job must not be assigned now.
 func (c *Core) onHold(now time.Time, j *activeJob) bool {
-	if now.Before(j.heldUntil) {
+	if now.Before(j.heldUntil) || j.abandoned(now) {
 		return true
 	}
 	return j.durableState != nil && (c.suspended.Load() || now.Before(j.durableState.notBefore))
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -16,6 +16,9 @@
 	// expiresAt is when the caller stops waiting or the answer is of no more use
 	// to it.
 	expiresAt time.Time
+	// callersLeaveAt is when the last caller has stopped waiting. It may submit the job
+	// to another entry after that, also if this entry does not learn that it has left.
+	callersLeaveAt time.Time
 	steps     []stepState
 	waiters   map[uint64]func(Result)
 	// durableState is nil for a job that ends with its callers or its process.
@@ -82,7 +85,7 @@
 func (r *run) id() batch.Run { return batch.Run{Task: r.task.id(), Number: r.number} }
 
 func newActiveJob(now time.Time, s batch.Submission) *activeJob {
-	j := &activeJob{Submission: s, acceptedAt: now, objectiveAt: now.Add(s.TimeLeft()), expiresAt: now.Add(min(s.CallerTimeout, expiryFactor*s.Objective)),
+	j := &activeJob{Submission: s, acceptedAt: now, objectiveAt: now.Add(s.TimeLeft()), expiresAt: now.Add(min(s.CallerTimeout, expiryFactor*s.Objective)), callersLeaveAt: now.Add(s.CallerTimeout),
 		waiters: make(map[uint64]func(Result)), steps: make([]stepState, len(s.Job.Steps))}
 	for stepIndex, step := range s.Job.Steps {
 		state := &j.steps[stepIndex]
@@ -100,6 +103,12 @@
 	return j
 }
 
+// abandoned reports whether no caller waits for the job any more. A durable job runs
+// without callers.
+func (j *activeJob) abandoned(now time.Time) bool {
+	return j.durableState == nil && !now.Before(j.callersLeaveAt)
+}
+
 // task returns a task of the job, or nil if it has none with these numbers.
 func (j *activeJob) task(step, index int) *task {
 	if step < 0 || step >= len(j.steps) || index < 0 || index >= len(j.steps[step].tasks) {
@@ -221,3 +230,11 @@
 		}
 	}
 }
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
