dispatch, node: a job that is submitted again is ended at the other entries first

Cause: entries knew nothing of the jobs of one another that are not durable, and relied on learning that the caller had left. Change: an entry that takes a job which its caller has submitted before asks the other entries to withdraw it. Each ends the job and replies when no run of it is alive, or with the result that the job had, which is then the answer. The messages about durable jobs are now messages about jobs (wire.JobCall); their encoding is as before.

--- a/connection/wire/codec.go
+++ b/connection/wire/codec.go
@@ -48,8 +48,8 @@
 	kindEnroll
 	kindOrders
 	kindAgentReport
-	kindDurableCall
-	kindDurableReply
+	kindJobCall
+	kindJobReply
 )
 
 func (*Hello) kind() kind         { return kindHello }
@@ -72,8 +72,8 @@
 func (*Enroll) kind() kind        { return kindEnroll }
 func (*Orders) kind() kind        { return kindOrders }
 func (*AgentReport) kind() kind   { return kindAgentReport }
-func (*DurableCall) kind() kind   { return kindDurableCall }
-func (*DurableReply) kind() kind  { return kindDurableReply }
+func (*JobCall) kind() kind       { return kindJobCall }
+func (*JobReply) kind() kind      { return kindJobReply }
 
 var messageConstructors = map[kind]func() Message{
 	kindHello:         func() Message { return new(Hello) },
@@ -96,8 +96,8 @@
 	kindEnroll:        func() Message { return new(Enroll) },
 	kindOrders:        func() Message { return new(Orders) },
 	kindAgentReport:   func() Message { return new(AgentReport) },
-	kindDurableCall:   func() Message { return new(DurableCall) },
-	kindDurableReply:  func() Message { return new(DurableReply) },
+	kindJobCall:       func() Message { return new(JobCall) },
+	kindJobReply:      func() Message { return new(JobReply) },
 }
 
 var kindNames = map[kind]string{
@@ -106,7 +106,7 @@
 	kindFence: "fence", kindFenced: "fenced", kindQuery: "query", kindQueryReply: "query_reply",
 	kindConfig: "config", kindQuota: "quota", kindEntryHello: "entry_hello", kindEntryMembers: "entry_members",
 	kindRoutingUpdate: "routing_update", kindEnroll: "enroll", kindOrders: "orders", kindAgentReport: "agent_report",
-	kindDurableCall: "durable_call", kindDurableReply: "durable_reply",
+	kindJobCall: "durable_call", kindJobReply: "durable_reply",
 }
 
 // KindName returns the name of the message's type, for metrics and logs.
--- a/connection/wire/codec_test.go
+++ b/connection/wire/codec_test.go
@@ -53,10 +53,10 @@
 		&Orders{Sequence: 1, ClockEcho: 9, Stops: []batch.Run{run}, Waiting: &Waiting{SlackMS: -1, Smallest: room}, Starts: []StartOrder{{Job: "j", Spec: "s", Step: 1,
 			Occurrence: 2, Demand: room, EstimateMS: 60, SlackMS: -5, Tasks: []StartTask{{Index: 3, RunNumber: 1}}}}},
 		&AgentReport{Clock: 9, HandledSequence: 1, Free: room, Runs: []RunReport{{Run: run, RefusalReason: RefusedFull}}, Target: &target, Invitation: true},
-		&DurableCall{Number: 1, Action: DurableSubmit, ID: "j", Submission: &batch.Submission{Job: batch.Job{ID: "j", Spec: "s", Durable: true,
+		&JobCall{Number: 1, Action: SubmitDurable, ID: "j", Submission: &batch.Submission{Job: batch.Job{ID: "j", Spec: "s", Durable: true,
 			Unsupported: "u", Steps: []batch.Step{{Tasks: 2, Demand: room, Estimate: 60, DependsOn: []int{0}, Label: "a", MaxPerTarget: 1, Unsupported: "u"}}},
 			Service: "card", Queue: "q", Priority: 1, MaxAttempts: 3, Objective: 4, CallerTimeout: 5, PriorWait: 6, Version: 7}},
-		&DurableReply{Number: 1, Code: "not_accepted", Reason: "store_away", RetryAfterMS: 1000, State: "open", Started: true},
+		&JobReply{Number: 1, Code: "not_accepted", Reason: "store_away", RetryAfterMS: 1000, State: "open", Started: true},
 	}
 }
 
--- /dev/null
+++ b/connection/wire/jobcall.go
@@ -0,0 +1,47 @@
+package wire
+
+import "github.com/azurerouter/azurerouter/request/batch"
+
+// JobAction is the operation that a JobCall requests.
+type JobAction string
+
+// Values of JobAction.
+const (
+	// SubmitDurable asks for the acceptance of a durable job.
+	SubmitDurable JobAction = "submit"
+	// DurableState asks for the state of a durable job.
+	DurableState JobAction = "state"
+	// CancelDurable asks for the cancellation of a durable job.
+	CancelDurable JobAction = "cancel"
+	// WithdrawJob asks for the end of a job that is not durable, because its caller has
+	// submitted it again to the sender.
+	WithdrawJob JobAction = "withdraw"
+)
+
+// JobCall asks another entry to carry out an operation on a job: one on a durable job
+// that a caller has requested, because the log refuses requests of this entry, or
+// WithdrawJob. The receiver handles the call itself and does not forward it again.
+type JobCall struct {
+	// Number identifies the call within its connection.
+	Number uint64    `cbor:"1,keyasint"`
+	Action JobAction `cbor:"2,keyasint"`
+	ID     batch.ID  `cbor:"3,keyasint"`
+	// Submission is set for SubmitDurable.
+	Submission *batch.Submission `cbor:"4,keyasint,omitempty"`
+}
+
+// JobReply is the reply to a JobCall.
+type JobReply struct {
+	Number uint64 `cbor:"1,keyasint"`
+	// Code is the outcome of the call, with the values of package keeper. For
+	// WithdrawJob it is the result that the job had, with the values of package
+	// dispatch, or empty; it is sent when no run of the job is alive.
+	Code string `cbor:"2,keyasint"`
+	// Reason and RetryAfterMS, in milliseconds, are set for a refusal.
+	Reason       string `cbor:"3,keyasint,omitempty"`
+	RetryAfterMS int64  `cbor:"4,keyasint,omitempty"`
+	// State is the state of the job. Started is set if one of its tasks has
+	// started. Both are set in replies to DurableState.
+	State   string `cbor:"5,keyasint,omitempty"`
+	Started bool   `cbor:"6,keyasint,omitempty"`
+}
--- a/process/dispatch/abandoned_test.go
+++ b/process/dispatch/abandoned_test.go
@@ -51,3 +51,31 @@
 	}
 	return running
 }
+
+// Guards against two runs of a task at the same time, at the entry whose caller has left
+// unnoticed and at the one to which it has submitted the job again.
+func TestWithdrawnJobHasNoRuns(t *testing.T) {
+	c := newCluster(t, 62, 2, equalRooms(3, 16000))
+	c.run(500 * time.Millisecond)
+	s := c.submission("q", 4, 2*time.Second, 1000, 0)
+	var first *dispatch.Result
+	c.entries[0].core.Submit(s, func(r dispatch.Result) { first = &r })
+	c.run(200 * time.Millisecond)
+	if _, known := c.entries[0].core.Withdraw(s.Job.ID); known || !c.entries[0].core.HasRuns(s.Job.ID) {
+		t.Errorf("withdrawn: result known %t, runs %t, expected no result and runs", known, c.entries[0].core.HasRuns(s.Job.ID))
+	}
+	if first == nil || first.Code != dispatch.GaveUp {
+		t.Errorf("first caller's result %+v, expected %s", first, dispatch.GaveUp)
+	}
+	for c.entries[0].core.HasRuns(s.Job.ID) {
+		c.step()
+	}
+	again := c.call(s, 1)
+	c.run(3 * time.Second)
+	if again.result == nil || again.result.Code != dispatch.Completed {
+		t.Errorf("result %+v, expected %s", again.result, dispatch.Completed)
+	}
+	if result, known := c.entries[1].core.Withdraw(s.Job.ID); !known || result.Code != dispatch.Completed {
+		t.Errorf("result of the ended job: %+v %t, expected %s", result, known, dispatch.Completed)
+	}
+}
--- a/process/dispatch/env.go
+++ b/process/dispatch/env.go
@@ -97,6 +97,8 @@
 	ReasonAttempts Reason = "attempts"
 	// ReasonCrashes: targets have crashed under a task of the job.
 	ReasonCrashes Reason = "crashes"
+	// ReasonWithdrawn: the caller has submitted the job to another entry.
+	ReasonWithdrawn Reason = "withdrawn"
 	// ReasonIsolated: the entry has lost contact with every agent of the service.
 	ReasonIsolated Reason = "isolated"
 	// ReasonStoreUnavailable: the job can't be recorded in the store.
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -19,8 +19,8 @@
 	// callersLeaveAt is when the last caller has stopped waiting. It may submit the job
 	// to another entry after that, also if this entry does not learn that it has left.
 	callersLeaveAt time.Time
-	steps     []stepState
-	waiters   map[uint64]func(Result)
+	steps          []stepState
+	waiters        map[uint64]func(Result)
 	// durableState is nil for a job that ends with its callers or its process.
 	durableState *durableState
 	// runsStarted counts the runs that were ordered and not refused.
--- a/process/keeper/peers.go
+++ b/process/keeper/peers.go
@@ -17,7 +17,7 @@
 	Name() string
 	// Call sends a call to the entry and returns its reply. If it fails, the call
 	// may or may not have been carried out. It may set the call's number.
-	Call(ctx context.Context, call wire.DurableCall) (wire.DurableReply, error)
+	Call(ctx context.Context, call wire.JobCall) (wire.JobReply, error)
 }
 
 // peerCallTimeout limits the wait for the reply of one other entry. It is several
@@ -45,7 +45,7 @@
 	if o.Code != NotAccepted || o.Refusal.Reason != dispatch.ReasonStoreUnavailable {
 		return o
 	}
-	reply, answered := k.forwardToPeers(ctx, wire.DurableCall{Action: wire.DurableSubmit, ID: s.Job.ID, Submission: &s})
+	reply, answered := k.forwardToPeers(ctx, wire.JobCall{Action: wire.SubmitDurable, ID: s.Job.ID, Submission: &s})
 	if !answered {
 		return o
 	}
@@ -62,7 +62,7 @@
 			return state, begun, code
 		}
 	}
-	if reply, answered := k.forwardToPeers(ctx, wire.DurableCall{Action: wire.DurableState, ID: id}); answered {
+	if reply, answered := k.forwardToPeers(ctx, wire.JobCall{Action: wire.DurableState, ID: id}); answered {
 		return ledger.State(reply.State), reply.Started, Code(reply.Code)
 	}
 	if inaccessible {
@@ -80,7 +80,7 @@
 			return o
 		}
 	}
-	if reply, answered := k.forwardToPeers(ctx, wire.DurableCall{Action: wire.DurableCancel, ID: id}); answered {
+	if reply, answered := k.forwardToPeers(ctx, wire.JobCall{Action: wire.CancelDurable, ID: id}); answered {
 		return outcomeFromReply(reply)
 	}
 	if inaccessible {
@@ -91,32 +91,32 @@
 
 // ServeForwarded answers a call that another entry has forwarded. It does not
 // forward the call again.
-func (k *Keeper) ServeForwarded(ctx context.Context, call *wire.DurableCall) wire.DurableReply {
+func (k *Keeper) ServeForwarded(ctx context.Context, call *wire.JobCall) wire.JobReply {
 	switch {
-	case call.Action == wire.DurableSubmit && !hasValidJob(call):
+	case call.Action == wire.SubmitDurable && !hasValidJob(call):
 		return replyFromOutcome(call, refusedMalformed)
-	case call.Action == wire.DurableSubmit:
+	case call.Action == wire.SubmitDurable:
 		return replyFromOutcome(call, k.submitHere(ctx, *call.Submission))
 	case k.logInaccessible():
 	case call.Action == wire.DurableState:
 		state, begun, code := k.stateHere(ctx, call.ID)
-		return wire.DurableReply{Number: call.Number, Code: string(code), State: string(state), Started: begun}
-	case call.Action == wire.DurableCancel:
+		return wire.JobReply{Number: call.Number, Code: string(code), State: string(state), Started: begun}
+	case call.Action == wire.CancelDurable:
 		return replyFromOutcome(call, k.cancelHere(ctx, call.ID))
 	}
 	return replyFromOutcome(call, refusedLogUnavailable)
 }
 
-func hasValidJob(call *wire.DurableCall) bool {
+func hasValidJob(call *wire.JobCall) bool {
 	return call.Submission != nil && call.Submission.Job.Validate() == nil
 }
 
-func replyFromOutcome(call *wire.DurableCall, o Outcome) wire.DurableReply {
-	return wire.DurableReply{Number: call.Number, Code: string(o.Code), Reason: string(o.Refusal.Reason),
+func replyFromOutcome(call *wire.JobCall, o Outcome) wire.JobReply {
+	return wire.JobReply{Number: call.Number, Code: string(o.Code), Reason: string(o.Refusal.Reason),
 		RetryAfterMS: o.Refusal.RetryAfter.Milliseconds()}
 }
 
-func outcomeFromReply(reply wire.DurableReply) Outcome {
+func outcomeFromReply(reply wire.JobReply) Outcome {
 	o := Outcome{Code: Code(reply.Code)}
 	if o.Code == NotAccepted {
 		o.Refusal = dispatch.Result{Code: dispatch.NotRun, Reason: dispatch.Reason(reply.Reason),
@@ -128,29 +128,29 @@
 // forwardToPeers sends a call to one entry after the other until one can answer
 // it, and reports whether one did. A submission without a reply may have been
 // accepted, so no further entry is asked and the reply is Undecided.
-func (k *Keeper) forwardToPeers(ctx context.Context, call wire.DurableCall) (wire.DurableReply, bool) {
+func (k *Keeper) forwardToPeers(ctx context.Context, call wire.JobCall) (wire.JobReply, bool) {
 	for _, peer := range k.options.Peers() {
 		callCtx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 		reply, err := peer.Call(callCtx, call)
 		cancel()
 		switch {
-		case err != nil && call.Action == wire.DurableSubmit:
+		case err != nil && call.Action == wire.SubmitDurable:
 			k.logForward(call, peer, string(Undecided), err.Error())
-			return wire.DurableReply{Code: string(Undecided)}, true
+			return wire.JobReply{Code: string(Undecided)}, true
 		case err != nil:
 			k.logForward(call, peer, "unanswered", err.Error())
 		case reply.Code == string(NotAccepted) && reply.Reason == string(dispatch.ReasonStoreUnavailable):
-		case reply.Code == string(Undecided) && call.Action != wire.DurableSubmit:
+		case reply.Code == string(Undecided) && call.Action != wire.SubmitDurable:
 		default:
 			k.counters.forwarded.Add(1)
 			k.logForward(call, peer, reply.Code, reply.Reason)
 			return reply, true
 		}
 	}
-	return wire.DurableReply{}, false
+	return wire.JobReply{}, false
 }
 
-func (k *Keeper) logForward(call wire.DurableCall, peer Peer, outcome, reason string) {
+func (k *Keeper) logForward(call wire.JobCall, peer Peer, outcome, reason string) {
 	k.recorder.Record(decision.Decision{Step: "forward_" + string(call.Action), Job: call.ID, Peer: peer.Name(), Outcome: outcome, Reason: reason})
 }
 
--- a/process/keeper/peers_test.go
+++ b/process/keeper/peers_test.go
@@ -36,10 +36,10 @@
 
 func (p localPeer) Name() string { return "peer" }
 
-func (p localPeer) Call(ctx context.Context, call wire.DurableCall) (wire.DurableReply, error) {
+func (p localPeer) Call(ctx context.Context, call wire.JobCall) (wire.JobReply, error) {
 	reply := p.ServeForwarded(ctx, &call)
 	if p.dropsReplies {
-		return wire.DurableReply{}, errLogRefused
+		return wire.JobReply{}, errLogRefused
 	}
 	return reply, nil
 }
@@ -117,7 +117,7 @@
 	e := startEntry(t, log, &clock{}, "a")
 	malformed := submission("j")
 	malformed.Job.Steps[0].DependsOn = []int{5}
-	reply := e.ServeForwarded(context.Background(), &wire.DurableCall{Number: 1, Action: wire.DurableSubmit, ID: "j", Submission: &malformed})
+	reply := e.ServeForwarded(context.Background(), &wire.JobCall{Number: 1, Action: wire.SubmitDurable, ID: "j", Submission: &malformed})
 	if reply.Code != string(NotAccepted) {
 		t.Errorf("reply %+v, expected %s", reply, NotAccepted)
 	}
--- a/process/node/entrylinks.go
+++ b/process/node/entrylinks.go
@@ -76,9 +76,9 @@
 	case *wire.EntryMembers:
 		l.conn.SetMessagePause(time.Duration(m.PauseMS) * time.Millisecond)
 		l.entry.addMembers(m.Entries)
-	case *wire.DurableCall:
-		l.serveDurableCall(m)
-	case *wire.DurableReply:
+	case *wire.JobCall:
+		l.serveJobCall(m)
+	case *wire.JobReply:
 		l.pending.deliver(m)
 	case *wire.RoutingUpdate:
 		l.entry.applyConfig(m.Config, "peer "+l.conn.RemoteAddr())
--- a/process/node/durablecalls.go
+++ b/process/node/jobcalls.go
@@ -19,19 +19,19 @@
 type pendingCalls struct {
 	mu         sync.Mutex
 	lastNumber uint64
-	replies    map[uint64]chan wire.DurableReply
+	replies    map[uint64]chan wire.JobReply
 }
 
 // add assigns a number to a new call and returns it with the channel that will
 // receive the reply.
-func (c *pendingCalls) add() (number uint64, answer <-chan wire.DurableReply) {
+func (c *pendingCalls) add() (number uint64, answer <-chan wire.JobReply) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.replies == nil {
-		c.replies = make(map[uint64]chan wire.DurableReply)
+		c.replies = make(map[uint64]chan wire.JobReply)
 	}
 	c.lastNumber++
-	reply := make(chan wire.DurableReply, 1)
+	reply := make(chan wire.JobReply, 1)
 	c.replies[c.lastNumber] = reply
 	return c.lastNumber, reply
 }
@@ -44,7 +44,7 @@
 
 // deliver passes a reply to the call with its number. A reply to a call that is no
 // longer pending is dropped.
-func (c *pendingCalls) deliver(m *wire.DurableReply) {
+func (c *pendingCalls) deliver(m *wire.JobReply) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if reply := c.replies[m.Number]; reply != nil {
@@ -58,7 +58,7 @@
 
 // Call sends a call to the other entry and waits for the reply. It returns an error
 // if the connection or the context ends first. It implements keeper.Peer.
-func (l *processLink) Call(ctx context.Context, call wire.DurableCall) (wire.DurableReply, error) {
+func (l *processLink) Call(ctx context.Context, call wire.JobCall) (wire.JobReply, error) {
 	number, answer := l.pending.add()
 	defer l.pending.remove(number)
 	call.Number = number
@@ -67,19 +67,19 @@
 	case reply := <-answer:
 		return reply, nil
 	case <-l.done:
-		return wire.DurableReply{}, errors.Wrapf(errConnectionClosed, "%s job %s at %s", call.Action, call.ID, l.name)
+		return wire.JobReply{}, errors.Wrapf(errConnectionClosed, "%s job %s at %s", call.Action, call.ID, l.name)
 	case <-ctx.Done():
-		return wire.DurableReply{}, errors.Wrapf(ctx.Err(), "%s job %s at %s", call.Action, call.ID, l.name)
+		return wire.JobReply{}, errors.Wrapf(ctx.Err(), "%s job %s at %s", call.Action, call.ID, l.name)
 	}
 }
 
-// serveDurableCall answers a call from another entry. It runs in the background,
+// serveJobCall answers a call from another entry. It runs in the background,
 // because the log may take long, which would delay the following messages.
-func (l *processLink) serveDurableCall(call *wire.DurableCall) {
+func (l *processLink) serveJobCall(call *wire.JobCall) {
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
 		defer cancel()
-		reply := l.entry.keeper.ServeForwarded(ctx, call)
+		reply := l.entry.serveCall(ctx, call)
 		l.send(&reply)
 	}()
 	go func() {
@@ -91,6 +91,15 @@
 	}()
 }
 
+func (e *Entry) serveCall(ctx context.Context, call *wire.JobCall) wire.JobReply {
+	if call.Action == wire.WithdrawJob {
+		ctx, cancel := context.WithTimeout(ctx, withdrawTimeout)
+		defer cancel()
+		return e.serveWithdrawal(ctx, call)
+	}
+	return e.keeper.ServeForwarded(ctx, call)
+}
+
 // keeperPeers returns one connection to each connected entry, sorted by the names of
 // the entries.
 func (e *Entry) keeperPeers() []keeper.Peer {
