ledger: a heartbeat record without an owner does not end the entry

Cause: no owner is added for an empty name, and its heartbeat was applied all the same. Change: keys with an empty part are records of another writer. Evidence: TestMalformedRecordsAreRejected/heartbeat_without_an_owner ended with a nil dereference before, cancelled_without_a_job was applied.

--- a/process/ledger/records.go
+++ b/process/ledger/records.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -184,6 +185,8 @@
 func parseKey(text string) (key, error) {
 	parts := strings.Split(text, "/")
 	switch k := kind(parts[0]); {
+	case slices.Contains(parts, ""):
+		// A job and an owner have names.
 	case k == kindHeartbeat && len(parts) == 2:
 		return key{kind: k, owner: Owner(parts[1])}, nil
 	case k == kindCancel && len(parts) == 2:
--- a/process/ledger/table_test.go
+++ b/process/ledger/table_test.go
@@ -275,6 +275,9 @@
 		"too many tasks":                accepted(Progress{State: Open}, batch.Step{Tasks: 1 << 40}),
 		"accepted with negative index":  accepted(negative, step),
 		"progress with negative index":  progress,
+		"heartbeat without an owner":    {Key: "a/", Value: []byte{0xa0}},
+		"accepted without an owner":     {Key: claimKey(kindAccept, "j", 1, ""), Value: accepted(Progress{State: Open}, step).Value},
+		"cancelled without a job":       {Key: "c/", Value: []byte{0xf5}},
 		"progress without a known kind": {Key: claimKey(kindProgress, "j", 1, "a"), Value: []byte{0xa0}},
 	}
 	for name, r := range cases {
