--- a/process/node/dialer.go
+++ b/process/node/dialer.go
@@ -7,6 +7,8 @@
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
+	"net"
+	"strconv"
 	"sync"
 	"time"
 
@@ -93,7 +95,7 @@
 	defer d.mu.Unlock()
 	added := false
 	for _, m := range members {
-		if m.Addr == "" || m.Addr == d.selfAddr || d.ctx == nil {
+		if m.Addr == d.selfAddr || !isAddress(m.Addr) || d.ctx == nil {
 			continue
 		}
 		existing, known := d.known[m.Addr]
@@ -114,6 +116,17 @@
 	return added
 }
 
+// isAddress reports whether a connection to an address is possible: it has a host and a
+// port in range.
+func isAddress(addr string) bool {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil || host == "" {
+		return false
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && number > 0
+}
+
 // noteChange wakes the goroutines that wait for another selection. d.mu must be held.
 func (d *dialer) noteChange() {
 	close(d.changed)
--- a/process/node/dialer_test.go
+++ b/process/node/dialer_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -101,3 +103,28 @@
 		}
 	}
 }
+
+// Guards against an entry with an impossible address that is dialled, or told to others,
+// for ever.
+func TestImpossibleAddressesAreNotDialled(t *testing.T) {
+	d := newDialer("self", "", nil, zerolog.Nop(), func(ctx context.Context, _ string) bool {
+		<-ctx.Done()
+		return true
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		d.run(ctx)
+	}()
+	defer func() { cancel(); <-ended }()
+	good := wire.EntryMember{Name: "good", Addr: "10.1.0.13:7720"}
+	odd := []wire.EntryMember{{Addr: ""}, {Addr: "10.1.0.13"}, {Addr: "10.1.0.13:99999"}, {Addr: "10.1.0.13:0"}, {Addr: ":7720"},
+		{Addr: "10.1.0.13:-1"}, {Addr: strings.Repeat("[", 100_000)}, good}
+	for d.add(odd); len(d.members()) == 0; d.add(odd) {
+		time.Sleep(time.Millisecond)
+	}
+	if members := d.members(); len(members) != 1 || members[0] != good {
+		t.Errorf("members %+v, expected %+v", members, good)
+	}
+}
