runner: a lease is not extended for runs whose stop is overdue

Cause: the time after which an entry takes the runs of an agent for ended is that of the session and of one lease. An agent whose session has ended orders the stops, and went on renewing the lease of its target as long as runs were there. If the orders to stop got lost or were carried out late, while hold calls worked, the runs went on beside those that were started elsewhere. Change: the lease is not extended while a run of an ended session is not confirmed as stopped 100 ms after the session, or any other order to stop is not confirmed after 400 ms. All runs at that target end with the lease then. Starts at that time are refused by the target as late.

--- a/process/dispatch/cluster_test.go
+++ b/process/dispatch/cluster_test.go
@@ -52,6 +52,8 @@
 	// lostAnswerShare is the share of calls to the executor that get no answer.
 	// Starts and stops among them are carried out later.
 	lostAnswerShare float64
+	// stopsLost makes all calls that stop a run get no answer and no effect.
+	stopsLost bool
 	// durableJobs holds the states of the jobs in the log. logRead, if set, is called
 	// when an entry reads the log to its end, and reports whether it could.
 	durableJobs map[batch.ID]dispatch.DurableJobState
@@ -282,6 +284,10 @@
 }
 
 func (a *agentEnv) Stop(call runner.StopCall) {
+	if a.c.stopsLost {
+		a.c.after(orderTimeout, func() { a.core.HandleStopAnswer(call, runner.Answer{Verdict: runner.VerdictUnanswered}) })
+		return
+	}
 	target := a.executor
 	a.call(func() runner.Answer { return target.Stop(a.c.now, call) }, func(answer runner.Answer) { a.core.HandleStopAnswer(call, answer) })
 }
--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -24,6 +24,13 @@
 	// replyAfter is the time since the last message to an entry after which its
 	// messages are answered at once, so that it learns of the free capacity.
 	replyAfter = wire.SessionRenewInterval / 2
+	// sessionStopGrace is how long after the end of a session the lease is still renewed
+	// although runs of the entry may be alive. Together with the lease it is shorter
+	// than the time after which entries start the tasks of lost runs again.
+	sessionStopGrace = 100 * time.Millisecond
+	// stopGrace is the same after any other order to stop a run. Together with the lease
+	// it is shorter than the time after which callers submit a job again.
+	stopGrace = 400 * time.Millisecond
 	// maxReportDelay bounds how long the report of an end waits for those of other
 	// runs of its job.
 	maxReportDelay = 30 * time.Millisecond
@@ -122,6 +129,8 @@
 	// unansweredAt is when the agent gave up retrying a start of which a copy
 	// may still be carried out, or zero.
 	unansweredAt time.Time
+	// stopRequestedAt is when the run was first to be stopped.
+	stopRequestedAt time.Time
 	// stopSentAt is when the last request to stop the run was sent or, once a
 	// stop was confirmed, when the target was last polled for the run.
 	// stopConfirmedAt is when the target confirmed a stop.
--- a/process/runner/start.go
+++ b/process/runner/start.go
@@ -211,7 +211,7 @@
 	if h.state == stateStopping {
 		return
 	}
-	h.state, h.notStartedReason = stateStopping, reason
+	h.state, h.notStartedReason, h.stopRequestedAt = stateStopping, reason, now
 	c.sendStop(now, h)
 }
 
--- a/process/runner/target.go
+++ b/process/runner/target.go
@@ -52,12 +52,32 @@
 }
 
 // extendLease records a lease that starts now and returns its end by the
-// target's clock.
+// target's clock. It returns 0, a time in the past, while the lease must not be extended.
 func (c *Core) extendLease(now time.Time) TargetClock {
+	if c.hasOverdueStop(now) {
+		return 0
+	}
 	c.target.leaseUntil = later(c.target.leaseUntil, now.Add(wire.RunLease))
 	return c.target.clock + TargetClock((now.Sub(c.target.clockReadAt) + wire.RunLease).Milliseconds())
 }
 
+// hasOverdueStop reports whether a run goes on for so long after it should have been
+// stopped that only the end of the lease makes sure that it ends in time.
+func (c *Core) hasOverdueStop(now time.Time) bool {
+	for _, h := range c.runs {
+		if !h.stopConfirmedAt.IsZero() {
+			continue
+		}
+		if h.state == stateStopping && now.Sub(h.stopRequestedAt) > stopGrace {
+			return true
+		}
+		if s := c.sessions[h.entry]; s != nil && now.Sub(s.expiresAt) > sessionStopGrace {
+			return true
+		}
+	}
+	return false
+}
+
 // HandleTargetFound handles a report on a target that comes from another source. It
 // is ignored if a target is known already. Reports of the target itself replace it
 // later.
@@ -228,7 +248,7 @@
 	for _, h := range inFlight {
 		// The run may have begun before the restart.
 		h.observed, h.listed = true, false
-		h.state, h.stopConfirmedAt, h.unansweredAt = stateStopping, time.Time{}, time.Time{}
+		h.state, h.stopConfirmedAt, h.unansweredAt, h.stopRequestedAt = stateStopping, time.Time{}, time.Time{}, now
 		c.sendStop(now, h)
 	}
 	c.requestPoll()
