--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -3,16 +3,15 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/azurerouter/azurerouter/standin/freeport"
 )
 
 // binary is the path of the program under test. keysDir holds the certificates and
@@ -49,50 +48,17 @@
 	return m.Run()
 }
 
-// The ports of processes are below the range from which the system takes ephemeral
-// ports, so that no outgoing connection takes one before its process binds it.
-const (
-	firstPort = 12_000
-	lastPort  = 31_000
-)
-
-// ports holds the ports that were given to processes.
-var ports = struct {
-	sync.Mutex
-	used map[int]bool
-}{used: make(map[int]bool)}
+// ports are the ports of processes.
+var ports = freeport.NewRange(12_000, 30_999)
 
-// freeAddr returns a loopback address whose port is free for TCP and UDP and was
-// not returned before.
+// freeAddr returns an address that no other process uses.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	ports.Lock()
-	defer ports.Unlock()
-	for range 1000 {
-		port := firstPort + rand.IntN(lastPort-firstPort)
-		addr := fmt.Sprintf("127.0.0.1:%d", port)
-		if !ports.used[port] && bindable(addr) {
-			ports.used[port] = true
-			return addr
-		}
-	}
-	t.Fatal("no free port found")
-	return ""
-}
-
-// bindable reports whether the address can be bound for TCP and UDP.
-func bindable(addr string) bool {
-	stream, err := net.Listen("tcp", addr)
+	addr, err := ports.Addr()
 	if err != nil {
-		return false
-	}
-	defer stream.Close()
-	packets, err := net.ListenPacket("udp", addr)
-	if err != nil {
-		return false
+		t.Fatal(err)
 	}
-	packets.Close()
-	return true
+	return addr
 }
 
 // process is an entry or agent process of a cluster, running or not.
