dispatch: compare the end of the ownership at each order

Cause: the permission of an owner, 2 s after its last append, was a flag. A goroutine that was busy with takeovers set it late, and each answer to an append lifted it, however old the append. Evidence: the former owner logged durable suspended at 49.85 s and ordered at 50.66 s. Change: dispatch.Core holds the time at which the ownership ends. It is compared at each order, and each message to an agent after it stops the runs of durable jobs, since it would renew them. Measured: TestLateAnswerOfAnAppendDoesNotExtendTheOwnership failed on the code before, in its form with the flag. Tests of process/... green. Two tests of the keeper asked for the flag; they ask for the same of the time.

--- a/process/dispatch/cluster_test.go
+++ b/process/dispatch/cluster_test.go
@@ -37,6 +37,9 @@
 	maxApplyDelay = 3 * time.Second
 	// logReadDelay is how long it takes to read the log to its end.
 	logReadDelay = 10 * time.Millisecond
+	// endlessOwnership is how long entries own their durable jobs if a test does not say
+	// otherwise.
+	endlessOwnership = time.Hour
 )
 
 // cluster runs entries, agents and executors in virtual time.
@@ -58,6 +61,8 @@
 	// when an entry reads the log to its end, and reports whether it could.
 	durableJobs map[batch.ID]dispatch.DurableJobState
 	logRead     func() bool
+	// ownership is how long entries own their durable jobs after their start.
+	ownership time.Duration
 	// overlaps counts the errors that checkOverlap has reported.
 	overlaps int
 	// entryCount is the number of entries that every entry takes into account.
@@ -125,7 +130,8 @@
 }
 
 func newCluster(t *testing.T, seed uint64, entries int, rooms []batch.Resources) *cluster {
-	c := &cluster{t: t, now: time.UnixMilli(1_000_000), random: rand.New(rand.NewPCG(seed, 1)), work: make(map[batch.Task]executor.Work)}
+	c := &cluster{t: t, now: time.UnixMilli(1_000_000), random: rand.New(rand.NewPCG(seed, 1)), work: make(map[batch.Task]executor.Work),
+		ownership: endlessOwnership}
 	for i := range entries {
 		e := &entryNode{c: c, zone: fmt.Sprintf("zone-%d", i%3)}
 		c.entries = append(c.entries, e)
@@ -149,6 +155,7 @@
 	e.node = node{alive: true, id: wire.Incarnation(c.random.Uint64())}
 	e.core = dispatch.New((*entryEnv)(e), e.id, e.zone, c.random.Uint64())
 	e.core.SetEntryCount(c.entryCount)
+	e.core.OwnDurableUntil(c.now.Add(c.ownership))
 }
 
 // setEntryCount sets the number of entries that the present and future entry
--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -38,8 +38,10 @@
 	agentsMu    sync.RWMutex
 	poolByAgent map[wire.Incarnation]*pool
 
-	// suspended is set while no run of a durable job may be ordered.
-	suspended    atomic.Bool
+	// ownedUntil is when the ownership of the durable jobs ends, in nanoseconds of Unix
+	// time. It is compared with the time at each order, so that a process that was
+	// delayed does not order more.
+	ownedUntil   atomic.Int64
 	lastWaiterID atomic.Uint64
 	// entryCount is the number of entries that hold sessions with the same agents.
 	entryCount atomic.Int64
@@ -62,7 +64,10 @@
 	jobs map[batch.ID]*activeJob
 	// durable holds the durable jobs until ForgetDurable is called: an ended job
 	// stays until its end is recorded.
-	durable       map[batch.ID]*activeJob
+	durable map[batch.ID]*activeJob
+	// suspended is whether there were durable jobs that this entry did not own at the
+	// last check.
+	suspended     bool
 	recordedEnds  recordedEnds
 	unsettledEnds unsettledEnds
 	// retainedAnswers holds the answers of ended jobs; see answerRetention.
@@ -274,6 +279,7 @@
 	for _, p := range c.allPools() {
 		p.mu.Lock()
 		now := c.env.Now()
+		c.checkOwnership(now, p)
 		c.checkTargets(now, p)
 		c.checkJobs(now, p)
 		c.assign(now, p)
--- a/process/dispatch/durable.go
+++ b/process/dispatch/durable.go
@@ -190,23 +190,6 @@
 	})
 }
 
-// SuspendDurable with true stops the runs of all durable jobs and suspends their
-// tasks; with false the tasks are assigned again.
-func (c *Core) SuspendDurable(suspended bool) {
-	c.suspended.Store(suspended)
-	for _, p := range c.allPools() {
-		p.mu.Lock()
-		now := c.env.Now()
-		for _, j := range p.jobsByAge() {
-			if j.durableState != nil && suspended {
-				c.stopLiveRuns(now, p, j)
-			}
-		}
-		c.assign(now, p)
-		p.mu.Unlock()
-	}
-}
-
 // HasStarted reports whether this entry has ordered a run of a durable job and the
 // run was not refused.
 func (c *Core) HasStarted(id batch.ID) bool {
@@ -236,7 +219,7 @@
 	if now.Before(j.heldUntil) || j.abandoned(now) {
 		return true
 	}
-	return j.durableState != nil && (c.suspended.Load() || now.Before(j.durableState.notBefore))
+	return j.durableState != nil && (!c.ownsDurable(now) || now.Before(j.durableState.notBefore))
 }
 
 // addDurableEnd reports progress of a durable job. If the agent keeps the end of
--- a/process/dispatch/target.go
+++ b/process/dispatch/target.go
@@ -267,8 +267,11 @@
 }
 
 // send numbers a message and sends it to an agent. Every message renews the
-// session.
+// session, so it also stops the runs that must not go on.
 func (c *Core) send(now time.Time, p *pool, t *target, m *wire.Orders) {
+	if len(p.durable) > 0 && !c.ownsDurable(now) {
+		m.Stops = append(m.Stops, t.stopDurableRuns()...)
+	}
 	t.lastSequence++
 	m.Sequence, m.ClockEcho = t.lastSequence, t.lastClock
 	m.IdleRenewMS = c.idleRenewInterval(p).Milliseconds()
--- a/process/keeper/dump.go
+++ b/process/keeper/dump.go
@@ -71,6 +71,6 @@
 func (k *Keeper) Dump() Dump {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return Dump{Self: k.self, CaughtUp: k.reads.caughtUp, SnapshotRecords: k.snapshotRecords.Load(), LogReadable: !k.reads.readableSince.IsZero(), LogUnavailable: k.logUnavailable, Suspended: k.suspended,
+	return Dump{Self: k.self, CaughtUp: k.reads.caughtUp, SnapshotRecords: k.snapshotRecords.Load(), LogReadable: !k.reads.readableSince.IsZero(), LogUnavailable: k.logUnavailable, Suspended: len(k.ownedJobs) > 0 && k.options.Now().Sub(k.lastAppend) > ownerTTL,
 		NextOffset: k.nextOffset, OwnedJobs: len(k.ownedJobs), QueuedRecords: len(k.queue), Counts: k.Counts()}
 }
--- a/process/keeper/fakes_test.go
+++ b/process/keeper/fakes_test.go
@@ -147,9 +147,8 @@
 	finished  map[batch.ID]func(dispatch.Result)
 	progress  map[batch.ID][]dispatch.TaskProgress
 	forgotten map[batch.ID]bool
-	suspended bool
-	// everSuspended is set by the first suspension and never reset.
-	everSuspended bool
+	// ownedUntil is the latest end of the ownership that was passed.
+	ownedUntil time.Time
 }
 
 func newFakeDispatcher() *fakeDispatcher {
@@ -177,12 +176,21 @@
 	defer d.mu.Unlock()
 	d.forgotten[id] = true
 }
-func (d *fakeDispatcher) SuspendDurable(suspended bool) {
+func (d *fakeDispatcher) OwnDurableUntil(end time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.suspended = suspended
-	d.everSuspended = d.everSuspended || suspended
+	if end.After(d.ownedUntil) {
+		d.ownedUntil = end
+	}
+}
+
+// owns reports whether durable jobs may run at a time.
+func (d *fakeDispatcher) owns(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return now.Before(d.ownedUntil)
 }
+
 func (d *fakeDispatcher) HasStarted(batch.ID) bool { return false }
 
 func (d *fakeDispatcher) startedJobs() []dispatch.DurableJob {
--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -31,9 +31,9 @@
 	// ForgetDurable stops the runs of a job and removes the job. endRecorded is set if
 	// the log contains the end of the job.
 	ForgetDurable(id batch.ID, endRecorded bool)
-	// SuspendDurable stops the runs of all durable jobs and starts no more, or
-	// resumes them.
-	SuspendDurable(suspended bool)
+	// OwnDurableUntil extends the time for which durable jobs may run. After it, their
+	// runs are stopped and no more start.
+	OwnDurableUntil(end time.Time)
 	// HasStarted reports whether a task of a durable job has been started by this
 	// entry.
 	HasStarted(id batch.ID) bool
@@ -109,10 +109,9 @@
 	endSignals map[batch.ID]chan struct{}
 	// queue holds the records that wait to be appended, the oldest first.
 	queue []queuedRecord
-	// lastAppend is when the last successful append was sent.
+	// lastAppend is when the last successful append under the name self was sent, the
+	// first time if it was repeated.
 	lastAppend time.Time
-	// suspended is set while the runs of durable jobs are stopped.
-	suspended bool
 	// appendLatency is a moving average of the latency of successful appends. Only
 	// the writer uses it.
 	appendLatency time.Duration
--- a/process/keeper/keeper_test.go
+++ b/process/keeper/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"reflect"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -147,10 +148,7 @@
 		}
 		return len(b.dispatcher.startedJobs()) == 1
 	})
-	// The reader may start the job before the takeover has recorded its append. Only
-	// the goroutine that takes over jobs suspends them, so it can't see that state.
-	eventually(t, "the end of the takeover", func() bool { return b.counters.takenOver.Load() == 1 })
-	b.suspendIfOwnershipExpired()
+	eventually(t, "the ownership", func() bool { return b.dispatcher.owns(cb.now()) })
 	got := b.dispatcher.startedJobs()[0]
 	if got.Term != 2 || len(got.Progress) != 1 || !reflect.DeepEqual(got.Progress[0], done[0]) {
 		t.Errorf("taken over as %+v, expected term 2 with progress %+v", got, done)
@@ -158,11 +156,10 @@
 	if got.NotBefore.Before(takenOverAt.Add(wire.RunsLostAfter)) {
 		t.Errorf("tasks start %v after the takeover, but runs of the former owner end only after %v", got.NotBefore.Sub(takenOverAt), wire.RunsLostAfter)
 	}
-	b.dispatcher.mu.Lock()
-	if b.dispatcher.everSuspended {
-		t.Error("the new owner was suspended after it had claimed the jobs")
+	for now := cb.now(); now.Before(got.NotBefore); now = cb.now() {
+		b.advance(cb)
+		eventually(t, "the ownership", func() bool { return b.dispatcher.owns(cb.now()) })
 	}
-	b.dispatcher.mu.Unlock()
 	if answer := log.Append(context.Background(), AppendRequest{Writer: "a", Epoch: firstEpoch, Sequence: 100, Records: []ledger.Record{{Key: "x"}}}); answer.Verdict != Fenced {
 		t.Errorf("append of the former owner: verdict %s, expected %s", answer.Verdict, Fenced)
 	}
@@ -198,16 +195,13 @@
 	if o := a.Submit(context.Background(), submission("j")); o.Code != Accepted {
 		t.Fatalf("submit: %+v", o)
 	}
-	suspended := func() bool {
-		a.dispatcher.mu.Lock()
-		defer a.dispatcher.mu.Unlock()
-		return a.dispatcher.suspended
-	}
 	log.update(func() { log.forcedVerdict = Unknown })
 	c.advance(ownerTTL)
-	eventually(t, "the suspension", suspended)
+	if a.dispatcher.owns(c.now()) {
+		t.Error("the owner may start tasks after its ownership has ended")
+	}
 	log.update(func() { log.forcedVerdict = "" })
-	eventually(t, "the end of the suspension", func() bool { return !suspended() })
+	eventually(t, "the next ownership", func() bool { return a.dispatcher.owns(c.now()) })
 }
 
 // Guards against queueing jobs while the log does not answer: they would all start
@@ -283,3 +277,42 @@
 		t.Errorf("started %+v, expected no job", started)
 	}
 }
+
+// lateLog is a memoryLog whose answers to appends come late: the clock advances before
+// each of them.
+type lateLog struct {
+	*memoryLog
+	clock *clock
+	late  atomic.Int64
+}
+
+func (l *lateLog) Append(ctx context.Context, a AppendRequest) AppendResult {
+	answer := l.memoryLog.Append(ctx, a)
+	l.clock.advance(time.Duration(l.late.Load()))
+	return answer
+}
+
+// Guards against an owner that runs its jobs because of an append which was answered only
+// after its ownership had ended (rule TWICE, deadly-kept).
+func TestLateAnswerOfAnAppendDoesNotExtendTheOwnership(t *testing.T) {
+	c := &clock{}
+	log := &lateLog{memoryLog: newMemoryLog(), clock: c}
+	a := startEntry(t, log, c, "a")
+	if o := a.Submit(context.Background(), submission("j")); o.Code != Accepted {
+		t.Fatalf("submit: %+v", o)
+	}
+	c.advance(ownerTTL)
+	if a.dispatcher.owns(c.now()) {
+		t.Fatal("the ownership has not ended")
+	}
+	log.late.Store(int64(ownerTTL))
+	a.NoteProgress("j")
+	eventually(t, "the append of the progress", func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return a.lastAppend.After(c.now().Add(-2 * ownerTTL))
+	})
+	if a.dispatcher.owns(c.now()) {
+		t.Error("the owner may start tasks because of an old append")
+	}
+}
--- a/process/keeper/takeover.go
+++ b/process/keeper/takeover.go
@@ -40,8 +40,7 @@
 	return nil
 }
 
-// runPeriodicTasks suspends, takes over and expires jobs as needed until the context
-// ends.
+// runPeriodicTasks takes over and expires jobs as needed until the context ends.
 func (k *Keeper) runPeriodicTasks(ctx context.Context) {
 	ticker := time.NewTicker(periodicTaskInterval)
 	defer ticker.Stop()
@@ -50,28 +49,12 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			k.suspendIfOwnershipExpired()
 			k.takeOverFromDeadOwners(ctx)
 			k.dropExpiredJobs()
 		}
 	}
 }
 
-// suspendIfOwnershipExpired stops the runs of all jobs here once ownerTTL has passed
-// without a successful append, since other entries may soon presume this one dead.
-func (k *Keeper) suspendIfOwnershipExpired() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	sinceAppend := k.options.Now().Sub(k.lastAppend)
-	if k.suspended || len(k.ownedJobs) == 0 || sinceAppend <= ownerTTL {
-		return
-	}
-	k.suspended = true
-	k.recorder.Record(decision.Decision{Step: "durable", Outcome: "suspended", Reason: "log not written", Age: sinceAppend,
-		Inputs: []decision.Input{{Name: "jobs", Value: int64(len(k.ownedJobs))}}})
-	k.dispatcher.SuspendDurable(true)
-}
-
 // takeOverFromDeadOwners claims the open jobs of owners that are presumed dead.
 func (k *Keeper) takeOverFromDeadOwners(ctx context.Context) {
 	k.mu.Lock()
@@ -140,10 +123,11 @@
 // take its records as a sign that this one is alive.
 func (k *Keeper) noteAppend(sent time.Time) {
 	k.mu.Lock()
-	defer k.mu.Unlock()
 	if sent.After(k.lastAppend) {
 		k.lastAppend = sent
 	}
+	k.mu.Unlock()
+	k.dispatcher.OwnDurableUntil(sent.Add(ownerTTL))
 }
 
 // claimRecords returns accept records that claim the open jobs of another owner, up
--- a/process/keeper/writer.go
+++ b/process/keeper/writer.go
@@ -243,14 +243,12 @@
 }
 
 // noteBatchAppended updates the state after a batch, sent at the given time, was
-// appended. It answers the callers, reports the stored progress to the dispatcher and
-// resumes suspended runs.
+// appended. It extends the ownership, answers the callers and reports the stored progress
+// to the dispatcher.
 func (k *Keeper) noteBatchAppended(sent time.Time, b *appendBatch) {
 	k.setLogUnavailable(false, nil)
 	k.mu.Lock()
 	k.lastAppend = sent
-	resume := k.suspended
-	k.suspended = false
 	for _, p := range b.progress {
 		if p.final {
 			delete(k.ownedJobs, p.id)
@@ -261,6 +259,7 @@
 		}
 	}
 	k.mu.Unlock()
+	k.dispatcher.OwnDurableUntil(sent.Add(ownerTTL))
 	for _, queued := range b.items {
 		if queued.outcome != nil {
 			queued.outcome <- Outcome{Code: Accepted}
@@ -272,9 +271,6 @@
 			k.dispatcher.ForgetDurable(p.id, true)
 		}
 	}
-	if resume {
-		k.dispatcher.SuspendDurable(false)
-	}
 }
 
 // refuseBatchCalls removes submissions and cancellations from a batch that the log
@@ -334,6 +330,4 @@
 	k.unsaved.mu.Unlock()
 	k.timesDeposed++
 	k.self = ledger.Owner(fmt.Sprintf("%s.%d", k.options.Owner, k.timesDeposed))
-	k.suspended = false
-	k.dispatcher.SuspendDurable(false)
 }
