keeper: count the ownership from the first attempt of an append

Cause: a repeat with the same sequence number is answered as the first attempt was, also after another entry has fenced the owner. The ownership counted from the repeat, so a former owner could run its jobs for 2 s more than its successor waits (TWICE). Change: the ownership counts from the first attempt that may have taken effect.

--- a/process/keeper/fakes_test.go
+++ b/process/keeper/fakes_test.go
@@ -185,10 +185,12 @@
 }
 
 // owns reports whether durable jobs may run at a time.
-func (d *fakeDispatcher) owns(now time.Time) bool {
+func (d *fakeDispatcher) owns(now time.Time) bool { return now.Before(d.ownershipEnd()) }
+
+func (d *fakeDispatcher) ownershipEnd() time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return now.Before(d.ownedUntil)
+	return d.ownedUntil
 }
 
 func (d *fakeDispatcher) HasStarted(batch.ID) bool { return false }
--- a/process/keeper/keeper_test.go
+++ b/process/keeper/keeper_test.go
@@ -165,6 +165,30 @@
 	}
 }
 
+// Guards against an owner that runs its jobs because of the answer to a repeat: the log
+// answers it because of the first attempt, and may have fenced the owner since (rule TWICE).
+func TestRepeatOfAnAppendDoesNotExtendTheOwnership(t *testing.T) {
+	log, c := newMemoryLog(), &clock{}
+	a := startEntry(t, log, c, "a")
+	if o := a.Submit(context.Background(), submission("j")); o.Code != Accepted {
+		t.Fatalf("submit: %+v", o)
+	}
+	log.update(func() { log.forcedVerdict, log.appendAnyway = Unknown, true })
+	a.NoteProgress("j")
+	eventually(t, "the append of the progress", func() bool {
+		log.mu.Lock()
+		defer log.mu.Unlock()
+		return len(log.records) == 2
+	})
+	before := a.dispatcher.ownershipEnd()
+	c.advance(ownerTTL)
+	log.update(func() { log.forcedVerdict, log.appendAnyway = "", false })
+	eventually(t, "the answer", func() bool { return a.dispatcher.ownershipEnd().After(before) })
+	if a.dispatcher.owns(c.now()) {
+		t.Error("the owner may start tasks because of a repeat")
+	}
+}
+
 // Guards against a fenced owner that continues to run jobs which other entries have
 // claimed, or that accepts no more jobs.
 func TestDeposedOwnerForgetsItsJobs(t *testing.T) {
--- a/process/keeper/writer.go
+++ b/process/keeper/writer.go
@@ -164,8 +164,14 @@
 // ends. It reports whether it succeeded, which uses up the sequence number.
 func (k *Keeper) appendUntilDecided(ctx context.Context, b *appendBatch, sequence uint64) bool {
 	timeout, retryDelay, unanswered := k.appendTimeout(), minRetryDelay, 0
+	// mayTakeEffect is when the first attempt was sent that may have taken effect. Its
+	// repeats get the same answer, also if the owner has been deposed since.
+	var mayTakeEffect time.Time
 	for ctx.Err() == nil {
 		sent := k.options.Now()
+		if unanswered == 0 {
+			mayTakeEffect = sent
+		}
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		answer := k.log.Append(callCtx, AppendRequest{Writer: string(b.owner), Epoch: firstEpoch, Sequence: sequence, Records: b.records})
 		cancel()
@@ -173,7 +179,7 @@
 		switch answer.Verdict {
 		case Done:
 			k.noteAppendLatency(k.options.Now().Sub(sent))
-			k.noteBatchAppended(sent, b)
+			k.noteBatchAppended(mayTakeEffect, b)
 			return true
 		case Unknown:
 			// The repeat has the same sequence number, so the log answers it as it
@@ -242,8 +248,8 @@
 	k.logDecision("", "job_log", outcome, reason, k.nextOffset)
 }
 
-// noteBatchAppended updates the state after a batch, sent at the given time, was
-// appended. It extends the ownership, answers the callers and reports the stored progress
+// noteBatchAppended updates the state after a batch was appended that was sent at the
+// given time. It extends the ownership, answers the callers and reports the stored progress
 // to the dispatcher.
 func (k *Keeper) noteBatchAppended(sent time.Time, b *appendBatch) {
 	k.setLogUnavailable(false, nil)
