keeper: wait for the ownership of the former owner's last append

Cause: a takeover took the time of the owner's last record when it decided, before the fence. An append that came in between let the former owner run its jobs for 2 s, while the new one waited only from the fence (TWICE). Change: the time is taken at each attempt to claim. A claim succeeds only at the end of the log as read, so the last append has been read by then.

--- a/process/keeper/takeover.go
+++ b/process/keeper/takeover.go
@@ -89,15 +89,9 @@
 		k.logDecision("", "take_over", "not_fenced", string(answer.Verdict), 0)
 		return
 	}
-	// Tasks may start once the owner is fenced, ownerTTL has passed since its last
-	// record was read, and RunsLostAfter has passed since both.
-	ordersEnd := k.options.Now()
-	if ttlEnd := o.LastSeen.Add(ownerTTL); ttlEnd.After(ordersEnd) {
-		ordersEnd = ttlEnd
-	}
-	startAfter := ordersEnd.Add(wire.RunsLostAfter)
+	fencedAt := k.options.Now()
 	for range maxClaimAttempts {
-		records, at := k.claimRecords(o.Owner, startAfter)
+		records, at := k.claimRecords(o.Owner, fencedAt)
 		if len(records) == 0 {
 			return
 		}
@@ -132,10 +126,11 @@
 
 // claimRecords returns accept records that claim the open jobs of another owner, up
 // to about maxBatchBytes, and the offset up to which the log has been read. Tasks
-// of these jobs start no earlier than startAfter.
-func (k *Keeper) claimRecords(from ledger.Owner, startAfter time.Time) ([]ledger.Record, uint64) {
+// of these jobs start once the runs of the former owner have ended.
+func (k *Keeper) claimRecords(from ledger.Owner, fencedAt time.Time) ([]ledger.Record, uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	startAfter := k.runsEnd(from, fencedAt)
 	var records []ledger.Record
 	size := 0
 	for _, id := range k.table.OpenJobs(from) {
@@ -152,6 +147,17 @@
 	return records, k.nextOffset
 }
 
+// runsEnd returns when the runs of an owner that was fenced at a time have certainly
+// ended. Its last append, which extends its ownership by ownerTTL, may have come just
+// before. It is in the log by then, so that no claim succeeds before it has been read.
+func (k *Keeper) runsEnd(owner ledger.Owner, fencedAt time.Time) time.Time {
+	ordersEnd := k.table.LastSeen(owner).Add(ownerTTL)
+	if fencedAt.After(ordersEnd) {
+		ordersEnd = fencedAt
+	}
+	return ordersEnd.Add(wire.RunsLostAfter)
+}
+
 // claimRecord returns the accept record that claims a job for this entry in the next
 // term, with the progress recorded so far.
 func (k *Keeper) claimRecord(id batch.ID) (ledger.Record, bool) {
--- a/process/ledger/table.go
+++ b/process/ledger/table.go
@@ -322,6 +322,14 @@
 	return dead
 }
 
+// LastSeen returns when the last record of an owner was read, or the zero time if none was.
+func (t *Table) LastSeen(name Owner) time.Time {
+	if o := t.owners[name]; o != nil {
+		return o.lastSeen
+	}
+	return time.Time{}
+}
+
 // EndedTombstones returns the records that delete all records of a job but the progress
 // record with which an owner ends it in a term. Of an ended job only its state is
 // needed, so that readers that start later have little to read.
