keeper: claims of other owners' jobs do not extend the ownership

Cause: claims are appended without a writer, so that the log accepts them also from an entry that has been fenced, and they counted as a successful append of the owner. A deposed entry could run its own jobs for 2 s beside their new owner (TWICE). Change: only appends under the owner's name count.

--- a/process/keeper/reader.go
+++ b/process/keeper/reader.go
@@ -176,6 +176,10 @@
 	}
 	delete(k.notBefore, id)
 	k.ownedJobs[id] = v.Term
+	if now.Sub(k.lastAppend) > heartbeatInterval {
+		// A claim does not extend the ownership, only an append of the writer does.
+		k.wakeWriter()
+	}
 	k.logDecision(id, "durable", "owned", "", v.Term, decision.Input{Name: "tasks_ended", Value: int64(len(d.Progress))},
 		decision.Input{Name: "starts_in_ms", Value: max(0, d.NotBefore.Sub(now).Milliseconds())})
 	k.dispatcher.RunDurable(d, func(r dispatch.Result) {
--- a/process/keeper/takeover.go
+++ b/process/keeper/takeover.go
@@ -95,10 +95,8 @@
 		if len(records) == 0 {
 			return
 		}
-		sent := k.options.Now()
 		answer = k.log.Append(ctx, AppendRequest{ExpectedEnd: &at, Records: records})
 		if answer.Verdict == Done {
-			k.noteAppend(sent)
 			k.counters.takenOver.Add(uint64(len(records)))
 			k.recorder.Record(decision.Decision{Step: "take_over", Peer: string(o.Owner), Outcome: "claimed", Age: k.options.Now().Sub(o.LastSeen),
 				Version: at, Inputs: []decision.Input{{Name: "jobs", Value: int64(len(records))}}})
@@ -113,17 +111,6 @@
 	k.logDecision("", "take_over", "not_claimed", string(answer.Verdict), 0)
 }
 
-// noteAppend updates lastAppend after an append outside the writer. Other entries
-// take its records as a sign that this one is alive.
-func (k *Keeper) noteAppend(sent time.Time) {
-	k.mu.Lock()
-	if sent.After(k.lastAppend) {
-		k.lastAppend = sent
-	}
-	k.mu.Unlock()
-	k.dispatcher.OwnDurableUntil(sent.Add(ownerTTL))
-}
-
 // claimRecords returns accept records that claim the open jobs of another owner, up
 // to about maxBatchBytes, and the offset up to which the log has been read. Tasks
 // of these jobs start once the runs of the former owner have ended.
--- a/process/keeper/takeover_test.go
+++ b/process/keeper/takeover_test.go
@@ -70,3 +70,21 @@
 		t.Errorf("tasks start %v too early after the last append of the former owner", earliest.Sub(got.NotBefore))
 	}
 }
+
+// Guards against an entry that counts claims as a sign that it still owns its jobs: they
+// are not refused after it has been deposed (rule TWICE).
+func TestClaimsDoNotExtendTheOwnership(t *testing.T) {
+	log, c := &interceptedLog{memoryLog: newMemoryLog()}, &clock{}
+	log.intercept = func(a AppendRequest) Verdict {
+		if a.Writer == "b" {
+			return Unknown
+		}
+		return ""
+	}
+	b := startWithDeadOwner(t, log, c)
+	b.awaitTakeover(t, c)
+	eventually(t, "the end of the takeover", func() bool { return b.counters.takenOver.Load() == 1 })
+	if b.dispatcher.owns(c.now()) {
+		t.Error("an entry whose own appends are not answered owns jobs")
+	}
+}
