wire: new owners wait for stops that are not confirmed

Cause: a new owner waits for a session and a lease after the former one's ownership has ended. If that one is delayed by less than a session just then, its next message stops the runs but renews the session, and the agent extends the lease for up to 0.4 s if the target confirms no stop: runs went on for up to 1.36 s, 0.04 s into those of the new owner (TWICE). Change: new owners wait StopGrace longer; the constant moves to package wire, both sides rely on it.

--- a/connection/wire/run.go
+++ b/connection/wire/run.go
@@ -20,6 +20,14 @@
 	// run at that agent has ended: the session ends, then the lease lapses,
 	// both on clocks that may be 2 % slow, and then 100 ms for the stop itself.
 	RunsLostAfter = (SessionTTL+RunLease)*102/100 + 100*time.Millisecond
+	// StopGrace is how long an agent still renews the lease although a stop that was
+	// ordered is not confirmed. Together with the lease it is shorter than the time after
+	// which callers submit a job again.
+	StopGrace = 400 * time.Millisecond
+	// OwnerRunsLostAfter is the time from the end of an entry's ownership of durable jobs
+	// after which every run of them has ended: the message that stops them may renew the
+	// session just before it ends.
+	OwnerRunsLostAfter = RunsLostAfter + StopGrace
 	// SessionRenewInterval is the longest pause between two messages of an active
 	// session: one with runs, with ends to be recorded or with announced tasks. For
 	// other sessions the entry sets the pause, see Orders.IdleRenewMS.
--- a/process/dispatch/ownership_test.go
+++ b/process/dispatch/ownership_test.go
@@ -59,6 +59,24 @@
 	c.checkNoRuns(time.Second)
 }
 
+// Guards against runs that go on beside those of another owner: their entry was delayed at
+// the end of its ownership, so that its next message renewed the session, and the stops in
+// it were not answered (rule TWICE).
+func TestRunsOfADelayedOwnerEndBeforeTheyStartElsewhere(t *testing.T) {
+	for delay := time.Duration(0); delay <= 700*time.Millisecond; delay += 50 * time.Millisecond {
+		c, _ := newOwnedCluster(t, time.Second, 1, 10*time.Second)
+		c.stopsLost = true
+		c.run(490 * time.Millisecond)
+		c.entries[0].frozen = true
+		c.run(delay)
+		c.entries[0].frozen = false
+		c.run(10*time.Millisecond + wire.OwnerRunsLostAfter - delay)
+		if running := c.agents[0].executor.Running(); len(running) > 0 {
+			t.Errorf("owner delayed for %v: %v run on %v after the end of its ownership", delay, running, wire.OwnerRunsLostAfter)
+		}
+	}
+}
+
 // Guards against a message that renews the session of runs which must not go on: the
 // entry was delayed and answers a report before it checks its ownership.
 func TestFirstMessageAfterTheOwnershipStopsItsRuns(t *testing.T) {
--- a/process/keeper/keeper_test.go
+++ b/process/keeper/keeper_test.go
@@ -153,8 +153,8 @@
 	if got.Term != 2 || len(got.Progress) != 1 || !reflect.DeepEqual(got.Progress[0], done[0]) {
 		t.Errorf("taken over as %+v, expected term 2 with progress %+v", got, done)
 	}
-	if got.NotBefore.Before(takenOverAt.Add(wire.RunsLostAfter)) {
-		t.Errorf("tasks start %v after the takeover, but runs of the former owner end only after %v", got.NotBefore.Sub(takenOverAt), wire.RunsLostAfter)
+	if got.NotBefore.Before(takenOverAt.Add(wire.OwnerRunsLostAfter)) {
+		t.Errorf("tasks start %v after the takeover, but runs of the former owner end only after %v", got.NotBefore.Sub(takenOverAt), wire.OwnerRunsLostAfter)
 	}
 	for now := cb.now(); now.Before(got.NotBefore); now = cb.now() {
 		b.advance(cb)
--- a/process/keeper/takeover.go
+++ b/process/keeper/takeover.go
@@ -142,7 +142,7 @@
 	if fencedAt.After(ordersEnd) {
 		ordersEnd = fencedAt
 	}
-	return ordersEnd.Add(wire.RunsLostAfter)
+	return ordersEnd.Add(wire.OwnerRunsLostAfter)
 }
 
 // claimRecord returns the accept record that claims a job for this entry in the next
--- a/process/keeper/takeover_test.go
+++ b/process/keeper/takeover_test.go
@@ -66,7 +66,7 @@
 	b := startWithDeadOwner(t, log, c)
 	b.awaitTakeover(t, c)
 	got := b.dispatcher.startedJobs()[0]
-	if earliest := appendedAt.Add(ownerTTL + wire.RunsLostAfter); got.NotBefore.Before(earliest) {
+	if earliest := appendedAt.Add(ownerTTL + wire.OwnerRunsLostAfter); got.NotBefore.Before(earliest) {
 		t.Errorf("tasks start %v too early after the last append of the former owner", earliest.Sub(got.NotBefore))
 	}
 }
--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -28,9 +28,6 @@
 	// although runs of the entry may be alive. Together with the lease it is shorter
 	// than the time after which entries start the tasks of lost runs again.
 	sessionStopGrace = 100 * time.Millisecond
-	// stopGrace is the same after any other order to stop a run. Together with the lease
-	// it is shorter than the time after which callers submit a job again.
-	stopGrace = 400 * time.Millisecond
 	// maxReportDelay bounds how long the report of an end waits for those of other
 	// runs of its job.
 	maxReportDelay = 30 * time.Millisecond
--- a/process/runner/target.go
+++ b/process/runner/target.go
@@ -68,7 +68,7 @@
 		if !h.stopConfirmedAt.IsZero() {
 			continue
 		}
-		if h.state == stateStopping && now.Sub(h.stopRequestedAt) > stopGrace {
+		if h.state == stateStopping && now.Sub(h.stopRequestedAt) > wire.StopGrace {
 			return true
 		}
 		if s := c.sessions[h.entry]; s != nil && now.Sub(s.expiresAt) > sessionStopGrace {
