dispatch, runner: count crashes that are reported between two owners

Cause: an entry counted a reported crash only for a job that it owned at the time and for runs that an owner had recorded as suspected, and an agent reported a crash under a run that had not lapsed only to the entry that had ordered it. Between owners the reports were lost. Package dispatch keeps both kinds of remembered runs in recentRuns.

--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -67,9 +67,14 @@
 	durable map[batch.ID]*activeJob
 	// suspended is whether there were durable jobs that this entry did not own at the
 	// last check.
-	suspended     bool
-	recordedEnds  recordedEnds
-	unsettledEnds unsettledEnds
+	suspended bool
+	// recordedEnds are the runs of durable jobs whose ends this entry has recorded, for
+	// agents that have not received the confirmation.
+	recordedEnds recentRuns[struct{}]
+	// reportedCrashes are the runs under which targets have crashed, for jobs that this
+	// entry may take over.
+	reportedCrashes recentRuns[crashKind]
+	unsettledEnds   unsettledEnds
 	// retainedAnswers holds the answers of ended jobs; see answerRetention.
 	retainedAnswers map[batch.ID]retainedAnswer
 	// answerOrder holds the keys of retainedAnswers, the oldest first.
--- a/process/dispatch/crash.go
+++ b/process/dispatch/crash.go
@@ -57,6 +57,8 @@
 type crashRecord struct {
 	certain     int
 	unconfirmed int
+	// countedRuns are the numbers of the runs in both.
+	countedRuns []int
 	// suspected are the runs that were lost at a target that may have crashed.
 	suspected []suspectedCrash
 }
@@ -66,16 +68,21 @@
 	at        time.Time
 }
 
-// add counts the end of a run with its target.
+// add counts the end of a run with its target, unless it is counted already.
 func (r *crashRecord) add(now time.Time, runNumber int, kind crashKind) {
+	if slices.Contains(r.countedRuns, runNumber) {
+		return
+	}
 	r.suspected = slices.DeleteFunc(r.suspected, func(s suspectedCrash) bool {
 		return s.runNumber == runNumber || now.Sub(s.at) > suspicionRetention
 	})
 	switch kind {
 	case crashCertain:
 		r.certain++
+		r.countedRuns = append(r.countedRuns, runNumber)
 	case crashUnconfirmed:
 		r.unconfirmed++
+		r.countedRuns = append(r.countedRuns, runNumber)
 	default:
 		r.suspected = append(r.suspected, suspectedCrash{runNumber, now})
 	}
@@ -83,7 +90,7 @@
 
 // restore takes over what an earlier owner of the job has recorded.
 func (r *crashRecord) restore(now time.Time, progress TaskProgress) {
-	r.certain, r.unconfirmed = progress.Crashes, progress.UnconfirmedCrashes
+	r.certain, r.unconfirmed, r.countedRuns = progress.Crashes, progress.UnconfirmedCrashes, slices.Clone(progress.CountedRuns)
 	for _, number := range progress.SuspectedRuns {
 		r.suspected = append(r.suspected, suspectedCrash{number, now})
 	}
@@ -122,15 +129,28 @@
 	return slices.ContainsFunc(r.suspected, func(s suspectedCrash) bool { return s.runNumber == runNumber })
 }
 
-// noteCrash handles a report that the target has crashed under a run whose end was
-// reported before.
+// noteCrash handles a report that the target has crashed under a run. Its end was reported
+// before, or the run is one of another owner of the job, which this entry may take over
+// later.
 func (c *Core) noteCrash(now time.Time, p *pool, id batch.Run, kind crashKind) {
-	j := p.jobs[id.Task.Job]
-	if j == nil {
-		return
+	p.reportedCrashes.add(now, id, kind, suspicionRetention)
+	if j := p.jobs[id.Task.Job]; j != nil {
+		c.countCrash(now, p, j, id, kind)
 	}
+}
+
+// countReportedCrashes counts the crashes that were reported before this entry has taken
+// a job over.
+func (c *Core) countReportedCrashes(now time.Time, p *pool, j *activeJob) {
+	for _, id := range p.reportedCrashes.ofJob(j.Job.ID) {
+		c.countCrash(now, p, j, id, p.reportedCrashes.values[id])
+	}
+}
+
+// countCrash counts a reported crash under a run of a job unless it is counted already.
+func (c *Core) countCrash(now time.Time, p *pool, j *activeJob, id batch.Run, kind crashKind) {
 	t := j.task(id.Task.Step, id.Task.Index)
-	if t == nil || t.done || !t.crashes.isSuspected(id.Number) {
+	if t == nil || t.done || j.ended || !t.mayCountCrash(id.Number) {
 		return
 	}
 	t.crashes.add(now, id.Number, kind)
@@ -138,6 +158,19 @@
 	c.judgeCrashes(now, p, t)
 }
 
+// mayCountCrash reports whether a crash under a run counts for the task: its end was not
+// certain, or another owner of the job had ordered it and did not record its end.
+func (t *task) mayCountCrash(runNumber int) bool {
+	if t.crashes.isSuspected(runNumber) {
+		return true
+	}
+	if t.job.durableState == nil || runNumber > t.job.durableState.lastForeignRun {
+		return false
+	}
+	// Processes before this version recorded no numbers.
+	return len(t.crashes.countedRuns) == t.crashes.certain+t.crashes.unconfirmed
+}
+
 // judgeCrashes gives up the job of a task under which too many targets have crashed,
 // and reports whether it did. While it is not certain that they have, the job waits.
 func (c *Core) judgeCrashes(now time.Time, p *pool, t *task) bool {
--- a/process/dispatch/crash_test.go
+++ b/process/dispatch/crash_test.go
@@ -190,3 +190,40 @@
 		t.Errorf("progress %+v, want three crashes and no suspected run", progress)
 	}
 }
+
+// Guards against a task that each new owner starts again, because its crashes became
+// certain while no entry, or another one, owned its job (rule BUDGET, deadly-kept).
+func TestCrashesReportedBeforeATakeoverCount(t *testing.T) {
+	cases := []struct {
+		name     string
+		reported []int
+		progress dispatch.TaskProgress
+		givenUp  bool
+	}{
+		{"not recorded", []int{1, 2, 3}, dispatch.TaskProgress{}, true},
+		{"suspected", []int{1, 2, 3}, dispatch.TaskProgress{SuspectedRuns: []int{1, 2, 3}}, true},
+		{"two of three counted", []int{1, 2, 3}, dispatch.TaskProgress{UnconfirmedCrashes: 2, CountedRuns: []int{1, 2}}, true},
+		{"all counted", []int{1, 2}, dispatch.TaskProgress{UnconfirmedCrashes: 2, CountedRuns: []int{1, 2}}, false},
+		{"counted by an earlier version", []int{1, 2, 3}, dispatch.TaskProgress{UnconfirmedCrashes: 2}, false},
+	}
+	for _, step := range cases {
+		c := newCluster(t, 28, 1, equalRooms(1, 16000))
+		c.run(500 * time.Millisecond)
+		s := c.submission("q", 1, 60*time.Millisecond, 1000, 0)
+		for _, number := range step.reported {
+			report := wire.RunReport{Run: batch.Run{Task: batch.Task{Job: s.Job.ID}, Number: number}, TargetCrashed: true, StartUnconfirmed: true}
+			c.entries[0].core.HandleReport(c.agents[0].id, &wire.AgentReport{Clock: c.now.UnixMicro(), Runs: []wire.RunReport{report}})
+		}
+		var result *dispatch.Result
+		c.entries[0].core.RunDurable(dispatch.DurableJob{Submission: s, Term: 2, NotBefore: c.now, Progress: []dispatch.TaskProgress{step.progress}},
+			func(r dispatch.Result) { result = &r })
+		c.run(time.Second)
+		want := dispatch.Completed
+		if step.givenUp {
+			want = dispatch.Failed
+		}
+		if result == nil || result.Code != want {
+			t.Errorf("%s: result %+v, want %s", step.name, result, want)
+		}
+	}
+}
--- a/process/dispatch/durable.go
+++ b/process/dispatch/durable.go
@@ -39,8 +39,14 @@
 	// SuspectedRuns are the numbers of the runs that were lost at further targets, which
 	// may have crashed.
 	SuspectedRuns []int
+	// CountedRuns are the numbers of the runs in Crashes and UnconfirmedCrashes.
+	CountedRuns []int
 }
 
+// recordedEndRetention is how long a recorded end is remembered. It is longer than
+// agents keep an end that no entry settles.
+const recordedEndRetention = 10 * time.Second
+
 // durableEnd is the end of a run that an agent keeps until it is recorded.
 type durableEnd struct {
 	agent wire.Incarnation
@@ -50,6 +56,8 @@
 // durableState is the additional state of a durable job.
 type durableState struct {
 	notBefore time.Time
+	// lastForeignRun is the highest number that runs of earlier owners may have.
+	lastForeignRun int
 	// unrecordedEnds are the ends that are not confirmed as recorded, the oldest
 	// first.
 	unrecordedEnds []durableEnd
@@ -76,7 +84,7 @@
 	defer p.mu.Unlock()
 	now := c.env.Now()
 	j := newActiveJob(now, d.Submission)
-	j.durableState = &durableState{notBefore: d.NotBefore}
+	j.durableState = &durableState{notBefore: d.NotBefore, lastForeignRun: int(d.Term-1) * runNumbersPerTerm}
 	j.waiters[0] = finished
 	p.jobs[d.Job.ID] = j
 	p.durable[d.Job.ID] = j
@@ -85,6 +93,7 @@
 		c.endJob(now, p, j, Result{Code: Completed})
 		return
 	}
+	c.countReportedCrashes(now, p, j)
 	c.assign(now, p)
 }
 
@@ -92,7 +101,7 @@
 func (j *activeJob) resume(now time.Time, d DurableJob) {
 	for step := range j.steps {
 		for _, t := range j.steps[step].tasks {
-			t.lastNumber = int(d.Term-1) * runNumbersPerTerm
+			t.lastNumber = j.durableState.lastForeignRun
 		}
 	}
 	for _, progress := range d.Progress {
@@ -133,7 +142,8 @@
 			for _, t := range j.steps[step].tasks {
 				if t.done || t.failures > 0 || !t.crashes.empty() {
 					progress = append(progress, TaskProgress{Step: t.step, Index: t.index, Done: t.done, FailedRuns: t.failures,
-						Crashes: t.crashes.certain, UnconfirmedCrashes: t.crashes.unconfirmed, SuspectedRuns: t.crashes.suspectedRuns()})
+						Crashes: t.crashes.certain, UnconfirmedCrashes: t.crashes.unconfirmed, SuspectedRuns: t.crashes.suspectedRuns(),
+						CountedRuns: t.crashes.countedRuns})
 				}
 			}
 		}
@@ -262,7 +272,7 @@
 
 // confirmEnd notes that an end is recorded and reports this to the agent that keeps it.
 func (c *Core) confirmEnd(now time.Time, p *pool, end durableEnd) {
-	p.recordedEnds.add(now, end.run)
+	p.recordedEnds.add(now, end.run, struct{}{}, recordedEndRetention)
 	if t := p.targets[end.agent]; t != nil && t.connected {
 		c.send(now, p, t, &wire.Orders{RecordedEnds: []batch.Run{end.run}, Waiting: c.announcedWaiting(now, p, t)})
 	}
--- a/process/ledger/records.go
+++ b/process/ledger/records.go
@@ -73,6 +73,9 @@
 	// SuspectedRuns are the numbers of the runs that were lost at further targets, which
 	// may have crashed.
 	SuspectedRuns []int `cbor:"8,keyasint,omitempty"`
+	// CountedRuns are the numbers of the runs in Crashes and UnconfirmedCrashes. Records of
+	// earlier versions lack them.
+	CountedRuns []int `cbor:"9,keyasint,omitempty"`
 }
 
 // Heartbeat is the value of a record that an owner appends to show that it is
--- a/process/runner/crash_test.go
+++ b/process/runner/crash_test.go
@@ -129,3 +129,21 @@
 		t.Errorf("crashes reported to the other entry for the runs %v, want for the durable run only", got)
 	}
 }
+
+// Guards against a crash that nobody counts, because the entry that ordered the run has
+// failed when the agent learns of it.
+func TestCrashUnderADurableRunThatHasNotLapsedIsReportedToAllEntries(t *testing.T) {
+	const otherEntry = entryID + 1
+	h := newHarness(t)
+	h.core.Connected(otherEntry)
+	run, other := h.startDurableRun(0), h.sendStartOrder(1)
+	h.answerLastStart(runner.VerdictDone)
+	h.core.Disconnected(entryID)
+	h.sent = nil
+	h.reportTarget(2, 1)
+	h.completeHold(2, nil, nil)
+	h.silence()
+	if got := h.crashReports(); !got[run.Task.Index] || got[other.Task.Index] {
+		t.Errorf("crashes reported to the other entry for the runs %v, want for the durable run only", got)
+	}
+}
--- a/process/runner/start.go
+++ b/process/runner/start.go
@@ -288,6 +288,9 @@
 		report = wire.RunReport{Run: h.run, RefusalReason: h.notStartedReason}
 	}
 	c.queueReport(now, c.sessions[h.entry], report, c.reportDelay(h, end))
+	if report.TargetCrashed && h.durable {
+		c.queueReportToOthers(now, h.entry, wire.RunReport{Run: h.run, TargetCrashed: true, StartUnconfirmed: report.StartUnconfirmed})
+	}
 	c.env.Record(decision.Decision{Step: "run_end", Job: h.run.Task.Job, Run: h.run, Peer: c.target.id, Outcome: string(end),
 		Routine: end == batch.EndDone, Inputs: []decision.Input{{Name: "ran_ms", Value: report.RanMS}}})
 	switch end {
