runner: repeat the ends of durable runs until they can't help any more

Cause: an entry gives a run up after 1.3 s without a message and more, but the agent repeated the report of its end on a new connection for 1 s only. Evidence: a run ended at 39.01 s, the agent was connected again at 40.16 s, the entry started the task again at 40.92 s. Change: the ends of durable runs are repeated for 3 s. Measured: TestEndOfADurableRunIsReportedInALaterSession failed before and passes now.

--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -19,6 +19,10 @@
 	// recentReportTTL is how long reports on ended and refused runs are kept for
 	// an entry that reconnects.
 	recentReportTTL = 2 * wire.SessionTTL
+	// durableEndReportTTL is the same for the ends of durable runs. An entry that lacks
+	// processor time gives a run up only after this time, and its task has not to run
+	// again if the end is reported before.
+	durableEndReportTTL = 3 * time.Second
 	// maxClockDrift is the fraction by which a target's clock may run slow.
 	maxClockDrift = 0.02
 	// replyAfter is the time since the last message to an entry after which its
@@ -283,7 +287,7 @@
 	for _, entry := range slices.Sorted(maps.Keys(c.sessions)) {
 		s := c.sessions[entry]
 		c.endSessionIfExpired(now, s)
-		s.recentReports = slices.DeleteFunc(s.recentReports, func(r recentReport) bool { return now.Sub(r.queuedAt) > recentReportTTL })
+		s.recentReports = slices.DeleteFunc(s.recentReports, func(r recentReport) bool { return r.expired(now) })
 		if !s.connected && now.After(s.expiresAt) && len(s.recentReports) == 0 && !c.holdsRunsOf(entry) {
 			delete(c.sessions, entry)
 		}
--- a/process/runner/ends_test.go
+++ b/process/runner/ends_test.go
@@ -62,3 +62,23 @@
 		t.Errorf("acknowledged up to %d, expected 2", got)
 	}
 }
+
+// Guards against a task that starts again although its run is done: the entry lacked
+// processor time, so that the agent could report the end only in a later session, but
+// before the entry had given the run up (rule TWICE, deadly-kept).
+func TestEndOfADurableRunIsReportedInALaterSession(t *testing.T) {
+	h := newHarness(t)
+	run := h.startDurableRun(0)
+	h.core.Disconnected(entryID)
+	h.completeHold(1, nil, h.endRows(run, batch.EndDone))
+	for range 16 {
+		h.advance(100 * time.Millisecond)
+		h.core.Tick()
+	}
+	h.sent = nil
+	h.core.Connected(entryID)
+	enroll := h.sent[0].(*wire.Enroll)
+	if len(enroll.HeldRuns) != 1 || enroll.HeldRuns[0].Run != run || enroll.HeldRuns[0].End != batch.EndDone {
+		t.Errorf("reported %+v, want the end of %s", enroll.HeldRuns, run)
+	}
+}
--- a/process/runner/session.go
+++ b/process/runner/session.go
@@ -167,6 +167,14 @@
 	c.env.Send(s.entry, m)
 }
 
+// expired reports whether the report needs not be repeated any more.
+func (r recentReport) expired(now time.Time) bool {
+	if r.report.EndUnrecorded {
+		return now.Sub(r.queuedAt) > durableEndReportTTL
+	}
+	return now.Sub(r.queuedAt) > recentReportTTL
+}
+
 // setWaiting records which tasks of an entry wait for capacity. w is nil if
 // there are none.
 func (s *session) setWaiting(now time.Time, w *wire.Waiting) {
