dispatch: a late pass reads what has arrived before it gives runs up

Cause: an entry that lacks processor time measured the silence of its agents when its pass was due, before it had read the messages that waited. Change: after a gap of 150 ms between passes, up to 1 s more of silence is tolerated for 0.3 s. Measured: TestDelayedEntryReadsWhatHasArrivedBeforeItGivesRunsUp failed before (2 starts) and passes now; TestRunsOfSilentAgentsAreGivenUpByADelayedEntry fails without the bound. Tests of process/... green.

--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -281,6 +281,7 @@
 // assigns waiting tasks. It has to be called every few milliseconds.
 func (c *Core) Tick() {
 	c.pauses.recordActivity(c.env.Now())
+	c.pauses.recordTick(c.env.Now())
 	for _, p := range c.allPools() {
 		p.mu.Lock()
 		now := c.env.Now()
--- a/process/dispatch/pause.go
+++ b/process/dispatch/pause.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/azurerouter/azurerouter/connection/wire"
 )
 
 const (
@@ -17,6 +19,13 @@
 	// the process has read which of its callers have left and may be served by
 	// another entry.
 	resumeDelay = 60 * time.Millisecond
+	// maxTickGap is the time between two calls of Tick above which the process lacks
+	// processor time, catchUpDelay how long it may take to read what has arrived
+	// meanwhile.
+	maxTickGap   = 150 * time.Millisecond
+	catchUpDelay = 300 * time.Millisecond
+	// maxCatchUp bounds the additional silence that is tolerated because of that.
+	maxCatchUp = time.Second
 )
 
 // pauseDetector detects that the process was paused and did not run for a while.
@@ -30,11 +39,32 @@
 	runningSince atomic.Int64
 	// resumedAt is when the process last resumed, or 0.
 	resumedAt atomic.Int64
+	// lastTick is when Tick was last called, catchesUpUntil when the process has
+	// certainly read what arrived while it was not. Only Tick uses both.
+	lastTick, catchesUpUntil time.Time
 }
 
 func (d *pauseDetector) start(now time.Time) {
 	d.lastActive.Store(now.UnixNano())
 	d.runningSince.Store(now.UnixNano())
+	d.lastTick = now
+}
+
+// recordTick records a call of Tick.
+func (d *pauseDetector) recordTick(now time.Time) {
+	if now.Sub(d.lastTick) > maxTickGap {
+		d.catchesUpUntil = now.Add(catchUpDelay)
+	}
+	d.lastTick = now
+}
+
+// toleratedSilence returns the time without a message after which an agent is taken to be
+// silent. Messages of agents may wait to be read while the process lacks processor time.
+func (d *pauseDetector) toleratedSilence(now time.Time) time.Duration {
+	if now.Before(d.catchesUpUntil) {
+		return wire.RunsLostAfter + maxCatchUp
+	}
+	return wire.RunsLostAfter
 }
 
 // recordActivity records that the process runs now, and that it was paused if the
--- a/process/dispatch/target.go
+++ b/process/dispatch/target.go
@@ -286,7 +286,7 @@
 	c.keepContact(now, p)
 	for _, t := range p.targetList {
 		c.renewSession(now, p, t)
-		if now.Sub(t.lastReceived) <= wire.RunsLostAfter {
+		if now.Sub(t.lastReceived) <= c.pauses.toleratedSilence(now) {
 			continue
 		}
 		if len(t.runs) > 0 {
