--- a/process/keeper/calls.go
+++ b/process/keeper/calls.go
@@ -199,4 +199,3 @@
 	now := k.options.Now()
 	return k.reads.lagsAtMost(now, maxReadLag) && !k.wasPaused(now)
 }
-
