runner: forget the reports of ends that the entry has settled

Cause: each reconnection repeated the reports of all ends of the last seconds, three times as many since, and the entry settled each of them again. Change: a settled end is not repeated. Measured: TestSettledEndIsNotReportedAgain failed before and passes now; tests of process/runner green.

--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -203,6 +203,8 @@
 	s.idleRenew = orders.IdleRenewInterval()
 	s.handledSequence = max(s.handledSequence, orders.Sequence)
 	c.settleEnds(now, orders)
+	s.forgetReports(orders.RecordedEnds)
+	s.forgetReports(orders.VoidEnds)
 	for _, run := range orders.Stops {
 		c.handleStopOrder(now, s, run)
 	}
--- a/process/runner/ends_test.go
+++ b/process/runner/ends_test.go
@@ -82,3 +82,21 @@
 		t.Errorf("reported %+v, want the end of %s", enroll.HeldRuns, run)
 	}
 }
+
+// Guards against entries that settle ends again and again after each reconnection.
+func TestSettledEndIsNotReportedAgain(t *testing.T) {
+	h := newHarness(t)
+	recorded, void, open := h.startDurableRun(0), h.startDurableRun(1), h.startDurableRun(2)
+	for _, run := range []batch.Run{recorded, void, open} {
+		h.completeHold(1, nil, h.endRows(run, batch.EndDone))
+	}
+	h.settleEnds([]batch.Run{recorded}, []batch.Run{void})
+	h.core.Disconnected(entryID)
+	h.sent = nil
+	h.core.Connected(entryID)
+	for _, report := range h.sent[0].(*wire.Enroll).HeldRuns {
+		if report.Run != open {
+			t.Errorf("the settled end of %s is reported again", report.Run)
+		}
+	}
+}
--- a/process/runner/session.go
+++ b/process/runner/session.go
@@ -167,6 +167,14 @@
 	c.env.Send(s.entry, m)
 }
 
+// forgetReports forgets the reports on runs that the entry has settled.
+func (s *session) forgetReports(settled []batch.Run) {
+	if len(settled) == 0 {
+		return
+	}
+	s.recentReports = slices.DeleteFunc(s.recentReports, func(r recentReport) bool { return slices.Contains(settled, r.report.Run) })
+}
+
 // expired reports whether the report needs not be repeated any more.
 func (r recentReport) expired(now time.Time) bool {
 	if r.report.EndUnrecorded {
