dispatch: log a suspension only if it lasts

Cause: an entry without durable jobs owns none, and gets the ownership with the answer to its next append. Its first job after a pause was logged as suspended, with an age since 1970. Change: a suspension is logged after 0.2 s. Only the log changes. Measured: TestSuspensionThatLastsIsLogged, and the other tests of the ownership, pass.

--- a/process/dispatch/cluster_test.go
+++ b/process/dispatch/cluster_test.go
@@ -90,6 +90,8 @@
 	c    *cluster
 	core *dispatch.Core
 	zone string
+	// suspensions are the outcomes of the decisions on the ownership of durable jobs.
+	suspensions []string
 }
 
 type agentNode struct {
@@ -206,9 +208,13 @@
 
 type entryEnv entryNode
 
-func (e *entryEnv) Now() time.Time           { return e.c.now }
-func (e *entryEnv) Record(decision.Decision) {}
-func (e *entryEnv) NoteProgress(batch.ID)    {}
+func (e *entryEnv) Now() time.Time { return e.c.now }
+func (e *entryEnv) Record(d decision.Decision) {
+	if d.Step == "durable" {
+		e.suspensions = append(e.suspensions, d.Outcome)
+	}
+}
+func (e *entryEnv) NoteProgress(batch.ID) {}
 func (e *entryEnv) DurableJobState(id batch.ID) dispatch.DurableJobState {
 	if state, known := e.c.durableJobs[id]; known {
 		return state
--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -65,9 +65,10 @@
 	// durable holds the durable jobs until ForgetDurable is called: an ended job
 	// stays until its end is recorded.
 	durable map[batch.ID]*activeJob
-	// suspended is whether there were durable jobs that this entry did not own at the
-	// last check.
-	suspended bool
+	// unownedSince is since when this entry does not own its durable jobs, or zero.
+	// suspensionLogged is set once that is logged.
+	unownedSince     time.Time
+	suspensionLogged bool
 	// recordedEnds are the runs of durable jobs whose ends this entry has recorded, for
 	// agents that have not received the confirmation.
 	recordedEnds recentRuns[struct{}]
--- a/process/dispatch/ownership.go
+++ b/process/dispatch/ownership.go
@@ -40,17 +40,18 @@
 // ownsDurable reports whether this entry owns its durable jobs.
 func (c *Core) ownsDurable(now time.Time) bool { return now.UnixNano() < c.ownedUntil.Load() }
 
+// suspensionLogDelay is how long the ownership lacks before that is logged. An entry that
+// had no durable job gets it with the answer to its next append.
+const suspensionLogDelay = 200 * time.Millisecond
+
 // checkOwnership sends a message to each agent with runs of durable jobs once this entry
 // does not own them any more, which stops them.
 func (c *Core) checkOwnership(now time.Time, p *pool) {
-	suspended := len(p.durable) > 0 && !c.ownsDurable(now)
-	if suspended != p.suspended {
-		c.recordSuspension(now, p, suspended)
-	}
-	p.suspended = suspended
-	if !suspended {
+	if len(p.durable) == 0 || c.ownsDurable(now) {
+		c.noteOwned(p)
 		return
 	}
+	c.noteUnowned(now, p)
 	for _, t := range p.targetList {
 		if t.connected && t.hasUnstoppedDurableRun() {
 			c.send(now, p, t, &wire.Orders{Waiting: c.announcedWaiting(now, p, t)})
@@ -58,11 +59,27 @@
 	}
 }
 
-func (c *Core) recordSuspension(now time.Time, p *pool, suspended bool) {
-	d := decision.Decision{Step: "durable", Outcome: "resumed", Inputs: []decision.Input{{Name: "jobs", Value: int64(len(p.durable))}}}
-	if suspended {
-		d.Outcome, d.Reason, d.Age = "suspended", "log not written", now.Sub(time.Unix(0, c.ownedUntil.Load()))
+// noteOwned logs the end of a suspension.
+func (c *Core) noteOwned(p *pool) {
+	if p.suspensionLogged {
+		c.recordSuspension(p, decision.Decision{Outcome: "resumed"})
+	}
+	p.unownedSince, p.suspensionLogged = time.Time{}, false
+}
+
+// noteUnowned logs a suspension that lasts.
+func (c *Core) noteUnowned(now time.Time, p *pool) {
+	if p.unownedSince.IsZero() {
+		p.unownedSince = now
+	}
+	if since := now.Sub(p.unownedSince); since >= suspensionLogDelay && !p.suspensionLogged {
+		p.suspensionLogged = true
+		c.recordSuspension(p, decision.Decision{Outcome: "suspended", Reason: "log not written", Age: since})
 	}
+}
+
+func (c *Core) recordSuspension(p *pool, d decision.Decision) {
+	d.Step, d.Inputs = "durable", []decision.Input{{Name: "jobs", Value: int64(len(p.durable))}}
 	c.env.Record(d)
 }
 
--- a/process/dispatch/ownership_test.go
+++ b/process/dispatch/ownership_test.go
@@ -107,3 +107,22 @@
 		t.Errorf("result %v, want %s", *result, dispatch.Completed)
 	}
 }
+
+// Guards against a log that shows a suspension for the first job after a pause, which is
+// owned with the answer to the next append, or none for one that lasts.
+func TestSuspensionThatLastsIsLogged(t *testing.T) {
+	c, _ := newOwnedCluster(t, 0, 1, 10*time.Second)
+	e := c.entries[0]
+	c.run(100 * time.Millisecond)
+	e.core.OwnDurableUntil(c.now.Add(time.Second))
+	c.run(500 * time.Millisecond)
+	if len(e.suspensions) > 0 {
+		t.Errorf("logged %v for a job that was owned after 100 ms", e.suspensions)
+	}
+	c.run(time.Second)
+	e.core.OwnDurableUntil(c.now.Add(time.Second))
+	c.run(100 * time.Millisecond)
+	if !slices.Equal(e.suspensions, []string{"suspended", "resumed"}) {
+		t.Errorf("logged %v, want a suspension and its end", e.suspensions)
+	}
+}
