dispatch: space the passes over a long queue

Cause: each message of an agent, and each answer to it, rebuilt and sorted the queue of all waiting jobs. Change: no pass within 10 us for each active job after the last one, from 200 jobs on and for at most 30 ms; a pass takes the first groups from a heap instead of a sorted list; the description of the queue is repeated meanwhile; durable jobs are not sorted at each Tick. TestManyWaitingJobsKeepTargetsBusy passes.

--- a/process/dispatch/admit.go
+++ b/process/dispatch/admit.go
@@ -75,9 +75,9 @@
 		}
 	}
 	var workAhead float64
-	for _, g := range c.queue(now, p) {
+	for _, g := range c.groups(now, p) {
 		if g.rank == rankLate || (g.rank == rankTimely && g.adjustedStart.After(adjustedStart)) {
-			break
+			continue
 		}
 		step := g.job.Job.Steps[g.step]
 		workAhead += float64(len(g.job.steps[g.step].ready)*step.Demand.MilliCPU) * float64(step.Estimate)
@@ -131,10 +131,9 @@
 func (c *Core) checkJobs(now time.Time, p *pool) {
 	isolated := !p.hasAgentContact(now) && !c.pauses.recentlyStarted(now)
 	overloaded := c.anyTargetUsable(now, p) && p.hasTimelyTasks(now)
-	for _, j := range p.jobsByAge() {
+	// Durable jobs run however late they are.
+	for _, j := range p.nonDurableJobsByAge() {
 		switch {
-		case j.durableState != nil:
-			// Durable jobs run however late they are.
 		case isolated:
 			c.endJob(now, p, j, unfinishedResult(j, ReasonIsolated))
 		case j.abandoned(now):
--- a/process/dispatch/assign.go
+++ b/process/dispatch/assign.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -10,37 +9,6 @@
 	"github.com/azurerouter/azurerouter/request/batch"
 )
 
-// group holds the waiting tasks of one step of a job.
-type group struct {
-	job  *activeJob
-	step int
-	rank rank
-	// latestStart is when the step must start for the job to meet its objective.
-	latestStart time.Time
-	// adjustedStart is latestStart, later for a queue of lower priority. It
-	// orders the groups of one rank.
-	adjustedStart time.Time
-}
-
-// rank is the first criterion of the order in which groups are served.
-type rank int
-
-const (
-	// rankStarted: tasks of the job have started. They come first, because a
-	// job is complete only with its last task.
-	rankStarted rank = iota
-	// rankTimely: the job can still meet its objective.
-	rankTimely
-	// rankLate: the job can't meet its objective. Serving late jobs first would
-	// make all others late.
-	rankLate
-)
-
-// priorityDelay is added to the latest start of a task for each level of
-// priority below the highest. Within a rank, a task is served before one of the
-// next higher level only if its latest start is earlier by more than this.
-const priorityDelay = 100 * time.Millisecond
-
 // maxUnplacedGroups is the number of consecutive groups without a suitable target
 // after which a pass leaves the rest of the queue to a later pass.
 const maxUnplacedGroups = 8
@@ -51,23 +19,50 @@
 	orders  map[*target]*wire.Orders
 }
 
-// assign sends start orders for waiting tasks to targets with room, the most
-// urgent tasks first.
+// Times between two passes over the waiting tasks. A pass looks at every job, so that with
+// many jobs one for each message would take more processor time than there is.
+const (
+	// passPausePerJob is the shortest pause for each active job, if there are more than
+	// minJobsForPause.
+	passPausePerJob = 10 * time.Microsecond
+	minJobsForPause = 200
+	maxPassPause    = 30 * time.Millisecond
+)
+
+// passPause returns the shortest time between two passes.
+func (p *pool) passPause() time.Duration {
+	if len(p.jobs) < minJobsForPause {
+		return 0
+	}
+	return min(time.Duration(len(p.jobs))*passPausePerJob, maxPassPause)
+}
+
+// assign sends start orders for waiting tasks to targets with room, the most urgent tasks
+// first, unless a pass has done so just before; Tick makes up for it.
 func (c *Core) assign(now time.Time, p *pool) {
 	c.pauses.recordActivity(now)
-	queue := c.queue(now, p)
-	if len(queue) == 0 || c.pauses.justResumed(now) {
+	if now.Sub(p.lastPass) >= p.passPause() {
+		c.pass(now, p)
+	}
+}
+
+// pass assigns the waiting tasks.
+func (c *Core) pass(now time.Time, p *pool) {
+	p.lastPass, p.waiting = now, nil
+	if c.pauses.justResumed(now) {
+		return
+	}
+	queue := newGroupQueue(c.groups(now, p))
+	if queue.Len() == 0 {
 		return
 	}
 	out := orderBatch{orders: make(map[*target]*wire.Orders)}
 	unplaced := 0
-	for _, g := range queue {
-		if c.place(now, p, g, &out) {
+	for queue.Len() > 0 && unplaced < maxUnplacedGroups {
+		if c.place(now, p, queue.next(), &out) {
 			unplaced = 0
-			continue
-		}
-		if unplaced++; unplaced >= maxUnplacedGroups {
-			break
+		} else {
+			unplaced++
 		}
 	}
 	waiting := c.describeWaiting(now, p)
@@ -80,22 +75,6 @@
 	}
 }
 
-// describeWaiting describes the tasks that wait for room, or returns nil if there
-// are none.
-func (c *Core) describeWaiting(now time.Time, p *pool) *wire.Waiting {
-	queue := c.queue(now, p)
-	if len(queue) == 0 {
-		return nil
-	}
-	w := &wire.Waiting{SlackMS: queue[0].slack(now).Milliseconds(), Smallest: queue[0].demand()}
-	for _, g := range queue {
-		if demand := g.demand(); demand.FitsIn(w.Smallest) {
-			w.Smallest = demand
-		}
-	}
-	return w
-}
-
 // announcedWaiting describes the waiting tasks for a target to which they were
 // announced before, and returns nil for any other target. Each message to an agent
 // replaces the announcement of the one before.
@@ -115,53 +94,6 @@
 	return c.announcedWaiting(now, p, t)
 }
 
-func (g group) demand() batch.Resources { return g.job.Job.Steps[g.step].Demand }
-
-// queue returns the waiting groups in the order in which they are served: by rank,
-// then the least slack first, so that a burst of jobs is served by urgency.
-func (c *Core) queue(now time.Time, p *pool) []group {
-	var queue []group
-	for _, j := range p.jobs {
-		if c.onHold(now, j) {
-			continue
-		}
-		for step := range j.steps {
-			if len(j.steps[step].ready) == 0 {
-				continue
-			}
-			queue = append(queue, newGroup(now, j, step))
-		}
-	}
-	slices.SortFunc(queue, compareGroups)
-	return queue
-}
-
-func newGroup(now time.Time, j *activeJob, step int) group {
-	g := group{job: j, step: step, rank: rankTimely, latestStart: j.latestStart(step)}
-	g.adjustedStart = g.latestStart.Add(time.Duration(j.Priority) * priorityDelay)
-	switch {
-	case j.runsStarted > 0:
-		g.rank = rankStarted
-	case g.latestStart.Before(now):
-		g.rank = rankLate
-	}
-	return g
-}
-
-func compareGroups(a, b group) int {
-	return cmp.Or(cmp.Compare(a.rank, b.rank), a.adjustedStart.Compare(b.adjustedStart), cmp.Compare(a.job.Job.ID, b.job.Job.ID), cmp.Compare(a.step, b.step))
-}
-
-// rankSlack is added for each rank to the slack that an agent receives, so that
-// groups of different ranks don't mix.
-const rankSlack = 10 * time.Second
-
-// slack returns the urgency of a group; less is more urgent. Agents compare it
-// with that of the groups of other entries.
-func (g group) slack(now time.Time) time.Duration {
-	return g.adjustedStart.Sub(now) + time.Duration(g.rank)*rankSlack
-}
-
 // place assigns as many tasks of a group as there is room for. It reports whether
 // it assigned any.
 func (c *Core) place(now time.Time, p *pool, g group, out *orderBatch) bool {
--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -79,8 +78,13 @@
 	// retainedAnswers holds the answers of ended jobs; see answerRetention.
 	retainedAnswers map[batch.ID]retainedAnswer
 	// answerOrder holds the keys of retainedAnswers, the oldest first.
-	answerOrder   []batch.ID
-	durations     durationStats
+	answerOrder []batch.ID
+	durations   durationStats
+	// lastPass is when the waiting tasks were last assigned, waiting their description at
+	// waitingAt, or nil.
+	lastPass      time.Time
+	waiting       *wire.Waiting
+	waitingAt     time.Time
 	resubmissions resubmissionShares
 }
 
@@ -225,11 +229,19 @@
 	p.targetList = slices.DeleteFunc(slices.Clone(p.targetList), func(other *target) bool { return other == t })
 }
 
-// jobsByAge returns the active jobs, the one that was accepted first at the front.
-func (p *pool) jobsByAge() []*activeJob {
-	return slices.SortedFunc(maps.Values(p.jobs), func(a, b *activeJob) int {
+// nonDurableJobsByAge returns the active jobs that are not durable, the one that was
+// accepted first at the front.
+func (p *pool) nonDurableJobsByAge() []*activeJob {
+	var jobs []*activeJob
+	for _, j := range p.jobs {
+		if j.durableState == nil {
+			jobs = append(jobs, j)
+		}
+	}
+	slices.SortFunc(jobs, func(a, b *activeJob) int {
 		return cmp.Or(a.acceptedAt.Compare(b.acceptedAt), cmp.Compare(a.Job.ID, b.Job.ID))
 	})
+	return jobs
 }
 
 // retainAnswer keeps the answer of a job for a caller who submits the job again.
@@ -261,10 +273,8 @@
 	for _, p := range c.allPools() {
 		p.mu.Lock()
 		now := c.env.Now()
-		for _, j := range p.jobsByAge() {
-			if j.durableState == nil {
-				c.endJob(now, p, j, unfinishedResult(j, ReasonStopping))
-			}
+		for _, j := range p.nonDurableJobsByAge() {
+			c.endJob(now, p, j, unfinishedResult(j, ReasonStopping))
 		}
 		p.mu.Unlock()
 	}
--- /dev/null
+++ b/process/dispatch/queue_test.go
@@ -0,0 +1,61 @@
+package dispatch_test
+
+import (
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/azurerouter/azurerouter/connection/wire"
+	"github.com/azurerouter/azurerouter/process/dispatch"
+)
+
+// manyJobs is a number of jobs at which passes are spaced.
+const manyJobs = 1500
+
+// submitMany runs durable jobs of one task at entry 0 and returns a counter of those that
+// are complete.
+func (c *cluster) submitMany(jobs int, work time.Duration) *int {
+	completed := new(int)
+	for range jobs {
+		c.entries[0].core.RunDurable(dispatch.DurableJob{Submission: c.submission("q", 1, work, 1000, 0), Term: 1, NotBefore: c.now},
+			func(r dispatch.Result) {
+				if r.Code == dispatch.Completed {
+					*completed++
+				}
+			})
+	}
+	return completed
+}
+
+// Guards against an entry that spends all of its processor time on its queue, because it
+// looks at every waiting job for each message (deadly-kept on braeholm-payouts-grown).
+func TestReportsAreCheapWithManyWaitingJobs(t *testing.T) {
+	const reports, maxBytesPerReport = 1000, 4096
+	c := newCluster(t, 51, 1, equalRooms(4, 1000))
+	c.run(500 * time.Millisecond)
+	c.submitMany(manyJobs, 10*time.Second)
+	c.run(100 * time.Millisecond)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range reports {
+		c.entries[0].core.HandleReport(c.agents[0].id, &wire.AgentReport{Clock: c.now.UnixMicro(), Invitation: true})
+		c.links[0].toAgent = nil
+	}
+	runtime.ReadMemStats(&after)
+	if bytes := (after.TotalAlloc - before.TotalAlloc) / reports; bytes > maxBytesPerReport {
+		t.Errorf("a report allocates %d bytes with %d waiting jobs, want at most %d", bytes, manyJobs, maxBytesPerReport)
+	}
+}
+
+// Guards against targets that stay idle because passes over a long queue are spaced.
+func TestManyWaitingJobsKeepTargetsBusy(t *testing.T) {
+	const work, slots = 60 * time.Millisecond, 160
+	c := newCluster(t, 52, 1, equalRooms(10, 1000*slots/10))
+	c.run(500 * time.Millisecond)
+	completed := c.submitMany(manyJobs, work)
+	shortest := work * manyJobs / slots
+	c.run(shortest * 5 / 2)
+	if *completed < manyJobs {
+		t.Errorf("%d of %d jobs are complete after %v, want all", *completed, manyJobs, shortest*5/2)
+	}
+}
