standin/executor: shorten a lease to the maximum

Cause: the stand-in granted any lease. PROTOCOL: 'A longer lease is shortened to that maximum.' Change: the stand-in shortens leases to 1 s. Suspected, not changed: the agent counts on 0.7 s after a restart of its target, which may have granted up to 1 s to a call under way.

--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -18,6 +18,10 @@
 // crashDelay is the time from the start of a run to the crash that it causes.
 const crashDelay = 10 * time.Millisecond
 
+// maxLease is the longest lease. A call that was made before a restart of the target asks
+// for a longer one, because the clock of the target starts again.
+const maxLease = time.Second
+
 // maxEndsPerAnswer limits the ended runs in one answer.
 const maxEndsPerAnswer = 500
 
@@ -157,10 +161,11 @@
 	return runner.VerdictDone
 }
 
-// extendLease moves the end of the lease to a time on the clock of the target,
-// unless it is later already.
+// extendLease moves the end of the lease to a time on the clock of the target, but at most
+// maxLease ahead, unless it is later already.
 func (e *Executor) extendLease(now time.Time, until runner.TargetClock) {
-	if deadline := now.Add(time.Duration(until-e.Clock(now)) * time.Millisecond); deadline.After(e.leaseUntil) {
+	lease := min(time.Duration(until-e.Clock(now))*time.Millisecond, maxLease)
+	if deadline := now.Add(lease); deadline.After(e.leaseUntil) {
 		e.leaseUntil = deadline
 	}
 }
