--- a/process/dispatch/queue_test.go
+++ b/process/dispatch/queue_test.go
@@ -59,3 +59,15 @@
 		t.Errorf("%d of %d jobs are complete after %v, want all", *completed, manyJobs, shortest*5/2)
 	}
 }
+
+// BenchmarkReport measures what a report costs that comes when a pass is due.
+func BenchmarkReport(b *testing.B) {
+	c := newCluster(&testing.T{}, 53, 1, equalRooms(20, 1000))
+	c.run(500 * time.Millisecond)
+	c.submitMany(manyJobs, 10*time.Second)
+	for b.Loop() {
+		c.now = c.now.Add(50 * time.Millisecond)
+		c.entries[0].core.HandleReport(c.agents[0].id, &wire.AgentReport{Clock: c.now.UnixMicro()})
+		c.links[0].toAgent = nil
+	}
+}
