runner: ignore answers that were overtaken by a restart of the target

Callers saw: nothing that is known. Cause: answers were matched by the target's id only. Such an answer stopped the runs of the present life, set the clock to that of the earlier life, after which leases lasted up to 1 s while the agent counted on 0.7 s, and confirmed stops that the present life had not received, so that a start under way could be carried out after its task had started elsewhere. Change: calls carry the number of the life that the agent knew; answers to calls of earlier lives are ignored. The list of runs that is asked for at each restart replaces them. Measured: the three tests failed before (2 stops of a run that is alive, lease until 1,000,760 instead of below 2,000, a stop reported as confirmed).

--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -62,6 +62,8 @@
 	runs     map[batch.Run]*heldRun
 	used     batch.Resources
 	target   target
+	// lives counts the lives of targets that the agent has learned of.
+	lives    uint64
 	health   health
 	revision uint64
 	// foreignRunsCleared is set once the target has listed no foreign run, so
--- a/process/runner/env.go
+++ b/process/runner/env.go
@@ -42,8 +42,10 @@
 // StartCall is a request to a target to start a run.
 type StartCall struct {
 	Target string
-	Run    batch.Run
-	Spec   string
+	// Life is the life of the target that the agent knew when it made the call.
+	Life uint64
+	Run  batch.Run
+	Spec string
 	// LeaseUntil is when the target kills its runs unless the lease is renewed.
 	LeaseUntil TargetClock
 	// Fence is the fencing token of this agent.
@@ -54,15 +56,19 @@
 // refuse its start from then on.
 type StopCall struct {
 	Target string
-	Run    batch.Run
-	Fence  uint64
+	// Life is the same as StartCall.Life.
+	Life  uint64
+	Run   batch.Run
+	Fence uint64
 }
 
 // HoldCall renews the lease of all runs at the target, acknowledges ends and
 // asks for a list of the runs.
 type HoldCall struct {
 	Target string
-	Fence  uint64
+	// Life is the same as StartCall.Life.
+	Life  uint64
+	Fence uint64
 	// LeaseUntil is zero in a call that does not renew the lease.
 	LeaseUntil TargetClock
 	// AckedEnds is the number up to which all ends are acknowledged; the target may
--- a/process/runner/hold.go
+++ b/process/runner/hold.go
@@ -39,7 +39,7 @@
 	}
 	now := c.env.Now()
 	c.pollRequested = c.pollRequested && wait
-	call := HoldCall{Target: c.target.id, Fence: c.fence, AckedEnds: c.target.ends.acknowledged(), SentAt: now}
+	call := HoldCall{Target: c.target.id, Life: c.target.life, Fence: c.fence, AckedEnds: c.target.ends.acknowledged(), SentAt: now}
 	if c.target.clockKnown && !c.target.unreachable && len(c.runs) > 0 && !c.target.ends.leaseMustLapse(now) {
 		call.LeaseUntil = c.extendLease(now)
 	}
@@ -66,7 +66,7 @@
 func (c *Core) HoldFailed(call HoldCall, verdict Verdict) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if call.Target != c.target.id {
+	if !c.isOfPresentLife(call.Target, call.Life) {
 		return
 	}
 	now := c.env.Now()
@@ -131,7 +131,7 @@
 func (c *Core) HandleHoldAnswer(call HoldCall, answer HoldAnswer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if call.Target != c.target.id {
+	if !c.isOfPresentLife(call.Target, call.Life) {
 		return
 	}
 	now := c.env.Now()
@@ -250,7 +250,7 @@
 	c.counters.ForeignRunsStopped++
 	c.env.Record(decision.Decision{Step: "run", Job: run.Task.Job, Run: run, Peer: c.target.id, Outcome: "stopped",
 		Reason: "not ordered by this agent"})
-	c.env.Stop(StopCall{Target: c.target.id, Run: run, Fence: c.fence})
+	c.env.Stop(StopCall{Target: c.target.id, Life: c.target.life, Run: run, Fence: c.fence})
 }
 
 // requestPoll asks for a list of the runs at the target, unless a request is
--- /dev/null
+++ b/process/runner/lives_test.go
@@ -0,0 +1,72 @@
+package runner_test
+
+import (
+	"testing"
+
+	"github.com/azurerouter/azurerouter/connection/wire"
+	"github.com/azurerouter/azurerouter/process/runner"
+	"github.com/azurerouter/azurerouter/request/batch"
+)
+
+// restartTarget lets the target start again under its identity and the agent learn of it.
+func (h *harness) restartTarget(born int64) {
+	h.clock = 10
+	h.completeHold(born, nil, nil)
+}
+
+// Guards against runs that are stopped because an answer from before a restart of the
+// target arrives after the agent has learned of the restart.
+func TestAnswerFromBeforeARestartStopsNoRuns(t *testing.T) {
+	h := newHarness(t)
+	late, _ := h.core.NextHold(true)
+	lateClock := h.clock
+	h.restartTarget(2)
+	run := h.sendStartOrder(0)
+	h.answerLastStart(runner.VerdictDone)
+	h.completeHold(2, []batch.Run{run}, nil)
+	h.core.HandleHoldAnswer(late, runner.HoldAnswer{Clock: lateClock, StartTime: 1})
+	h.completeHold(2, []batch.Run{run}, nil)
+	if report, found := h.lastReportOf(run); found || len(h.stops) > 0 {
+		t.Errorf("reported %+v, stops %+v while the run is alive", report, h.stops)
+	}
+}
+
+// Guards against leases that last longer than the agent counts on, because an answer from
+// before a restart of the target sets its clock.
+func TestAnswerFromBeforeARestartSetsNoClock(t *testing.T) {
+	h := newHarness(t)
+	h.clock = 1_000_000
+	h.completeHold(1, nil, nil)
+	h.sendStartOrder(0)
+	late := h.lastStart()
+	h.restartTarget(2)
+	h.core.HandleStartAnswer(late, runner.Answer{Verdict: runner.VerdictDone, Clock: 1_000_050})
+	for _, stop := range h.stops {
+		stop.Life--
+		h.core.HandleStopAnswer(stop, runner.Answer{Verdict: runner.VerdictDone, Clock: 1_000_060})
+	}
+	h.sendStartOrder(1)
+	if got := h.lastStart().LeaseUntil; got > 2000 {
+		t.Errorf("lease until %d on the clock of a target that has just started again", got)
+	}
+}
+
+// Guards against a run that counts as stopped because the target confirmed the stop before
+// it started again: a start under way may be carried out by the present life.
+func TestStopConfirmedBeforeARestartIsRepeated(t *testing.T) {
+	h := newHarness(t)
+	run := h.sendStartOrder(0)
+	h.core.HandleMessage(entryID, &wire.Orders{ClockEcho: h.now.UnixMicro(), Stops: []batch.Run{run}})
+	early := h.stops[0]
+	h.restartTarget(2)
+	h.core.HandleStopAnswer(early, runner.Answer{Verdict: runner.VerdictDone, Clock: h.clock})
+	h.completeHold(2, nil, nil)
+	if report, found := h.lastReportOf(run); found {
+		t.Fatalf("reported %+v before the present life has confirmed the stop", report)
+	}
+	h.core.HandleStopAnswer(h.stops[len(h.stops)-1], runner.Answer{Verdict: runner.VerdictDone, Clock: h.clock})
+	h.completeHold(2, nil, nil)
+	if _, found := h.lastReportOf(run); !found {
+		t.Error("not reported after the present life has confirmed the stop")
+	}
+}
--- a/process/runner/start.go
+++ b/process/runner/start.go
@@ -32,7 +32,7 @@
 	s.runs++
 	c.used = c.used.Add(h.demand)
 	c.counters.Started++
-	c.sendStart(now, h, StartCall{Target: c.target.id, Run: run, Spec: order.Spec})
+	c.sendStart(now, h, StartCall{Target: c.target.id, Life: c.target.life, Run: run, Spec: order.Spec})
 }
 
 // sendStart sends a start to the target, for the first time or as a retry.
@@ -70,7 +70,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.env.Now()
-	if call.Target != c.target.id {
+	if !c.isOfPresentLife(call.Target, call.Life) {
 		return
 	}
 	c.target.updateClock(now, answer.Clock)
@@ -217,7 +217,7 @@
 
 func (c *Core) sendStop(now time.Time, h *heldRun) {
 	h.stopSentAt = now
-	c.env.Stop(StopCall{Target: c.target.id, Run: h.run, Fence: c.fence})
+	c.env.Stop(StopCall{Target: c.target.id, Life: c.target.life, Run: h.run, Fence: c.fence})
 }
 
 // retryStops withdraws unanswered starts and repeats unconfirmed stops. After a
@@ -244,7 +244,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.env.Now()
-	if call.Target != c.target.id {
+	if !c.isOfPresentLife(call.Target, call.Life) {
 		return
 	}
 	c.target.updateClock(now, answer.Clock)
--- a/process/runner/target.go
+++ b/process/runner/target.go
@@ -16,10 +16,13 @@
 	// startTime is the last value of TargetReport.StartTime. It changes with each
 	// restart of the target.
 	startTime int64
-	sequence  uint64
-	capacity  batch.Resources
-	labels    []string
-	draining  bool
+	// life numbers the lives of targets from 1, in the order in which the agent learned
+	// of them. Zero stands for no target.
+	life     uint64
+	sequence uint64
+	capacity batch.Resources
+	labels   []string
+	draining bool
 
 	// clock is the newest reading of the target's clock, received at
 	// clockReadAt.
@@ -43,6 +46,19 @@
 	capacityRefusedAt time.Time
 }
 
+// newLife returns the number of a life that the agent learns of.
+func (c *Core) newLife() uint64 {
+	c.lives++
+	return c.lives
+}
+
+// isOfPresentLife reports whether a call was made with the knowledge of the present life
+// of the target. The answer to any other call may be of an earlier life and overtaken by
+// answers of the present one.
+func (c *Core) isOfPresentLife(target string, life uint64) bool {
+	return target == c.target.id && life == c.target.life
+}
+
 // updateClock records a reading of the target's clock, unless a newer one is
 // known.
 func (t *target) updateClock(now time.Time, clock TargetClock) {
@@ -159,7 +175,7 @@
 
 // adoptTarget makes a target the one of this agent, which has none.
 func (c *Core) adoptTarget(now time.Time, r TargetReport) {
-	c.target = target{id: r.Target, startTime: r.StartTime, lastAnswerAt: now}
+	c.target = target{id: r.Target, startTime: r.StartTime, life: c.newLife(), lastAnswerAt: now}
 	c.health = health{}
 	c.bumpRevision()
 	c.env.Record(decision.Decision{Step: "target", Peer: r.Target, Outcome: "adopted", Version: r.Sequence})
@@ -239,7 +255,7 @@
 	}
 	c.reportCrash(now)
 	c.endLostRuns(now, "target started again", lost)
-	c.target = target{id: c.target.id, startTime: answer.StartTime, service: c.target.service, capacity: c.target.capacity, labels: c.target.labels, lastAnswerAt: now,
+	c.target = target{id: c.target.id, startTime: answer.StartTime, life: c.newLife(), service: c.target.service, capacity: c.target.capacity, labels: c.target.labels, lastAnswerAt: now,
 		leaseUntil: c.target.leaseUntil}
 	c.health = health{}
 	c.bumpRevision()
