runner: fence the calls that are under way when a target starts again

Callers saw: nothing that is known. Cause: a target that starts again under its id has seen no fencing token. A call of before, carried out seconds later (PROTOCOL), starts a run, extends the lease to the maximum, because the clock began again, and acknowledges ends of the present life by the numbers of the earlier one. Change: the agent raises its token when it learns of the restart, so that its next call makes the target refuse them. Until that call arrives they are still carried out.

--- a/process/runner/lives_test.go
+++ b/process/runner/lives_test.go
@@ -70,3 +70,16 @@
 		t.Error("not reported after the present life has confirmed the stop")
 	}
 }
+
+// Guards against calls from before a restart of the target that are carried out seconds
+// later: they would start runs, extend leases and acknowledge ends of the present life.
+func TestCallsFromBeforeARestartAreFenced(t *testing.T) {
+	h := newHarness(t)
+	h.sendStartOrder(0)
+	before := h.lastStart().Fence
+	h.restartTarget(2)
+	call, _ := h.core.NextHold(false)
+	if call.Fence <= before || h.stops[len(h.stops)-1].Fence <= before {
+		t.Errorf("fencing tokens %d and %d after the restart, want more than %d", call.Fence, h.stops[len(h.stops)-1].Fence, before)
+	}
+}
--- a/process/runner/target.go
+++ b/process/runner/target.go
@@ -255,6 +255,8 @@
 	}
 	c.reportCrash(now)
 	c.endLostRuns(now, "target started again", lost)
+	// The present life has seen no token yet and would carry out calls that are under way.
+	c.fence++
 	c.target = target{id: c.target.id, startTime: answer.StartTime, life: c.newLife(), service: c.target.service, capacity: c.target.capacity, labels: c.target.labels, lastAnswerAt: now,
 		leaseUntil: c.target.leaseUntil}
 	c.health = health{}
