runner: count on the longest lease after a restart of the target

Cause: a call from before a restart gets the longest lease that targets grant, 1 s, since its end is far ahead of the clock that began again. The agent counted on its own 0.7 s: an end that must not count could be acknowledged before the lease had lapsed (TWICE), and a run could count as lapsed 0.3 s too early. Change: the lease counts as extended to the maximum at the restart and at the first answer to a call of the present life, which fences the earlier ones.

--- a/process/runner/hold.go
+++ b/process/runner/hold.go
@@ -144,6 +144,7 @@
 	clockWasKnown := c.target.clockKnown
 	c.target.updateClock(now, answer.Clock)
 	c.target.lastAnswerAt = now
+	c.noteFenced(now, call)
 	c.dropSuccessor(call)
 	if c.target.unreachable || !clockWasKnown {
 		c.markReachable(now)
@@ -155,6 +156,15 @@
 	c.flush(now)
 }
 
+// noteFenced notes the first answer after a restart of the target to a call of its present
+// life. A call of an earlier one may have extended the lease to the maximum until then.
+func (c *Core) noteFenced(now time.Time, call HoldCall) {
+	if c.target.unfenced && call.Life == c.target.life {
+		c.target.unfenced = false
+		c.target.leaseUntil = later(c.target.leaseUntil, now.Add(maxTargetLease))
+	}
+}
+
 // markReachable opens the target after its first answer or after a time without
 // answers.
 func (c *Core) markReachable(now time.Time) {
--- a/process/runner/lives_test.go
+++ b/process/runner/lives_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/runner"
@@ -83,3 +84,26 @@
 		t.Errorf("fencing tokens %d and %d after the restart, want more than %d", call.Fence, h.stops[len(h.stops)-1].Fence, before)
 	}
 }
+
+// Guards against an end that is acknowledged as if the lease had lapsed, or a run that
+// counts as lapsed, while a call from before a restart has extended the lease to the maximum.
+func TestLeaseOfACallFromBeforeARestartIsWaitedFor(t *testing.T) {
+	const maxTargetLease = time.Second
+	h := newHarness(t)
+	h.restartTarget(2)
+	run := h.startDurableRun(0)
+	h.completeHold(2, nil, h.endRows(run, batch.EndDone))
+	h.settleEnds(nil, []batch.Run{run})
+	for waited := time.Duration(0); waited < maxTargetLease; waited += 50 * time.Millisecond {
+		if got := h.acknowledged(); got != 0 {
+			t.Fatalf("acknowledged up to %d %s after the restart", got, waited)
+		}
+		h.advance(50 * time.Millisecond)
+		h.core.Tick()
+	}
+	h.advance(2 * wire.RunLease)
+	h.core.Tick()
+	if got := h.acknowledged(); got != 1 {
+		t.Errorf("acknowledged up to %d after the lease has lapsed, want 1", got)
+	}
+}
--- a/process/runner/target.go
+++ b/process/runner/target.go
@@ -35,7 +35,10 @@
 	// leaseUntil is the end of the longest lease that was requested, by the
 	// agent's clock.
 	leaseUntil time.Time
-	ends       endTracker
+	// unfenced is set from a restart of the target until it has answered a call of its
+	// present life, after which it refuses the calls of earlier ones.
+	unfenced bool
+	ends     endTracker
 	// successor is the newest report of another target, or nil. It is adopted once that
 	// target answers at the address. successorAt is when the report was received.
 	successor   *TargetReport
@@ -258,7 +261,7 @@
 	// The present life has seen no token yet and would carry out calls that are under way.
 	c.fence++
 	c.target = target{id: c.target.id, startTime: answer.StartTime, life: c.newLife(), service: c.target.service, capacity: c.target.capacity, labels: c.target.labels, lastAnswerAt: now,
-		leaseUntil: c.target.leaseUntil}
+		leaseUntil: later(c.target.leaseUntil, now.Add(maxTargetLease)), unfenced: true}
 	c.health = health{}
 	c.bumpRevision()
 	c.env.Record(decision.Decision{Step: "target", Peer: c.target.id, Outcome: "born_again", Version: uint64(answer.StartTime),
