node: start a job that was sent again only once its runs elsewhere have ended

Callers saw: a task that ran twice at the same time, where the entry that had accepted the job first had not noticed that the caller's connection broke. Cause: the second entry asked the others to end the job, but started it after 250 ms also if one of them did not reply, or could not end its runs by then because orders to stop were lost or an agent was frozen. Change: an entry replies whether runs may be alive, and is asked again until none is. After an entry that does not reply the job waits until the runs that it may have ordered before it was last heard of have ended. The job is given up at once if its caller does not wait that long. Measured: TestResubmittedJobWaitsForRunsElsewhere; on the code before, the call returned after 250 ms in the second case and had no reply for the first (the test does not compile there). Left: an entry that is not connected is not asked.

--- a/connection/wire/jobcall.go
+++ b/connection/wire/jobcall.go
@@ -35,7 +35,7 @@
 	Number uint64 `cbor:"1,keyasint"`
 	// Code is the outcome of the call, with the values of package keeper. For
 	// WithdrawJob it is the result that the job had, with the values of package
-	// dispatch, or empty; it is sent when no run of the job is alive.
+	// dispatch, or empty.
 	Code string `cbor:"2,keyasint"`
 	// Reason and RetryAfterMS, in milliseconds, are set for a refusal.
 	Reason       string `cbor:"3,keyasint,omitempty"`
@@ -44,4 +44,6 @@
 	// started. Both are set in replies to DurableState.
 	State   string `cbor:"5,keyasint,omitempty"`
 	Started bool   `cbor:"6,keyasint,omitempty"`
+	// RunsAlive is set in a reply to WithdrawJob if runs of the job may still be alive.
+	RunsAlive bool `cbor:"7,keyasint,omitempty"`
 }
--- a/process/dispatch/env.go
+++ b/process/dispatch/env.go
@@ -99,6 +99,9 @@
 	ReasonCrashes Reason = "crashes"
 	// ReasonWithdrawn: the caller has submitted the job to another entry.
 	ReasonWithdrawn Reason = "withdrawn"
+	// ReasonRunsElsewhere: runs of the job at another entry may be alive for longer than
+	// the caller waits.
+	ReasonRunsElsewhere Reason = "runs_elsewhere"
 	// ReasonIsolated: the entry has lost contact with every agent of the service.
 	ReasonIsolated Reason = "isolated"
 	// ReasonStoreUnavailable: the job can't be recorded in the store.
--- a/process/node/entrylinks.go
+++ b/process/node/entrylinks.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/azurerouter/azurerouter/connection/stream"
 	"github.com/azurerouter/azurerouter/connection/wire"
+	"github.com/azurerouter/azurerouter/process/clock"
 )
 
 // processLink is the connection to an agent or to another entry.
@@ -23,9 +25,14 @@
 	done chan struct{}
 	// receivedAny is set when the first message has been received.
 	receivedAny bool
-	pending     pendingCalls
+	// lastHeard is when the last message was received, in nanoseconds of Unix time.
+	lastHeard atomic.Int64
+	pending   pendingCalls
 }
 
+// LastHeard returns when the process at the other end last sent a message.
+func (l *processLink) LastHeard() time.Time { return time.Unix(0, l.lastHeard.Load()) }
+
 // send queues a message. If the queue of the connection cannot take it, the
 // connection is closed, which Closed then handles.
 func (l *processLink) send(m wire.Message) {
@@ -64,6 +71,7 @@
 		l.entry.dialer.setReachable(l.addr, true)
 	}
 	l.receivedAny = true
+	l.lastHeard.Store(clock.Now().UnixNano())
 	switch m := m.(type) {
 	case *wire.Enroll:
 		l.entry.handleEnroll(l, m)
--- a/process/node/jobcalls.go
+++ b/process/node/jobcalls.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 
@@ -93,7 +94,7 @@
 
 func (e *Entry) serveCall(ctx context.Context, call *wire.JobCall) wire.JobReply {
 	if call.Action == wire.WithdrawJob {
-		ctx, cancel := context.WithTimeout(ctx, withdrawTimeout)
+		ctx, cancel := context.WithTimeout(ctx, withdrawReplyDelay)
 		defer cancel()
 		return e.serveWithdrawal(ctx, call)
 	}
@@ -103,16 +104,21 @@
 // keeperPeers returns one connection to each connected entry, sorted by the names of
 // the entries.
 func (e *Entry) keeperPeers() []keeper.Peer {
+	var peers []keeper.Peer
+	for _, l := range e.peerLinks() {
+		peers = append(peers, l)
+	}
+	slices.SortFunc(peers, func(a, b keeper.Peer) int { return cmp.Compare(a.Name(), b.Name()) })
+	return peers
+}
+
+// peerLinks returns one connection to each connected entry.
+func (e *Entry) peerLinks() []*processLink {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	byName := make(map[string]*processLink)
 	for l := range e.peers {
 		byName[l.name] = l
 	}
-	e.mu.Unlock()
-	peers := make([]keeper.Peer, 0, len(byName))
-	for _, l := range byName {
-		peers = append(peers, l)
-	}
-	slices.SortFunc(peers, func(a, b keeper.Peer) int { return cmp.Compare(a.Name(), b.Name()) })
-	return peers
+	return slices.Collect(maps.Values(byName))
 }
--- a/process/node/resubmissions.go
+++ b/process/node/resubmissions.go
@@ -6,38 +6,54 @@
 	"time"
 
 	"github.com/azurerouter/azurerouter/connection/wire"
+	"github.com/azurerouter/azurerouter/process/clock"
+	"github.com/azurerouter/azurerouter/process/decision"
 	"github.com/azurerouter/azurerouter/process/dispatch"
 	"github.com/azurerouter/azurerouter/process/keeper"
 	"github.com/azurerouter/azurerouter/request/batch"
 )
 
 const (
-	// withdrawTimeout is how long a resubmitted job waits for other entries to end it.
-	// It covers the stop of a run and its report; an entry that does not reply is cut
-	// off or paused, and its agents end its runs by themselves.
+	// withdrawTimeout is how long an entry waits for another one to reply to a
+	// withdrawal.
 	withdrawTimeout = 250 * time.Millisecond
+	// withdrawReplyDelay is how long an entry waits for the runs of a withdrawn job to
+	// end before it replies that they may be alive.
+	withdrawReplyDelay = withdrawTimeout / 2
 	// withdrawPollInterval is how often an entry checks whether the runs of a withdrawn
 	// job have ended.
 	withdrawPollInterval = 3 * time.Millisecond
+	// maxWithdrawal bounds a withdrawal: by then the runs have ended by themselves.
+	maxWithdrawal = wire.OwnerRunsLostAfter + withdrawTimeout
 )
 
 // Submit submits a job that is not durable; see dispatch.Core.Submit. If its caller seems
 // to have submitted it before, the other entries end it first: the one that had accepted
 // it may not have learned that the caller has left. A result that it had is the answer.
+// The job is given up if its caller does not wait until runs elsewhere have ended.
 func (e *Entry) Submit(s batch.Submission, reply func(dispatch.Result)) (cancel func()) {
 	if !e.Core.LooksResubmitted(s) {
 		return e.Core.Submit(s, reply)
 	}
-	ctx, cancelWait := context.WithTimeout(context.Background(), withdrawTimeout)
+	ctx, cancelWait := context.WithTimeout(context.Background(), maxWithdrawal)
 	again := &resubmission{}
 	go func() {
 		defer cancelWait()
 		start := time.Now()
-		result, known := withdrawElsewhere(ctx, e.keeperPeers(), s.Job.ID)
-		if known {
-			reply(result)
+		w := withdrawElsewhere(ctx, e.withdrawalPeers(), s.Job.ID)
+		if w.known {
+			reply(w.result)
 			return
 		}
+		wait := w.runsEnd.Sub(clock.Now())
+		if wait > 0 {
+			e.decisions.Record(decision.Decision{Step: "accept", Job: s.Job.ID, Outcome: "withheld", Reason: "runs at another entry may be alive", Age: wait})
+		}
+		if wait >= s.CallerTimeout-time.Since(start) {
+			reply(dispatch.Result{Code: dispatch.GaveUp, Reason: dispatch.ReasonRunsElsewhere})
+			return
+		}
+		pause(ctx, wait)
 		s.CallerTimeout -= time.Since(start)
 		again.submit(func() (cancel func()) { return e.Core.Submit(s, reply) })
 	}()
@@ -72,24 +88,68 @@
 	}
 }
 
-// withdrawElsewhere asks other entries to end a job and returns when all of them have
-// replied, one has replied with the result of the job, or the context ends.
-func withdrawElsewhere(ctx context.Context, peers []keeper.Peer, id batch.ID) (result dispatch.Result, known bool) {
-	replies := make(chan wire.JobReply, len(peers))
+// withdrawalPeer is another entry that may have accepted a job.
+type withdrawalPeer interface {
+	keeper.Peer
+	// LastHeard returns when the entry last sent a message.
+	LastHeard() time.Time
+}
+
+func (e *Entry) withdrawalPeers() []withdrawalPeer {
+	var peers []withdrawalPeer
+	for _, l := range e.peerLinks() {
+		peers = append(peers, l)
+	}
+	return peers
+}
+
+// withdrawal is what other entries say of a job that they were asked to end.
+type withdrawal struct {
+	// result is the final result that the job had, if known is set.
+	result dispatch.Result
+	known  bool
+	// runsEnd is when the runs at entries that have not confirmed their end have ended.
+	runsEnd time.Time
+}
+
+// withdrawElsewhere asks other entries to end a job and returns when each of them has
+// confirmed that no run is alive or does not reply, when one has replied with the result
+// of the job, or when the context ends.
+func withdrawElsewhere(ctx context.Context, peers []withdrawalPeer, id batch.ID) withdrawal {
+	replies := make(chan withdrawal, len(peers))
 	for _, peer := range peers {
-		go func() {
-			// An entry that does not reply has no result to offer.
-			reply, _ := peer.Call(ctx, wire.JobCall{Action: wire.WithdrawJob, ID: id})
-			replies <- reply
-		}()
+		go func() { replies <- withdrawAt(ctx, peer, id) }()
 	}
+	var all withdrawal
 	for range peers {
-		reply := <-replies
-		if reply.Code != "" {
-			return dispatch.Result{Code: dispatch.Code(reply.Code), Reason: dispatch.Reason(reply.Reason)}, true
+		w := <-replies
+		if w.known {
+			return w
+		}
+		if w.runsEnd.After(all.runsEnd) {
+			all.runsEnd = w.runsEnd
+		}
+	}
+	return all
+}
+
+// withdrawAt asks one entry to end a job, again and again while runs may be alive. An entry
+// that does not reply may have renewed the sessions with its agents until it was last
+// heard of, or later if it is only cut off from this one.
+func withdrawAt(ctx context.Context, peer withdrawalPeer, id batch.ID) withdrawal {
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, withdrawTimeout)
+		reply, err := peer.Call(callCtx, wire.JobCall{Action: wire.WithdrawJob, ID: id})
+		cancel()
+		switch {
+		case err != nil:
+			return withdrawal{runsEnd: peer.LastHeard().Add(wire.OwnerRunsLostAfter)}
+		case reply.Code != "":
+			return withdrawal{result: dispatch.Result{Code: dispatch.Code(reply.Code), Reason: dispatch.Reason(reply.Reason)}, known: true}
+		case !reply.RunsAlive:
+			return withdrawal{}
 		}
 	}
-	return dispatch.Result{}, false
 }
 
 // serveWithdrawal ends a job and replies once none of its runs is alive, or the context
@@ -100,7 +160,11 @@
 		reply.Code, reply.Reason = string(result.Code), string(result.Reason)
 		return reply
 	}
-	for e.Core.HasRuns(call.ID) && ctx.Err() == nil {
+	for e.Core.HasRuns(call.ID) {
+		if ctx.Err() != nil {
+			reply.RunsAlive = true
+			break
+		}
 		pause(ctx, withdrawPollInterval)
 	}
 	return reply
--- a/process/node/resubmissions_test.go
+++ b/process/node/resubmissions_test.go
@@ -9,16 +9,21 @@
 
 	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/dispatch"
-	"github.com/azurerouter/azurerouter/process/keeper"
 )
 
 // fakePeer is an entry that replies to a withdrawal after a delay.
 type fakePeer struct {
 	delay time.Duration
 	reply wire.JobReply
-	calls chan wire.JobCall
+	// runsEnd is when the runs of the job end; until then its replies say that they may
+	// be alive.
+	runsEnd   time.Time
+	lastHeard time.Time
+	calls     chan wire.JobCall
 }
 
+func (p *fakePeer) LastHeard() time.Time { return p.lastHeard }
+
 func (p *fakePeer) Name() string { return "peer" }
 
 func (p *fakePeer) Call(ctx context.Context, call wire.JobCall) (wire.JobReply, error) {
@@ -27,7 +32,9 @@
 	case <-ctx.Done():
 		return wire.JobReply{}, errors.Wrap(ctx.Err(), "call")
 	case <-time.After(p.delay):
-		return p.reply, nil
+		reply := p.reply
+		reply.RunsAlive = time.Now().Before(p.runsEnd)
+		return reply, nil
 	}
 }
 
@@ -40,28 +47,28 @@
 	silent := &fakePeer{delay: time.Hour, calls: calls}
 	cases := []struct {
 		name  string
-		peers []keeper.Peer
+		peers []withdrawalPeer
 		known bool
 		// atLeast is the shortest time that the call may take.
 		atLeast time.Duration
 		timeout time.Duration
 	}{
 		{"alone", nil, false, 0, time.Hour},
-		{"runs elsewhere", []keeper.Peer{idle, busy}, false, busy.delay, time.Hour},
-		{"ended elsewhere", []keeper.Peer{silent, done}, true, 0, time.Hour},
-		{"an entry does not reply", []keeper.Peer{silent, idle}, false, withdrawTimeout, withdrawTimeout},
+		{"runs elsewhere", []withdrawalPeer{idle, busy}, false, busy.delay, time.Hour},
+		{"ended elsewhere", []withdrawalPeer{silent, done}, true, 0, time.Hour},
+		{"an entry does not reply", []withdrawalPeer{silent, idle}, false, withdrawTimeout, withdrawTimeout},
 	}
 	for _, step := range cases {
 		t.Run(step.name, func(t *testing.T) {
 			ctx, cancel := context.WithTimeout(context.Background(), step.timeout)
 			defer cancel()
 			start := time.Now()
-			result, known := withdrawElsewhere(ctx, step.peers, "j")
+			w := withdrawElsewhere(ctx, step.peers, "j")
 			if took := time.Since(start); took < step.atLeast {
 				t.Errorf("took %v, expected at least %v", took, step.atLeast)
 			}
-			if known != step.known || known && result.Code != dispatch.Completed {
-				t.Errorf("result %+v, known %t, expected %t", result, known, step.known)
+			if w.known != step.known || w.known && w.result.Code != dispatch.Completed {
+				t.Errorf("%+v, expected a known result: %t", w, step.known)
 			}
 			for range step.peers {
 				if call := <-calls; call.Action != wire.WithdrawJob || call.ID != "j" {
@@ -72,6 +79,24 @@
 	}
 }
 
+// Guards against a job whose tasks run twice at the same time, because the entry that had
+// accepted it replies before its runs have ended, or can't reply.
+func TestResubmittedJobWaitsForRunsElsewhere(t *testing.T) {
+	calls := make(chan wire.JobCall, 1000)
+	const running = 2 * withdrawTimeout
+	runsEnd := time.Now().Add(running)
+	busy := &fakePeer{delay: 10 * time.Millisecond, runsEnd: runsEnd, calls: calls}
+	ctx, cancel := context.WithTimeout(context.Background(), maxWithdrawal)
+	defer cancel()
+	if w := withdrawElsewhere(ctx, []withdrawalPeer{busy}, "j"); w.known || time.Now().Before(runsEnd) {
+		t.Errorf("%+v %s before the runs have ended", w, time.Until(runsEnd))
+	}
+	silent := &fakePeer{delay: time.Hour, lastHeard: time.Now(), calls: calls}
+	if w := withdrawElsewhere(ctx, []withdrawalPeer{silent}, "j"); w.runsEnd.Sub(silent.lastHeard) < wire.OwnerRunsLostAfter {
+		t.Errorf("%+v: runs of an entry that was heard of at %s may be alive later", w, silent.lastHeard)
+	}
+}
+
 // Guards against a job that is submitted after its caller has left.
 func TestCallerWhoLeavesBeforeTheSubmissionIsNotServed(t *testing.T) {
 	var again resubmission
