runner: enroll only after the target has answered

Callers saw: nothing that is known; found by the model of the rule (hypothesis of late calls of an earlier agent). Cause: an agent that starts again enrolled after 0.76 s also if its target had not answered it. Entries then count the runs of the earlier agent as ended, but the target has not seen the new token yet and may still carry out calls of the earlier agent. Change: the agent enrolls once its target has answered and lists no foreign run, or the longest lease after the first answer. An agent whose target does not answer has nothing to offer; entries count its runs as lost after 1.3 s. Measured: TestAgentEnrollsOnlyAfterItsTargetHasAnswered failed before (may enroll before the target has answered). Left: a call of an agent that is gone, carried out seconds later by a target that started again under its id meanwhile, starts a run that no one stops before a new agent is there; its lease ends after 1 s.

--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -69,6 +69,9 @@
 	// foreignRunsCleared is set once the target has listed no foreign run, so
 	// that no run of an earlier agent incarnation is alive.
 	foreignRunsCleared bool
+	// answeredAt is when a target first answered a hold call of this agent, or zero. From
+	// then on it has refused the calls of earlier agents.
+	answeredAt time.Time
 	// foreignRuns are the runs at the target that this agent does not hold, with
 	// the time of the last request to stop each of them.
 	foreignRuns map[batch.Run]time.Time
@@ -172,17 +175,25 @@
 }
 
 // MayEnroll reports whether no run of an earlier agent incarnation is alive, so
-// that the agent may connect to entries.
+// that the agent may connect to entries. Before the target has answered, calls of the
+// earlier agent may still start runs there and extend their lease.
 func (c *Core) MayEnroll() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.foreignRunsCleared || c.env.Now().Sub(c.startedAt) > maxLeaseDuration
+	if c.foreignRunsCleared {
+		return true
+	}
+	return !c.answeredAt.IsZero() && c.env.Now().Sub(c.answeredAt) > maxForeignLease
 }
 
 // maxLeaseDuration is how long a lease may last, by the agent's clock, after
 // the last call that renewed it.
 const maxLeaseDuration = wire.RunLease + time.Duration(maxClockDrift*float64(wire.RunLease)) + 50*time.Millisecond
 
+// maxForeignLease is the same for the leases that earlier agents have requested: the
+// target may have restarted since, and then grants the longest lease.
+const maxForeignLease = maxLeaseDuration - wire.RunLease + maxTargetLease
+
 // HandleMessage handles a message of a connected entry.
 func (c *Core) HandleMessage(entry wire.Incarnation, m wire.Message) {
 	orders, ok := m.(*wire.Orders)
--- a/process/runner/hold.go
+++ b/process/runner/hold.go
@@ -144,6 +144,9 @@
 	clockWasKnown := c.target.clockKnown
 	c.target.updateClock(now, answer.Clock)
 	c.target.lastAnswerAt = now
+	if c.answeredAt.IsZero() {
+		c.answeredAt = now
+	}
 	c.noteFenced(now, call)
 	c.dropSuccessor(call)
 	if c.target.unreachable || !clockWasKnown {
--- a/process/runner/lives_test.go
+++ b/process/runner/lives_test.go
@@ -107,3 +107,27 @@
 		t.Errorf("acknowledged up to %d after the lease has lapsed, want 1", got)
 	}
 }
+
+// Guards against a task that starts elsewhere, because an agent that has started again has
+// enrolled, while a call of the earlier agent starts its run at a target that has not
+// answered the present one.
+func TestAgentEnrollsOnlyAfterItsTargetHasAnswered(t *testing.T) {
+	foreign := batch.Run{Task: batch.Task{Job: "j"}, Number: 1}
+	for _, running := range [][]batch.Run{nil, {foreign}} {
+		h := &harness{t: t, now: time.UnixMilli(1_000_000), clock: 1000}
+		h.core = runner.New(h, runner.Options{Agent: 2, Node: "agent-1", Zone: "a", Fence: 10})
+		h.reportTarget(1, 1)
+		h.advance(2 * time.Second)
+		if h.core.MayEnroll() {
+			t.Fatal("the agent may enroll before its target has answered")
+		}
+		h.completeHold(1, running, nil)
+		if got, want := h.core.MayEnroll(), len(running) == 0; got != want {
+			t.Errorf("may enroll %t with %d runs of an earlier agent, want %t", got, len(running), want)
+		}
+		h.advance(2 * time.Second)
+		if !h.core.MayEnroll() {
+			t.Error("the agent may not enroll after the leases of an earlier one have ended")
+		}
+	}
+}
