node: ignore an enrolment that a later connection has overtaken

Cause: each connection has a goroutine of its own. An entry that lacks processor time may handle the enrolment on an agent's earlier connection after that on its present one, or that of an agent process after that of its successor. Runs ordered in between are not in it, count as lost and start again elsewhere, beside the first. The next report with an old clock could also free room by the numbers of another connection. Change: accepted connections are numbered, enrolments are handled one at a time, and one on an earlier connection than the last of its instance is ignored, logged and closed. A report that is older than the enrolment is ignored.

--- a/process/dispatch/target.go
+++ b/process/dispatch/target.go
@@ -207,6 +207,10 @@
 	if t == nil {
 		return
 	}
+	if m.Clock < t.lastClock {
+		// Of an earlier connection, and overtaken by the enrolment on the present one.
+		return
+	}
 	now := c.env.Now()
 	t.lastReceived, t.lastClock, t.reportedFree = now, m.Clock, m.Free
 	p.lastReceived = now
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -107,6 +107,13 @@
 	// configUnreadable is set while the operator's configuration cannot be read.
 	configUnreadable atomic.Bool
 
+	// lastLink is the number of the last accepted connection.
+	lastLink atomic.Uint64
+	// enrollMu is held while an enrolment is handled and guards enrolledLinks, which holds
+	// the number of the connection on which the agent of each instance last enrolled.
+	enrollMu      sync.Mutex
+	enrolledLinks map[string]uint64
+
 	mu sync.Mutex
 	// agents holds the connections to agents, peers those to other entries.
 	agents map[wire.Incarnation]*processLink
@@ -120,9 +127,10 @@
 	options.AdvertiseAddr = cmp.Or(options.AdvertiseAddr, options.PeerAddr)
 	e := &Entry{
 		options: options, observer: observer, decisions: decisions, incarnation: wire.NewIncarnation(), started: time.Now(),
-		configured: make(chan struct{}),
-		agents:     make(map[wire.Incarnation]*processLink),
-		peers:      make(map[*processLink]bool),
+		configured:    make(chan struct{}),
+		enrolledLinks: make(map[string]uint64),
+		agents:        make(map[wire.Incarnation]*processLink),
+		peers:         make(map[*processLink]bool),
 	}
 	e.Core = dispatch.New((*entryEnv)(e), e.incarnation, options.Zone, uint64(time.Now().UnixNano()))
 	e.keeper = keeper.New(keeper.Options{Node: options.Node, Owner: ledger.Owner(e.incarnation.String()), IsFirstByName: e.hasLowestName,
--- a/process/node/entrylinks.go
+++ b/process/node/entrylinks.go
@@ -14,6 +14,9 @@
 type processLink struct {
 	entry *Entry
 	conn  *stream.Conn
+	// number orders the connections that other processes have opened by the time of their
+	// acceptance; zero for a connection that this entry has dialled.
+	number uint64
 	// addr is the address that was dialled, or empty for a connection that another
 	// process has opened.
 	addr string
@@ -44,7 +47,7 @@
 
 // acceptLink returns the link for a connection that another process has opened.
 func (e *Entry) acceptLink(c *stream.Conn) *processLink {
-	l := &processLink{entry: e, done: make(chan struct{})}
+	l := &processLink{entry: e, number: e.lastLink.Add(1), done: make(chan struct{})}
 	return l.sendHello(c)
 }
 
@@ -94,8 +97,18 @@
 }
 
 // handleEnroll registers the connection of an agent. A second connection of the same
-// agent replaces the first.
+// agent replaces the first. An enrolment on an earlier connection than the last one of the
+// instance was delayed in this process: it lists neither the runs that were ordered since nor
+// those of the agent that has replaced its sender, which would count as lost.
 func (e *Entry) handleEnroll(l *processLink, m *wire.Enroll) {
+	e.enrollMu.Lock()
+	defer e.enrollMu.Unlock()
+	if l.number < e.enrolledLinks[m.Node] {
+		e.observer.Log.Info().Str("step", "agent").Str("peer", m.Node).Uint64("connection", l.number).Str("outcome", "ignored").Msg("enrolment on an earlier connection")
+		l.conn.Close()
+		return
+	}
+	e.enrolledLinks[m.Node] = l.number
 	l.agent = m.Agent
 	// No order may be sent on the new connection before the core has compared the
 	// runs that the agent reports with those that were ordered: a run ordered in
