dispatch: a crash report does not keep a run alive

Cause: an entry takes a run for alive if the agent lists it when it enrolls. The list repeats the reports of the last second, among them those of crashes, which say nothing of the run's end: if the report of the end was lost with an earlier connection and is older than a second, the entry waited for the run for as long as the agent was connected, and its job never ended. Change: reports of crashes only are left out of what an agent holds. Measured: TestRunOfWhichOnlyACrashIsReportedIsLost failed before (no result after 5 s), passes now.

--- a/process/dispatch/crash.go
+++ b/process/dispatch/crash.go
@@ -53,6 +53,10 @@
 	return noCrash
 }
 
+// reportsCrashOnly reports whether a report says that the target has crashed under a run
+// and nothing of the end of the run, which was reported before.
+func reportsCrashOnly(report wire.RunReport) bool { return report.TargetCrashed && report.End == "" }
+
 // crashRecord counts the targets that have crashed under a task.
 type crashRecord struct {
 	certain     int
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -17,7 +17,7 @@
 func (c *Core) handleRunReport(now time.Time, p *pool, t *target, report wire.RunReport) {
 	r := t.runs[report.Run]
 	switch {
-	case report.TargetCrashed && report.End == "":
+	case reportsCrashOnly(report):
 		c.noteCrash(now, p, report.Run, crashKindOf(report))
 	case r == nil && report.EndUnrecorded:
 		c.resolveLateEnd(now, p, t, report.Run)
--- a/process/dispatch/target.go
+++ b/process/dispatch/target.go
@@ -116,11 +116,14 @@
 }
 
 // reconcile handles the reports of the runs that an agent holds and ends all other
-// runs there as lost: they may have run before their session ended.
+// runs there as lost: they may have run before their session ended. A report of a crash
+// does not mean that the agent holds the run or still reports its end.
 func (c *Core) reconcile(now time.Time, p *pool, t *target, held []wire.RunReport) {
 	alive := make(map[batch.Run]bool, len(held))
 	for _, report := range held {
-		alive[report.Run] = true
+		if !reportsCrashOnly(report) {
+			alive[report.Run] = true
+		}
 	}
 	for _, r := range batch.SortedByRun(t.runs) {
 		if !alive[r.id()] {
