dispatch: count crashes under runs that the owner had given up

Cause: an owner counted a reported crash under a run of its own only if the run had ended with a report that made it suspect one. Runs that it gave up because an agent was silent, or enrolled without them, were not suspected, so a task that crashed its targets started too often (BUDGET), under one owner. Change: a crash counts under every run that the owner has ordered, once. Measured: TestCrashUnderARunThatWasGivenUpCounts failed before (no crash counted), passes now. All tests of process/dispatch pass.

--- a/process/dispatch/crash.go
+++ b/process/dispatch/crash.go
@@ -162,14 +162,15 @@
 	c.judgeCrashes(now, p, t)
 }
 
-// mayCountCrash reports whether a crash under a run counts for the task: its end was not
-// certain, or another owner of the job had ordered it and did not record its end.
+// mayCountCrash reports whether a crash under a run counts for the task: this entry has
+// ordered the run, or another owner of the job had ordered it and did not record its end.
+// The agent reports no crash under a run that has ended by itself.
 func (t *task) mayCountCrash(runNumber int) bool {
 	if t.crashes.isSuspected(runNumber) {
 		return true
 	}
 	if t.job.durableState == nil || runNumber > t.job.durableState.lastForeignRun {
-		return false
+		return runNumber <= t.lastNumber
 	}
 	// Processes before this version recorded no numbers.
 	return len(t.crashes.countedRuns) == t.crashes.certain+t.crashes.unconfirmed
--- a/process/dispatch/latecrashes_test.go
+++ b/process/dispatch/latecrashes_test.go
@@ -54,3 +54,21 @@
 		t.Errorf("result %+v 5 s after the run was lost, want %s", *result, dispatch.Completed)
 	}
 }
+
+// Guards against a task that crashes target after target and is started for ever, because
+// its owner has heard nothing of the agents for a while and gives the runs up before they
+// report the crashes (rule BUDGET).
+func TestCrashUnderARunThatWasGivenUpCounts(t *testing.T) {
+	for _, repeated := range []bool{false, true} {
+		a, run, _ := startAtScriptedAgent(t, 32, 10*time.Second)
+		a.c.run(2 * time.Second)
+		report := wire.RunReport{Run: run, TargetCrashed: true, StartUnconfirmed: true}
+		if a.enroll(report); repeated {
+			a.enroll(report)
+		}
+		progress, _ := a.c.entries[0].core.DurableProgress(run.Task.Job)
+		if len(progress) != 1 || progress[0].UnconfirmedCrashes != 1 {
+			t.Errorf("reported again %t: progress %+v, want one unconfirmed crash", repeated, progress)
+		}
+	}
+}
