runner: report crashes to entries that connect later

Cause: an agent reported a crash under a durable run to the entries that were connected at the moment. Measured: TestCrashIsReportedToAnEntryThatConnectsLater and TestCrashesKeptForLaterEntriesAreBounded failed before, pass now. All tests of process/runner, process/dispatch and process/node pass.

--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -73,6 +73,9 @@
 	// crashSuspects are the runs that lapsed while the target did not answer. Whether
 	// it has crashed shows when it answers again.
 	crashSuspects []crashSuspect
+	// crashReports are the reported crashes under durable runs, the oldest first, for
+	// entries that connect later.
+	crashReports []recentReport
 	// lossyUntil is the end of the period in which calls to the target are
 	// expected to get lost.
 	lossyUntil time.Time
--- a/process/runner/crash.go
+++ b/process/runner/crash.go
@@ -8,8 +8,15 @@
 	"github.com/azurerouter/azurerouter/request/batch"
 )
 
-// maxCrashSuspects bounds the runs that are remembered while a target does not answer.
-const maxCrashSuspects = 256
+const (
+	// maxCrashSuspects bounds the runs that are remembered while a target does not answer.
+	maxCrashSuspects = 256
+	// maxCrashReports bounds the crashes that are reported to entries which connect later,
+	// crashReportTTL the time for which they are. Entries remember a crash that concerns
+	// no job of theirs for as long.
+	maxCrashReports = 128
+	crashReportTTL  = time.Minute
+)
 
 // crashSuspect is a run that lapsed while the target did not answer.
 type crashSuspect struct {
@@ -32,13 +39,30 @@
 	}
 }
 
-// queueReportToOthers queues a report for all connected entries but one.
+// queueReportToOthers queues the report of a crash under a durable run for all connected
+// entries but one, and keeps it for those that connect later: any of them may own the job
+// by then.
 func (c *Core) queueReportToOthers(now time.Time, entry wire.Incarnation, report wire.RunReport) {
 	for _, s := range c.sessions {
 		if s.connected && s.entry != entry {
 			c.queueReport(now, s, report, 0)
 		}
 	}
+	if len(c.crashReports) == maxCrashReports {
+		c.crashReports = c.crashReports[1:]
+	}
+	c.crashReports = append(c.crashReports, recentReport{report, now})
+}
+
+// keptCrashReports returns the crashes that an entry that connects now may not know.
+func (c *Core) keptCrashReports(now time.Time) []wire.RunReport {
+	var reports []wire.RunReport
+	for _, kept := range c.crashReports {
+		if now.Sub(kept.queuedAt) <= crashReportTTL {
+			reports = append(reports, kept.report)
+		}
+	}
+	return reports
 }
 
 // reportCrash tells the entries under which of their runs the target has crashed. A
--- a/process/runner/crash_test.go
+++ b/process/runner/crash_test.go
@@ -147,3 +147,46 @@
 		t.Errorf("crashes reported to the other entry for the runs %v, want for the durable run only", got)
 	}
 }
+
+// Guards against a crash that an entry never learns of, because it was not connected when
+// the agent reported it and takes the job over later.
+func TestCrashIsReportedToAnEntryThatConnectsLater(t *testing.T) {
+	cases := map[time.Duration]bool{0: true, 30 * time.Second: true, 2 * time.Minute: false}
+	for delay, reported := range cases {
+		const laterEntry = entryID + 1
+		h := newHarness(t)
+		run, other := h.startDurableRun(0), h.sendStartOrder(1)
+		h.answerLastStart(runner.VerdictDone)
+		h.core.Disconnected(entryID)
+		h.reportTarget(2, 1)
+		h.completeHold(2, nil, nil)
+		h.silence()
+		h.advance(delay)
+		h.sent = nil
+		h.core.Connected(laterEntry)
+		h.core.Tick()
+		if got := h.crashReports(); got[run.Task.Index] != reported || got[other.Task.Index] {
+			t.Errorf("crashes reported %v after the crash for the runs %v, want for the durable run %t", delay, got, reported)
+		}
+	}
+}
+
+// Guards against a list of crashes that grows without a bound.
+func TestCrashesKeptForLaterEntriesAreBounded(t *testing.T) {
+	const laterEntry, crashes, limit = entryID + 1, 200, 128
+	h := newHarness(t)
+	for n := range crashes {
+		h.startDurableRun(n)
+		h.answerLastStart(runner.VerdictDone)
+		h.reportTarget(int64(2+n), 1)
+		h.completeHold(int64(2+n), nil, nil)
+		h.advance(time.Millisecond)
+		h.completeHold(int64(2+n), nil, nil)
+	}
+	h.sent = nil
+	h.core.Connected(laterEntry)
+	h.core.Tick()
+	if got := h.crashReports(); len(got) != limit || !got[crashes-1] {
+		t.Errorf("%d crashes reported, the last one %t, want the last %d", len(got), got[crashes-1], limit)
+	}
+}
--- a/process/runner/session.go
+++ b/process/runner/session.go
@@ -66,7 +66,7 @@
 		c.sessions[entry] = s
 	}
 	s.connected, s.handledSequence, s.waiting = true, 0, false
-	s.pendingReports, s.lastSentAt, s.sentRevision = nil, now, c.revision
+	s.pendingReports, s.reportAt, s.lastSentAt, s.sentRevision = c.keptCrashReports(now), now, now, c.revision
 	enroll := &wire.Enroll{Agent: c.options.Agent, Node: c.options.Node, Zone: c.options.Zone,
 		Clock: now.UnixMicro(), Target: c.targetState(), Free: c.free()}
 	for _, recent := range s.recentReports {
