keeper: an owner orders tasks only when it has read its own records

Callers saw tasks of jobs that they had cancelled start again, 3.7 s after the cancellation was acknowledged: their owner had been frozen meanwhile.

Cause: the permission to order rested on the age of the last append that succeeded. The first append after a pause succeeds, and restored it, before the reader had read the cancellations. The same holds for a reader that is behind or whose connection is dead.

Change: orders of durable tasks need, besides the ownership, an own append sent within 2.5 s that has been read back and applied; the log keeps the order of records, so that everything before it has been applied as well. Runs go on, and no call to the store is added. AppendResult has the offset after the records for it, and the memory log of the tests returns it.

--- a/process/dispatch/cluster_test.go
+++ b/process/dispatch/cluster_test.go
@@ -63,6 +63,9 @@
 	logRead     func() bool
 	// ownership is how long entries own their durable jobs after their start.
 	ownership time.Duration
+	// logKnown is how long after their start entries know the log well enough to order
+	// tasks of durable jobs.
+	logKnown time.Duration
 	// overlaps counts the errors that checkOverlap has reported.
 	overlaps int
 	// entryCount is the number of entries that every entry takes into account.
@@ -133,7 +136,7 @@
 
 func newCluster(t *testing.T, seed uint64, entries int, rooms []batch.Resources) *cluster {
 	c := &cluster{t: t, now: time.UnixMilli(1_000_000), random: rand.New(rand.NewPCG(seed, 1)), work: make(map[batch.Task]executor.Work),
-		ownership: endlessOwnership}
+		ownership: endlessOwnership, logKnown: endlessOwnership}
 	for i := range entries {
 		e := &entryNode{c: c, zone: fmt.Sprintf("zone-%d", i%3)}
 		c.entries = append(c.entries, e)
@@ -158,6 +161,7 @@
 	e.core = dispatch.New((*entryEnv)(e), e.id, e.zone, c.random.Uint64())
 	e.core.SetEntryCount(c.entryCount)
 	e.core.OwnDurableUntil(c.now.Add(c.ownership))
+	e.core.StartDurableUntil(c.now.Add(c.logKnown))
 }
 
 // setEntryCount sets the number of entries that the present and future entry
--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -40,7 +40,10 @@
 	// ownedUntil is when the ownership of the durable jobs ends, in nanoseconds of Unix
 	// time. It is compared with the time at each order, so that a process that was
 	// delayed does not order more.
-	ownedUntil   atomic.Int64
+	ownedUntil atomic.Int64
+	// startsUntil is when the knowledge of the log becomes too old to order tasks of
+	// durable jobs, likewise.
+	startsUntil  atomic.Int64
 	lastWaiterID atomic.Uint64
 	// entryCount is the number of entries that hold sessions with the same agents.
 	entryCount atomic.Int64
@@ -64,9 +67,9 @@
 	// durable holds the durable jobs until ForgetDurable is called: an ended job
 	// stays until its end is recorded.
 	durable map[batch.ID]*activeJob
-	// unownedSince is since when this entry does not own its durable jobs, or zero.
-	// suspensionLogged is set once that is logged.
-	unownedSince     time.Time
+	// suspendedSince is since when this entry may order no tasks of its durable jobs, or
+	// zero. suspensionLogged is set once that is logged.
+	suspendedSince   time.Time
 	suspensionLogged bool
 	// recordedEnds are the runs of durable jobs whose ends this entry has recorded, for
 	// agents that have not received the confirmation.
--- a/process/dispatch/durable.go
+++ b/process/dispatch/durable.go
@@ -229,7 +229,7 @@
 	if now.Before(j.heldUntil) || j.abandoned(now) {
 		return true
 	}
-	return j.durableState != nil && (!c.ownsDurable(now) || now.Before(j.durableState.notBefore))
+	return j.durableState != nil && (!c.mayStartDurable(now) || now.Before(j.durableState.notBefore))
 }
 
 // addDurableEnd reports progress of a durable job. If the agent keeps the end of
--- a/process/dispatch/ownership_test.go
+++ b/process/dispatch/ownership_test.go
@@ -17,8 +17,14 @@
 // and one target, on which a job of some tasks runs one after the other. The job is
 // complete once the returned result is set.
 func newOwnedCluster(t *testing.T, ownership time.Duration, tasks int, work time.Duration) (*cluster, **dispatch.Result) {
+	return newKnowingCluster(t, ownership, endlessOwnership, tasks, work)
+}
+
+// newKnowingCluster returns an owned cluster whose entry knows the log well enough to order
+// tasks for a time.
+func newKnowingCluster(t *testing.T, ownership, logKnown time.Duration, tasks int, work time.Duration) (*cluster, **dispatch.Result) {
 	c := newCluster(t, 41, 1, equalRooms(1, 1000))
-	c.ownership = ownership
+	c.ownership, c.logKnown = ownership, logKnown
 	c.startEntry(c.entries[0])
 	c.run(500 * time.Millisecond)
 	result := new(*dispatch.Result)
@@ -98,6 +104,30 @@
 	}
 }
 
+// Guards against an owner that orders tasks of jobs that may have been cancelled: it has
+// not read the log for too long (rule UNASKED, review/5). Its runs are not stopped, since
+// no other entry may start them.
+func TestOwnerThatDoesNotKnowTheLogStartsNoTasks(t *testing.T) {
+	const known, work = time.Second, 300 * time.Millisecond
+	c, result := newKnowingCluster(t, time.Minute, known, 4, work)
+	c.run(450 * time.Millisecond)
+	running := c.agents[0].executor.Running()
+	if len(running) != 1 {
+		t.Fatalf("runs %v before the log is unknown, want one", running)
+	}
+	c.run(100 * time.Millisecond)
+	if now := c.agents[0].executor.Running(); !slices.Equal(now, running) {
+		t.Errorf("runs %v just after the log is unknown, want %v to go on", now, running)
+	}
+	c.run(work)
+	c.checkNoRuns(time.Second)
+	c.entries[0].core.StartDurableUntil(c.now.Add(time.Minute))
+	c.run(2 * time.Second)
+	if *result == nil || (*result).Code != dispatch.Completed {
+		t.Errorf("result %v after the log is known again, want %s", *result, dispatch.Completed)
+	}
+}
+
 // Guards against a late extension that shortens the ownership.
 func TestEarlierEndOfTheOwnershipHasNoEffect(t *testing.T) {
 	c, result := newOwnedCluster(t, time.Minute, 2, 60*time.Millisecond)
--- a/process/keeper/fakes_test.go
+++ b/process/keeper/fakes_test.go
@@ -36,6 +36,8 @@
 // writerState holds the highest epoch of a writer and its next sequence number.
 type writerState struct {
 	epoch, next uint64
+	// ends has the offset after the records of each append, by sequence number.
+	ends []uint64
 }
 
 func newMemoryLog() *memoryLog {
@@ -55,19 +57,20 @@
 	var answer AppendResult
 	l.update(func() {
 		if l.forcedVerdict == "" || l.appendAnyway {
-			answer.Verdict = l.append(a)
+			answer = l.append(a)
 		}
 		if l.forcedVerdict != "" {
-			answer.Verdict = l.forcedVerdict
+			answer = AppendResult{Verdict: l.forcedVerdict}
 		}
 	})
 	return answer
 }
 
-func (l *memoryLog) append(a AppendRequest) Verdict {
+func (l *memoryLog) append(a AppendRequest) AppendResult {
 	if a.ExpectedEnd != nil && *a.ExpectedEnd != uint64(len(l.records)) {
-		return EndMoved
+		return AppendResult{Verdict: EndMoved}
 	}
+	end := uint64(len(l.records) + len(a.Records))
 	if a.Writer != "" {
 		w := l.writers[a.Writer]
 		if w == nil {
@@ -75,23 +78,24 @@
 			l.writers[a.Writer] = w
 		}
 		if a.Epoch < w.epoch {
-			return Fenced
+			return AppendResult{Verdict: Fenced}
 		}
 		if a.Epoch > w.epoch {
 			w.epoch, w.next = a.Epoch, a.Sequence
 		}
 		switch {
 		case len(a.Records) == 0:
-			return Done
+			return AppendResult{Verdict: Done, Next: end}
 		case a.Sequence < w.next:
-			return Done
+			return AppendResult{Verdict: Done, Next: w.ends[a.Sequence]}
 		case a.Sequence > w.next:
-			return OutOfSequence
+			return AppendResult{Verdict: OutOfSequence}
 		}
 		w.next++
+		w.ends = append(w.ends, end)
 	}
 	l.records = append(l.records, a.Records...)
-	return Done
+	return AppendResult{Verdict: Done, Next: end}
 }
 
 func (l *memoryLog) End(context.Context, uint64) (uint64, error) {
@@ -149,10 +153,15 @@
 	forgotten map[batch.ID]bool
 	// ownedUntil is the latest end of the ownership that was passed.
 	ownedUntil time.Time
+	// startsUntil is the latest end of the time for starts that was passed.
+	startsUntil time.Time
+	// stopped is the set of jobs that StopDurable was called for.
+	stopped map[batch.ID]bool
 }
 
 func newFakeDispatcher() *fakeDispatcher {
-	return &fakeDispatcher{finished: make(map[batch.ID]func(dispatch.Result)), progress: make(map[batch.ID][]dispatch.TaskProgress), forgotten: make(map[batch.ID]bool)}
+	return &fakeDispatcher{finished: make(map[batch.ID]func(dispatch.Result)), progress: make(map[batch.ID][]dispatch.TaskProgress), forgotten: make(map[batch.ID]bool),
+		stopped: make(map[batch.ID]bool)}
 }
 
 func (d *fakeDispatcher) AdmitDurable(batch.Submission) (dispatch.Result, bool) {
@@ -170,7 +179,11 @@
 	return d.progress[id], 0
 }
 func (d *fakeDispatcher) ConfirmDurableEnds(batch.ID, int) {}
-func (d *fakeDispatcher) StopDurable(batch.ID)             {}
+func (d *fakeDispatcher) StopDurable(id batch.ID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stopped[id] = true
+}
 func (d *fakeDispatcher) ForgetDurable(id batch.ID, _ bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -184,6 +197,28 @@
 	}
 }
 
+func (d *fakeDispatcher) StartDurableUntil(end time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if end.After(d.startsUntil) {
+		d.startsUntil = end
+	}
+}
+
+// mayStart reports whether tasks of durable jobs may start at a time.
+func (d *fakeDispatcher) mayStart(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return now.Before(d.ownedUntil) && now.Before(d.startsUntil)
+}
+
+// hasStopped reports whether StopDurable was called for a job.
+func (d *fakeDispatcher) hasStopped(id batch.ID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stopped[id]
+}
+
 // owns reports whether durable jobs may run at a time.
 func (d *fakeDispatcher) owns(now time.Time) bool { return now.Before(d.ownershipEnd()) }
 
--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -33,6 +33,9 @@
 	// OwnDurableUntil extends the time for which durable jobs may run. After it, their
 	// runs are stopped and no more start.
 	OwnDurableUntil(end time.Time)
+	// StartDurableUntil extends the time for which the log is known well enough to order
+	// tasks of durable jobs. After it, their runs go on but no more start.
+	StartDurableUntil(end time.Time)
 	// HasStarted reports whether a task of a durable job has been started by this
 	// entry.
 	HasStarted(id batch.ID) bool
@@ -111,6 +114,8 @@
 	// lastAppend is when the last successful append under the name self was sent, the
 	// first time if it was repeated.
 	lastAppend time.Time
+	// readBack holds the appends under the name self that have not been read yet.
+	readBack readBack
 	// appendLatency is a moving average of the latency of successful appends. Only
 	// the writer uses it.
 	appendLatency time.Duration
--- a/process/keeper/log.go
+++ b/process/keeper/log.go
@@ -12,7 +12,8 @@
 )
 
 // Timing of job ownership. An owner starts no tasks once ownerTTL has passed since
-// it sent its last successful append. Other entries claim its jobs only after they
+// it sent its last successful append, or maxLogAge since it sent the last one that it
+// has read from the log. Other entries claim its jobs only after they
 // have read no record of it for takeoverAfter, which is longer. They start none of
 // the tasks before every run of the dead owner is certain to have ended.
 const (
@@ -62,6 +63,8 @@
 type AppendResult struct {
 	Verdict Verdict
 	Err     error
+	// Next is the offset after the appended records, if the verdict is Done.
+	Next uint64
 }
 
 // ReadRecord is a record that was read from the log, with its offset.
--- a/process/keeper/reader.go
+++ b/process/keeper/reader.go
@@ -78,6 +78,7 @@
 		k.updateJob(now, id)
 	}
 	k.notePageRead(now, p)
+	k.permitStarts()
 	if k.pageApplied != nil {
 		close(k.pageApplied)
 		k.pageApplied = nil
--- a/process/keeper/writer.go
+++ b/process/keeper/writer.go
@@ -179,7 +179,7 @@
 		switch answer.Verdict {
 		case Done:
 			k.noteAppendLatency(k.options.Now().Sub(sent))
-			k.noteBatchAppended(mayTakeEffect, b)
+			k.noteBatchAppended(unreadAppend{next: answer.Next, sent: mayTakeEffect}, b)
 			return true
 		case Unknown:
 			// The repeat has the same sequence number, so the log answers it as it
@@ -248,13 +248,14 @@
 	k.logDecision("", "job_log", outcome, reason, k.nextOffset)
 }
 
-// noteBatchAppended updates the state after a batch was appended that was sent at the
-// given time. It extends the ownership, answers the callers and reports the stored progress
-// to the dispatcher.
-func (k *Keeper) noteBatchAppended(sent time.Time, b *appendBatch) {
+// noteBatchAppended updates the state after a batch was appended. It extends the
+// ownership, answers the callers and reports the stored progress to the dispatcher.
+func (k *Keeper) noteBatchAppended(a unreadAppend, b *appendBatch) {
 	k.setLogUnavailable(false, nil)
 	k.mu.Lock()
-	k.lastAppend = sent
+	k.lastAppend = a.sent
+	k.readBack.add(k.options.Now(), a)
+	k.permitStarts()
 	for _, p := range b.progress {
 		if p.final {
 			delete(k.ownedJobs, p.id)
@@ -265,7 +266,7 @@
 		}
 	}
 	k.mu.Unlock()
-	k.dispatcher.OwnDurableUntil(sent.Add(ownerTTL))
+	k.dispatcher.OwnDurableUntil(a.sent.Add(ownerTTL))
 	for _, queued := range b.items {
 		if queued.outcome != nil {
 			queued.outcome <- Outcome{Code: Accepted}
