keeper: a page read during a call does not make its job unknown

Callers could see a DELETE answered 410, and lost, although their job was accepted: the entry lacked records when it was asked, and its reader finished a page before the entry looked at the log again.

Cause: an entry that lacks records does not read the log for the call, but reported that as success; the second look at its state then decided.

Change: only a read that was made for the call lets a job be unknown.

Measured: TestEntryThatLackedRecordsHasNotReadTheLogForACall failed before. Tests of process/keeper pass.

--- a/process/keeper/calls.go
+++ b/process/keeper/calls.go
@@ -179,14 +179,15 @@
 }
 
 // readIfUnknown reads the log to its present end if it is not known to contain a job. It
-// returns false if that is not possible, so that the job may exist all the same.
+// returns false if that is not possible, so that the job may exist all the same. An entry
+// that lacks records as far as it knows does not try: other entries know more.
 func (k *Keeper) readIfUnknown(ctx context.Context, id batch.ID) bool {
 	k.mu.Lock()
 	_, known := k.table.Job(id)
-	mayBeKnown := known || !k.knowsAllJobs()
+	lacksRecords := !k.knowsAllJobs()
 	k.mu.Unlock()
-	if mayBeKnown {
-		return true
+	if known || lacksRecords {
+		return known
 	}
 	ctx, cancel := context.WithTimeout(ctx, currentReadTimeout)
 	defer cancel()
--- a/process/keeper/reader_test.go
+++ b/process/keeper/reader_test.go
@@ -221,3 +221,12 @@
 		t.Errorf("state: %s, expected %s", code, Accepted)
 	}
 }
+
+// Guards against a cancellation that is answered as one of an unknown job because the
+// entry, which lacked records, reads a page between its two looks at the log.
+func TestEntryThatLackedRecordsHasNotReadTheLogForACall(t *testing.T) {
+	e := New(Options{Owner: "a", Now: time.Now, UnixTime: time.Now}, newMemoryLog(), newFakeDispatcher(), discardSink{})
+	if e.readIfUnknown(context.Background(), "j") {
+		t.Error("an entry that has not read the log counts as one that has read it to its end")
+	}
+}
