keeper: a record that the log rejects does not hold up the others

Callers would have had no answers about kept jobs at an entry, whose jobs others then take over, once the store rejected one of its records.

Cause: an append that was answered with a status that a repeat gets too counted as unanswered and was repeated for ever. The progress of all due jobs went into one append without a limit, so that it could be larger than the store takes.

Change: the verdict Rejected for such a status. The parts of a rejected batch are appended one by one, and one that is rejected alone is dropped. Progress counts for the limit of a batch.

--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -119,6 +119,9 @@
 	// appendLatency is a moving average of the latency of successful appends. Only
 	// the writer uses it.
 	appendLatency time.Duration
+	// singleAppends is how many of the next appends have one part only, because the log
+	// has rejected these parts together.
+	singleAppends int
 	// notBefore holds the earliest time at which tasks of a job taken over from
 	// another owner may start.
 	notBefore map[batch.ID]time.Time
--- a/process/keeper/log.go
+++ b/process/keeper/log.go
@@ -48,6 +48,9 @@
 	Done Verdict = "done"
 	// Refused: the append was refused and has no effect.
 	Refused Verdict = "not_done"
+	// Rejected: the append was refused because of its records and has no effect. Any
+	// repeat is refused too.
+	Rejected Verdict = "rejected"
 	// EndMoved: the log does not end at the offset in AppendRequest.ExpectedEnd.
 	EndMoved Verdict = "moved"
 	// Fenced: the log has received a higher epoch of the writer.
--- a/process/keeper/writer.go
+++ b/process/keeper/writer.go
@@ -31,7 +31,8 @@
 	// append latency.
 	latencyWeight = 0.2
 	// maxBatchBytes is the approximate size limit of one append: once it is
-	// reached, no further queued record or claim is added.
+	// reached, no further queued record, progress or claim is added. The log takes
+	// twice as much.
 	maxBatchBytes = 1 << 20
 	// firstEpoch is the epoch of every owner: a deposed process continues under
 	// another name instead of a higher epoch.
@@ -91,12 +92,16 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	b := appendBatch{owner: k.self}
-	size := 0
+	size, limit := 0, maxBatchBytes
+	if k.singleAppends > 0 {
+		k.singleAppends--
+		limit = 1
+	}
 	add := func(r ledger.Record) {
 		b.records = append(b.records, r)
 		size += len(r.Key) + len(r.Value)
 	}
-	for len(k.queue) > 0 && size < maxBatchBytes {
+	for len(k.queue) > 0 && size < limit {
 		b.items = append(b.items, k.queue[0])
 		if id := k.queue[0].acceptsJob; id != "" {
 			k.maybeAccepted[id] = true
@@ -114,6 +119,10 @@
 		if !owned {
 			continue
 		}
+		if size >= limit {
+			k.NoteProgress(id)
+			continue
+		}
 		progress, ends := k.currentProgress(id, finalStates[id])
 		r, err := ledger.ProgressRecord(id, term, k.self, progress)
 		if err != nil {
@@ -201,6 +210,9 @@
 			if len(b.records) == 0 {
 				return false
 			}
+		case Rejected:
+			k.handleRejected(b, answer.Err)
+			return false
 		case Fenced, OutOfSequence:
 			if unanswered == 0 {
 				k.refuseBatchCalls(b)
@@ -237,15 +249,11 @@
 		return
 	}
 	k.logUnavailable = unavailable
-	reason := ""
-	if err != nil {
-		reason = err.Error()
-	}
 	outcome := "regained"
 	if unavailable {
 		outcome = "lost"
 	}
-	k.logDecision("", "job_log", outcome, reason, k.nextOffset)
+	k.logDecision("", "job_log", outcome, errorText(err), k.nextOffset)
 }
 
 // noteBatchAppended updates the state after a batch was appended. It extends the
