--- a/process/keeper/log.go
+++ b/process/keeper/log.go
@@ -12,7 +12,8 @@
 )
 
 // Timing of job ownership. An owner starts no tasks once ownerTTL has passed since
-// it sent its last successful append. Other entries claim its jobs only after they
+// it sent its last successful append, or maxLogAge since it sent the last one that it
+// has read from the log. Other entries claim its jobs only after they
 // have read no record of it for takeoverAfter, which is longer. They start none of
 // the tasks before every run of the dead owner is certain to have ended.
 const (
@@ -47,6 +48,9 @@
 	Done Verdict = "done"
 	// Refused: the append was refused and has no effect.
 	Refused Verdict = "not_done"
+	// Rejected: the append was refused because of its records and has no effect. Any
+	// repeat is refused too.
+	Rejected Verdict = "rejected"
 	// EndMoved: the log does not end at the offset in AppendRequest.ExpectedEnd.
 	EndMoved Verdict = "moved"
 	// Fenced: the log has received a higher epoch of the writer.
@@ -62,6 +66,8 @@
 type AppendResult struct {
 	Verdict Verdict
 	Err     error
+	// Next is the offset after the appended records, if the verdict is Done.
+	Next uint64
 }
 
 // ReadRecord is a record that was read from the log, with its offset.
--- a/process/keeper/writer.go
+++ b/process/keeper/writer.go
@@ -31,7 +31,8 @@
 	// append latency.
 	latencyWeight = 0.2
 	// maxBatchBytes is the approximate size limit of one append: once it is
-	// reached, no further queued record or claim is added.
+	// reached, no further queued record, progress or claim is added. The log takes
+	// twice as much.
 	maxBatchBytes = 1 << 20
 	// firstEpoch is the epoch of every owner: a deposed process continues under
 	// another name instead of a higher epoch.
@@ -91,12 +92,16 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	b := appendBatch{owner: k.self}
-	size := 0
+	size, limit := 0, maxBatchBytes
+	if k.singleAppends > 0 {
+		k.singleAppends--
+		limit = 1
+	}
 	add := func(r ledger.Record) {
 		b.records = append(b.records, r)
 		size += len(r.Key) + len(r.Value)
 	}
-	for len(k.queue) > 0 && size < maxBatchBytes {
+	for len(k.queue) > 0 && size < limit {
 		b.items = append(b.items, k.queue[0])
 		if id := k.queue[0].acceptsJob; id != "" {
 			k.maybeAccepted[id] = true
@@ -114,6 +119,10 @@
 		if !owned {
 			continue
 		}
+		if size >= limit {
+			k.NoteProgress(id)
+			continue
+		}
 		progress, ends := k.currentProgress(id, finalStates[id])
 		r, err := ledger.ProgressRecord(id, term, k.self, progress)
 		if err != nil {
@@ -179,7 +188,7 @@
 		switch answer.Verdict {
 		case Done:
 			k.noteAppendLatency(k.options.Now().Sub(sent))
-			k.noteBatchAppended(mayTakeEffect, b)
+			k.noteBatchAppended(unreadAppend{next: answer.Next, sent: mayTakeEffect}, b)
 			return true
 		case Unknown:
 			// The repeat has the same sequence number, so the log answers it as it
@@ -201,6 +210,9 @@
 			if len(b.records) == 0 {
 				return false
 			}
+		case Rejected:
+			k.handleRejected(b, answer.Err)
+			return false
 		case Fenced, OutOfSequence:
 			if unanswered == 0 {
 				k.refuseBatchCalls(b)
@@ -237,24 +249,21 @@
 		return
 	}
 	k.logUnavailable = unavailable
-	reason := ""
-	if err != nil {
-		reason = err.Error()
-	}
 	outcome := "regained"
 	if unavailable {
 		outcome = "lost"
 	}
-	k.logDecision("", "job_log", outcome, reason, k.nextOffset)
+	k.logDecision("", "job_log", outcome, errorText(err), k.nextOffset)
 }
 
-// noteBatchAppended updates the state after a batch was appended that was sent at the
-// given time. It extends the ownership, answers the callers and reports the stored progress
-// to the dispatcher.
-func (k *Keeper) noteBatchAppended(sent time.Time, b *appendBatch) {
+// noteBatchAppended updates the state after a batch was appended. It extends the
+// ownership, answers the callers and reports the stored progress to the dispatcher.
+func (k *Keeper) noteBatchAppended(a unreadAppend, b *appendBatch) {
 	k.setLogUnavailable(false, nil)
 	k.mu.Lock()
-	k.lastAppend = sent
+	k.lastAppend = a.sent
+	k.readBack.add(k.options.Now(), a)
+	k.permitStarts()
 	for _, p := range b.progress {
 		if p.final {
 			delete(k.ownedJobs, p.id)
@@ -265,7 +274,7 @@
 		}
 	}
 	k.mu.Unlock()
-	k.dispatcher.OwnDurableUntil(sent.Add(ownerTTL))
+	k.dispatcher.OwnDurableUntil(a.sent.Add(ownerTTL))
 	for _, queued := range b.items {
 		if queued.outcome != nil {
 			queued.outcome <- Outcome{Code: Accepted}
