keeper: no refusal for an append that was rejected after an unanswered attempt

Cause: the callers of a rejected record were told that their job was not accepted, also if an earlier attempt of the same append had no answer and may have taken effect. Change: they get no answer then, so that the submission is undecided. Measured: TestRejectedRepeatOfAnUnansweredAppendIsUndecided; before, the outcome was not_accepted.

--- a/process/keeper/rejected.go
+++ b/process/keeper/rejected.go
@@ -8,7 +8,8 @@
 // handleRejected handles a batch that the log will never take because of its records. A
 // repeat would keep all later records, and the heartbeat of this owner, from the log. The
 // parts of the batch are appended one by one; a part that is rejected alone is dropped.
-func (k *Keeper) handleRejected(b *appendBatch, err error) {
+// Its callers get no answer if an earlier attempt had none: it may have taken effect.
+func (k *Keeper) handleRejected(b *appendBatch, unanswered bool, err error) {
 	if parts := len(b.items) + len(b.progress); parts > 1 {
 		k.logDecision("", "job_log", "rejected", errorText(err), 0, decision.Input{Name: "records", Value: int64(len(b.records))})
 		k.requeueSingly(b)
@@ -18,7 +19,9 @@
 	switch {
 	case len(b.items) == 1:
 		id = b.items[0].acceptsJob
-		k.rejectItem(b.items[0])
+		if !unanswered {
+			k.rejectItem(b.items[0])
+		}
 	case len(b.progress) == 1:
 		id = b.progress[0].id
 	default:
--- a/process/keeper/rejected_test.go
+++ b/process/keeper/rejected_test.go
@@ -118,3 +118,22 @@
 		t.Errorf("progress of %d jobs appended, want %d", len(recorded), jobs)
 	}
 }
+
+// Guards against a caller who is told that its job was not accepted, because the log rejects
+// the repeat of an append that was not answered and had taken effect.
+func TestRejectedRepeatOfAnUnansweredAppendIsUndecided(t *testing.T) {
+	log := &interceptedLog{memoryLog: newMemoryLog()}
+	var attempts atomic.Int32
+	log.intercept = func(AppendRequest) Verdict {
+		if attempts.Add(1) == 1 {
+			return Unknown
+		}
+		return Rejected
+	}
+	e := startEntry(t, log, &clock{}, "a")
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	if o := e.Submit(ctx, submission("j")); o.Code != Undecided || attempts.Load() < 2 {
+		t.Errorf("%+v after %d attempts, want %s", o, attempts.Load(), Undecided)
+	}
+}
--- a/process/keeper/writer.go
+++ b/process/keeper/writer.go
@@ -211,7 +211,7 @@
 				return false
 			}
 		case Rejected:
-			k.handleRejected(b, answer.Err)
+			k.handleRejected(b, unanswered > 0, answer.Err)
 			return false
 		case Fenced, OutOfSequence:
 			if unanswered == 0 {
