dispatch: passes over a long queue reuse their memory and look at it once

Cause: a pass collected all waiting groups twice, in new memory each time: 595 kB with 1,500 jobs. Change: groups are small, with times computed once for each step; their memory is used again; the description of the queue is made from the groups of the pass, and that there are none is remembered as well. The order of the queue and what is described are unchanged. The new test fails before with 595,425 bytes.

--- a/process/dispatch/admit.go
+++ b/process/dispatch/admit.go
@@ -45,7 +45,7 @@
 		}
 	}
 	slack := s.TimeLeft() - s.Job.CriticalPath()
-	adjustedStart := now.Add(slack + time.Duration(s.Priority)*priorityDelay)
+	adjustedStart := now.Add(slack + time.Duration(s.Priority)*priorityDelay).UnixNano()
 	if wait := c.expectedWait(now, adjustedStart, p); overloadWaitFactor*wait > slack && !c.hasRoomFor(now, p, s.Job.Steps[0]) {
 		return Result{Code: NotRun, Reason: ReasonOverloaded, RetryAfter: wait}, false
 	}
@@ -67,7 +67,7 @@
 // adjusted start, waits for the tasks that are served before it. The processor
 // time used by the entry's own runs is taken as the rate at which it serves its
 // queue.
-func (c *Core) expectedWait(now, adjustedStart time.Time, p *pool) time.Duration {
+func (c *Core) expectedWait(now time.Time, adjustedStart int64, p *pool) time.Duration {
 	usedMilliCPU := 0
 	for _, t := range p.targetList {
 		for _, r := range t.runs {
@@ -76,7 +76,7 @@
 	}
 	var workAhead float64
 	for _, g := range c.groups(now, p) {
-		if g.rank == rankLate || (g.rank == rankTimely && g.adjustedStart.After(adjustedStart)) {
+		if g.rank == rankLate || (g.rank == rankTimely && g.adjustedStart > adjustedStart) {
 			continue
 		}
 		step := g.job.Job.Steps[g.step]
--- a/process/dispatch/assign.go
+++ b/process/dispatch/assign.go
@@ -48,12 +48,13 @@
 
 // pass assigns the waiting tasks.
 func (c *Core) pass(now time.Time, p *pool) {
-	p.lastPass, p.waiting = now, nil
+	p.lastPass, p.waiting, p.waitingAt = now, nil, time.Time{}
 	if c.pauses.justResumed(now) {
 		return
 	}
 	queue := newGroupQueue(c.groups(now, p))
 	if queue.Len() == 0 {
+		p.waitingAt = now
 		return
 	}
 	out := orderBatch{orders: make(map[*target]*wire.Orders)}
@@ -65,7 +66,9 @@
 			unplaced++
 		}
 	}
-	waiting := c.describeWaiting(now, p)
+	// The queue keeps the groups that were taken from it in its memory.
+	p.waiting, p.waitingAt = describeGroups(now, p.groups), now
+	waiting := p.waiting
 	for _, t := range out.targets {
 		out.orders[t].Waiting = waiting
 		c.send(now, p, t, out.orders[t])
@@ -137,7 +140,7 @@
 	c.counters.runsOrdered.Add(uint64(len(start.Tasks)))
 	c.env.Record(decision.Decision{Step: "place", Job: j.Job.ID, Peer: t.node, Outcome: "ordered", Age: now.Sub(t.lastReceived),
 		Version: t.state.Revision, Routine: true, Inputs: []decision.Input{{Name: "job_step", Value: int64(g.step)},
-			{Name: "tasks", Value: int64(len(start.Tasks))}, {Name: "free_millicpu", Value: int64(t.reportedFree.MilliCPU)}, {Name: "slack_ms", Value: g.latestStart.Sub(now).Milliseconds()}}})
+			{Name: "tasks", Value: int64(len(start.Tasks))}, {Name: "free_millicpu", Value: int64(t.reportedFree.MilliCPU)}, {Name: "slack_ms", Value: j.latestStart(g.step).Sub(now).Milliseconds()}}})
 	if out.orders[t] == nil {
 		out.orders[t] = &wire.Orders{}
 		out.targets = append(out.targets, t)
--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -81,10 +81,13 @@
 	answerOrder []batch.ID
 	durations   durationStats
 	// lastPass is when the waiting tasks were last assigned, waiting their description at
-	// waitingAt, or nil.
-	lastPass      time.Time
-	waiting       *wire.Waiting
-	waitingAt     time.Time
+	// waitingAt, which is nil if there were none. waitingAt is zero if they have not been
+	// described since the last pass.
+	lastPass  time.Time
+	waiting   *wire.Waiting
+	waitingAt time.Time
+	// groups is the result of the last call of Core.groups.
+	groups        []group
 	resubmissions resubmissionShares
 }
 
--- a/process/dispatch/durable.go
+++ b/process/dispatch/durable.go
@@ -224,12 +224,13 @@
 	}
 }
 
-// onHold reports whether the tasks of a job must not be assigned now.
-func (c *Core) onHold(now time.Time, j *activeJob) bool {
+// onHold reports whether the tasks of a job must not be assigned now. owned is set if this
+// entry owns its durable jobs.
+func (j *activeJob) onHold(now time.Time, owned bool) bool {
 	if now.Before(j.heldUntil) || j.abandoned(now) {
 		return true
 	}
-	return j.durableState != nil && (!c.ownsDurable(now) || now.Before(j.durableState.notBefore))
+	return j.durableState != nil && (!owned || now.Before(j.durableState.notBefore))
 }
 
 // addDurableEnd reports progress of a durable job. If the agent keeps the end of
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -42,6 +42,11 @@
 	// they are placed.
 	ready []*task
 	tasks []*task
+	// latestStart is when the step must start for the job to meet its objective, in
+	// nanoseconds of Unix time. adjustedStart is later for a queue of lower priority and
+	// orders the groups of one rank.
+	latestStart   int64
+	adjustedStart int64
 	// runsPerNode counts the live runs by node, for steps with MaxPerTarget.
 	runsPerNode map[string]int
 }
@@ -100,6 +105,11 @@
 		}
 	}
 	j.estimateTimesToEnd()
+	for step := range j.steps {
+		latest := j.latestStart(step)
+		j.steps[step].latestStart = latest.UnixNano()
+		j.steps[step].adjustedStart = latest.Add(time.Duration(s.Priority) * priorityDelay).UnixNano()
+	}
 	return j
 }
 
--- a/process/dispatch/queue.go
+++ b/process/dispatch/queue.go
@@ -9,16 +9,14 @@
 	"github.com/azurerouter/azurerouter/request/batch"
 )
 
-// group holds the waiting tasks of one step of a job.
+// group holds the waiting tasks of one step of a job. It is small, because a pass creates
+// one for each waiting job.
 type group struct {
 	job  *activeJob
 	step int
 	rank rank
-	// latestStart is when the step must start for the job to meet its objective.
-	latestStart time.Time
-	// adjustedStart is latestStart, later for a queue of lower priority. It
-	// orders the groups of one rank.
-	adjustedStart time.Time
+	// adjustedStart is stepState.adjustedStart of the step.
+	adjustedStart int64
 }
 
 // rank is the first criterion of the order in which groups are served.
@@ -40,44 +38,56 @@
 // next higher level only if its latest start is earlier by more than this.
 const priorityDelay = 100 * time.Millisecond
 
-func (g group) demand() batch.Resources { return g.job.Job.Steps[g.step].Demand }
+func (g *group) demand() batch.Resources { return g.job.Job.Steps[g.step].Demand }
 
-// groups returns the waiting groups in no particular order.
+// groups returns the waiting groups in no particular order. The result is valid until the
+// next call, which uses its memory again.
 func (c *Core) groups(now time.Time, p *pool) []group {
-	var groups []group
+	previous := len(p.groups)
+	groups := p.groups[:0]
+	owned, nanos := c.ownsDurable(now), now.UnixNano()
 	for _, j := range p.jobs {
-		if c.onHold(now, j) {
-			continue
-		}
+		held, checked := false, false
 		for step := range j.steps {
-			if len(j.steps[step].ready) > 0 {
-				groups = append(groups, newGroup(now, j, step))
+			state := &j.steps[step]
+			if len(state.ready) == 0 {
+				continue
+			}
+			if !checked {
+				held, checked = j.onHold(now, owned), true
 			}
+			if held {
+				break
+			}
+			groups = append(groups, group{job: j, step: step, rank: j.rank(nanos, state), adjustedStart: state.adjustedStart})
 		}
 	}
+	if len(groups) < previous {
+		clear(p.groups[len(groups):previous])
+	}
+	p.groups = groups
 	return groups
 }
 
-func newGroup(now time.Time, j *activeJob, step int) group {
-	g := group{job: j, step: step, rank: rankTimely, latestStart: j.latestStart(step)}
-	g.adjustedStart = g.latestStart.Add(time.Duration(j.Priority) * priorityDelay)
+// rank returns the rank of a step's waiting tasks. now is in nanoseconds of Unix time.
+func (j *activeJob) rank(now int64, state *stepState) rank {
 	switch {
 	case j.runsStarted > 0:
-		g.rank = rankStarted
-	case g.latestStart.Before(now):
-		g.rank = rankLate
+		return rankStarted
+	case state.latestStart < now:
+		return rankLate
 	}
-	return g
+	return rankTimely
 }
 
 // isBefore reports whether the group is served before another one: by rank, then the least
 // slack first, so that a burst of jobs is served by urgency.
-func (g group) isBefore(other group) bool {
+func (g *group) isBefore(other *group) bool {
 	switch {
 	case g.rank != other.rank:
 		return g.rank < other.rank
-	case !g.adjustedStart.Equal(other.adjustedStart):
-		return g.adjustedStart.Before(other.adjustedStart)
+	case g.adjustedStart != other.adjustedStart:
+		return g.adjustedStart < other.adjustedStart
 	case g.job != other.job:
 		return g.job.Job.ID < other.job.Job.ID
 	}
@@ -91,7 +101,7 @@
 // slack returns the urgency of a group; less is more urgent. Agents compare it
 // with that of the groups of other entries.
 func (g group) slack(now time.Time) time.Duration {
-	return g.adjustedStart.Sub(now) + time.Duration(g.rank)*rankSlack
+	return time.Duration(g.adjustedStart-now.UnixNano()) + time.Duration(g.rank)*rankSlack
 }
 
 // groupQueue is a heap of groups, the one that is served first at the front. A pass needs
@@ -110,7 +120,7 @@
 // Len, Less, Swap, Push and Pop implement heap.Interface.
 
 func (q groupQueue) Len() int           { return len(q) }
-func (q groupQueue) Less(i, j int) bool { return q[i].isBefore(q[j]) }
+func (q groupQueue) Less(i, j int) bool { return q[i].isBefore(&q[j]) }
 func (q groupQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
 func (q *groupQueue) Push(g any)        { *q = append(*q, g.(group)) }
 func (q *groupQueue) Pop() any {
@@ -123,7 +133,7 @@
 // describeWaiting describes the tasks that wait for room, or returns nil if there are
 // none. With many jobs it repeats the description of the last pass for a moment.
 func (c *Core) describeWaiting(now time.Time, p *pool) *wire.Waiting {
-	if p.waiting != nil && now.Sub(p.waitingAt) < p.passPause() {
+	if !p.waitingAt.IsZero() && now.Sub(p.waitingAt) < p.passPause() {
 		return p.waiting
 	}
 	p.waiting, p.waitingAt = describeGroups(now, c.groups(now, p)), now
@@ -131,20 +141,30 @@
 }
 
 // describeGroups describes the most urgent of the groups and the smallest task that fits
-// where a task of that one does.
+// where a task of that one does. It leaves out groups whose tasks have been placed since
+// they were collected.
 func describeGroups(now time.Time, groups []group) *wire.Waiting {
-	if len(groups) == 0 {
-		return nil
-	}
-	first := groups[0]
-	for _, g := range groups[1:] {
-		if g.isBefore(first) {
+	var first *group
+	nanos := now.UnixNano()
+	for i := range groups {
+		g := &groups[i]
+		state := &g.job.steps[g.step]
+		if len(state.ready) == 0 {
+			continue
+		}
+		g.rank = g.job.rank(nanos, state)
+		if first == nil || g.isBefore(first) {
 			first = g
 		}
 	}
-	w := &wire.Waiting{SlackMS: first.slack(now).Milliseconds(), Smallest: first.demand()}
-	for _, g := range groups {
-		if demand := g.demand(); demand.FitsIn(first.demand()) && compareDemands(demand, w.Smallest) < 0 {
+	if first == nil {
+		return nil
+	}
+	largest := first.demand()
+	w := &wire.Waiting{SlackMS: first.slack(now).Milliseconds(), Smallest: largest}
+	for i := range groups {
+		g := &groups[i]
+		if demand := g.demand(); demand.FitsIn(largest) && compareDemands(demand, w.Smallest) < 0 && len(g.job.steps[g.step].ready) > 0 {
 			w.Smallest = demand
 		}
 	}
--- a/process/dispatch/queue_test.go
+++ b/process/dispatch/queue_test.go
@@ -47,6 +47,27 @@
 	}
 }
 
+// Guards against an entry that spends its processor time on the memory of its passes over a
+// long queue, and on collecting it (deadly-kept on braeholm-payouts-grown).
+func TestPassesOverALongQueueReuseTheirMemory(t *testing.T) {
+	const passes, maxBytesPerPass = 100, 8192
+	c := newCluster(t, 54, 1, equalRooms(4, 1000))
+	c.run(500 * time.Millisecond)
+	c.submitMany(manyJobs, 10*time.Second)
+	c.run(100 * time.Millisecond)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range passes {
+		c.now = c.now.Add(50 * time.Millisecond)
+		c.entries[0].core.HandleReport(c.agents[0].id, &wire.AgentReport{Clock: c.now.UnixMicro()})
+		c.links[0].toAgent = nil
+	}
+	runtime.ReadMemStats(&after)
+	if bytes := (after.TotalAlloc - before.TotalAlloc) / passes; bytes > maxBytesPerPass {
+		t.Errorf("a pass allocates %d bytes with %d waiting jobs, want at most %d", bytes, manyJobs, maxBytesPerPass)
+	}
+}
+
 // Guards against targets that stay idle because passes over a long queue are spaced.
 func TestManyWaitingJobsKeepTargetsBusy(t *testing.T) {
 	const work, slots = 60 * time.Millisecond, 160
