ledger: the current claim of a job and the open jobs of an owner are kept

Change: the table keeps the current claim of each job, and the open jobs by owner. Whether a task of a job has begun here is asked only for jobs of this entry; the dispatcher knows no others.

--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -208,7 +208,7 @@
 func (k *Keeper) WaitingJobs(service, queue string) int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.table.Waiting(service, queue, k.dispatcher.HasStarted)
+	return k.table.Waiting(service, queue, k.self, k.dispatcher.HasStarted)
 }
 
 // OwnedJobs returns the number of jobs that run here.
--- a/process/ledger/table.go
+++ b/process/ledger/table.go
@@ -16,13 +16,17 @@
 // the log up to an offset. It is not safe for concurrent use.
 type Table struct {
 	jobs map[batch.ID]*job
-	// open is the subset of jobs that have been accepted and have not ended.
-	open   map[batch.ID]*job
+	// open holds, by owner, the jobs that have been accepted and have not ended.
+	open   map[Owner]map[batch.ID]*job
 	owners map[Owner]*owner
 }
 
 type job struct {
 	claims map[claim]*claimState
+	// current is the claim that decides who owns the job, or nil; see currentClaim.
+	current *claimState
+	// openOwner is the owner under which the job is in Table.open, or empty.
+	openOwner Owner
 	// cancelled is whether a caller has asked to cancel the job.
 	cancelled bool
 	// endedAt is when this process first read a final state of the job, or zero.
@@ -67,7 +71,7 @@
 
 // NewTable returns the table of an empty log.
 func NewTable() *Table {
-	return &Table{jobs: make(map[batch.ID]*job), open: make(map[batch.ID]*job), owners: make(map[Owner]*owner)}
+	return &Table{jobs: make(map[batch.ID]*job), open: make(map[Owner]map[batch.ID]*job), owners: make(map[Owner]*owner)}
 }
 
 // Apply adds the record at an offset, which was read at now, to the table. It
@@ -85,7 +89,7 @@
 	if k.kind == kindHeartbeat {
 		return "", t.applyHeartbeat(k.owner, r.Value)
 	}
-	defer t.updateOpen(k.job)
+	defer t.updateCurrent(k.job)
 	switch {
 	case k.kind == kindCancel:
 		t.applyCancel(k.job, r.Value)
@@ -97,15 +101,39 @@
 	return k.job, nil
 }
 
-// updateOpen updates the set of open jobs after a record of a job was applied.
-func (t *Table) updateOpen(id batch.ID) {
-	if j := t.jobs[id]; j != nil {
-		if c := j.currentClaim(); c != nil && !c.hasEnded() {
-			t.open[id] = j
-			return
+// updateCurrent updates the current claim of a job, and the open jobs, after a record of
+// the job was applied.
+func (t *Table) updateCurrent(id batch.ID) {
+	j := t.jobs[id]
+	if j == nil {
+		return
+	}
+	j.current = j.currentClaim()
+	if c := j.current; c != nil && !c.hasEnded() {
+		t.setOpen(id, j, c.owner)
+	} else {
+		t.setOpen(id, j, "")
+	}
+}
+
+// setOpen adds a job to the open ones of an owner, and removes it from those of the
+// previous one. It only removes the job if name is empty.
+func (t *Table) setOpen(id batch.ID, j *job, name Owner) {
+	if j.openOwner == name {
+		return
+	}
+	if jobs := t.open[j.openOwner]; jobs != nil {
+		if delete(jobs, id); len(jobs) == 0 {
+			delete(t.open, j.openOwner)
 		}
 	}
-	delete(t.open, id)
+	if name != "" {
+		if t.open[name] == nil {
+			t.open[name] = make(map[batch.ID]*job)
+		}
+		t.open[name][id] = j
+	}
+	j.openOwner = name
 }
 
 // markSeen notes that a record of an owner was read.
@@ -207,6 +235,7 @@
 // deleteIfUnclaimed removes a job without any claim from the table.
 func (t *Table) deleteIfUnclaimed(id batch.ID) {
 	if j := t.jobs[id]; j != nil && len(j.claims) == 0 {
+		t.setOpen(id, j, "")
 		delete(t.jobs, id)
 	}
 }
@@ -243,13 +272,10 @@
 // job nor its end has been read.
 func (t *Table) Job(id batch.ID) (View, bool) {
 	j := t.jobs[id]
-	if j == nil {
-		return View{}, false
-	}
-	c := j.currentClaim()
-	if c == nil {
+	if j == nil || j.current == nil {
 		return View{}, false
 	}
+	c := j.current
 	v := View{Owner: c.owner, Term: c.term, Cancelled: j.cancelled, EndedAt: j.endedAt}
 	if c.acceptedJob != nil {
 		v.AcceptedJob, v.Progress = *c.acceptedJob, c.acceptedJob.Progress
@@ -268,7 +294,7 @@
 		return nil
 	}
 	var tombstones []Record
-	current := j.currentClaim()
+	current := j.current
 	for c, state := range j.claims {
 		if state != current && c.owner == name && current != nil && c.term == current.term {
 			tombstones = append(tombstones, Record{Key: claimKey(kindAccept, id, c.term, c.owner)})
@@ -279,14 +305,7 @@
 
 // OpenJobs returns the jobs of an owner that have not ended, sorted by ID.
 func (t *Table) OpenJobs(name Owner) []batch.ID {
-	var open []batch.ID
-	for id, j := range t.open {
-		if j.currentClaim().owner == name {
-			open = append(open, id)
-		}
-	}
-	slices.Sort(open)
-	return open
+	return slices.Sorted(maps.Keys(t.open[name]))
 }
 
 // DeadOwner is an owner with open jobs that is presumed dead.
@@ -302,21 +321,17 @@
 // been read since silentSince, or that ran on the instance node, where self has
 // replaced them. They are sorted by name.
 func (t *Table) DeadOwners(silentSince time.Time, node string, self Owner) []DeadOwner {
-	open := make(map[Owner][]batch.ID)
-	for id, j := range t.open {
-		if name := j.currentClaim().owner; name != self {
-			open[name] = append(open[name], id)
-		}
-	}
 	var dead []DeadOwner
-	for _, name := range slices.Sorted(maps.Keys(open)) {
+	for _, name := range slices.Sorted(maps.Keys(t.open)) {
+		if name == self {
+			continue
+		}
 		o := t.owners[name]
 		if o == nil {
 			o = &owner{}
 		}
 		if o.lastSeen.Before(silentSince) || (o.node == node && node != "") {
-			slices.Sort(open[name])
-			dead = append(dead, DeadOwner{Owner: name, LastSeen: o.lastSeen, OpenJobs: open[name]})
+			dead = append(dead, DeadOwner{Owner: name, LastSeen: o.lastSeen, OpenJobs: t.OpenJobs(name)})
 		}
 	}
 	return dead
@@ -382,15 +397,28 @@
 }
 
 // Waiting returns how many open jobs of a queue have no task that has ended or
-// begun. begun reports whether a task of a job has begun in this process; of
+// begun. begun reports whether a task of a job of self has begun in this process; of
 // tasks begun elsewhere the log holds only the ends.
-func (t *Table) Waiting(service, queue string, begun func(batch.ID) bool) int {
+func (t *Table) Waiting(service, queue string, self Owner, begun func(batch.ID) bool) int {
 	waiting := 0
-	for id := range t.open {
-		v, _ := t.Job(id)
-		if v.AcceptedJob.Service == service && v.AcceptedJob.Queue == queue && len(v.Progress.Tasks) == 0 && !begun(id) {
-			waiting++
+	for name, jobs := range t.open {
+		for id, j := range jobs {
+			if j.current.waits(service, queue) && (name != self || !begun(id)) {
+				waiting++
+			}
 		}
 	}
 	return waiting
 }
+
+// waits reports whether the claim is of a job of a queue of which no task has ended.
+func (c *claimState) waits(service, queue string) bool {
+	a := c.acceptedJob
+	if a == nil || a.Service != service || a.Queue != queue {
+		return false
+	}
+	if c.progress != nil {
+		return len(c.progress.Tasks) == 0
+	}
+	return len(a.Progress.Tasks) == 0
+}
