ledger: a job without a map of its claims

Each job had a map for its claims, nearly always of one, and each record stored the state of its job again. Change: claims are a list; a state that has not changed is not stored.

--- a/process/keeper/reader.go
+++ b/process/keeper/reader.go
@@ -111,9 +111,9 @@
 		return
 	}
 	if v.Progress.State == ledger.Open {
-		k.jobStates.Store(id, dispatch.DurableOpen)
+		k.setJobState(id, dispatch.DurableOpen)
 	} else {
-		k.jobStates.Store(id, dispatch.DurableEnded)
+		k.setJobState(id, dispatch.DurableEnded)
 		delete(k.endAppended, id)
 		k.notifyEnd(id)
 	}
@@ -137,6 +137,14 @@
 	}
 }
 
+// setJobState stores the state of a job in jobStates. Most records do not change it, and
+// to look it up is cheaper than to store it.
+func (k *Keeper) setJobState(id batch.ID, state dispatch.DurableJobState) {
+	if stored, known := k.jobStates.Load(id); !known || stored.(dispatch.DurableJobState) != state {
+		k.jobStates.Store(id, state)
+	}
+}
+
 // cancelOwnedJob ends a job that a caller has cancelled. A job that this entry has
 // just taken over is not started first.
 func (k *Keeper) cancelOwnedJob(id batch.ID, v ledger.View, runsHere bool) {
--- a/process/ledger/table.go
+++ b/process/ledger/table.go
@@ -22,7 +22,8 @@
 }
 
 type job struct {
-	claims map[claim]*claimState
+	// claims are the claims of the job, nearly always one.
+	claims []*claimState
 	// current is the claim that decides who owns the job, or nil; see currentClaim.
 	current *claimState
 	// openOwner is the owner under which the job is in Table.open, or empty.
@@ -163,7 +164,7 @@
 func (t *Table) ensureJob(id batch.ID) *job {
 	j := t.jobs[id]
 	if j == nil {
-		j = &job{claims: make(map[claim]*claimState)}
+		j = &job{}
 		t.jobs[id] = j
 	}
 	return j
@@ -184,7 +185,7 @@
 		return
 	}
 	c := claim{k.term, k.owner}
-	state := j.claims[c]
+	state := j.claim(c)
 	if state == nil {
 		return
 	}
@@ -194,7 +195,7 @@
 		state.progress = nil
 	}
 	if state.acceptedJob == nil && state.progress == nil {
-		delete(j.claims, c)
+		j.claims = slices.DeleteFunc(j.claims, func(s *claimState) bool { return s == state })
 		t.deleteIfUnclaimed(k.job)
 	}
 }
@@ -226,10 +227,22 @@
 func (t *Table) ensureClaim(k key) (*job, *claimState) {
 	j := t.ensureJob(k.job)
 	c := claim{k.term, k.owner}
-	if j.claims[c] == nil {
-		j.claims[c] = &claimState{claim: c}
+	state := j.claim(c)
+	if state == nil {
+		state = &claimState{claim: c}
+		j.claims = append(j.claims, state)
 	}
-	return j, j.claims[c]
+	return j, state
+}
+
+// claim returns the records of a claim, or nil if none is known.
+func (j *job) claim(c claim) *claimState {
+	for _, state := range j.claims {
+		if state.claim == c {
+			return state
+		}
+	}
+	return nil
 }
 
 // deleteIfUnclaimed removes a job without any claim from the table.
@@ -295,8 +308,8 @@
 	}
 	var tombstones []Record
 	current := j.current
-	for c, state := range j.claims {
-		if state != current && c.owner == name && current != nil && c.term == current.term {
+	for _, c := range j.claims {
+		if c != current && c.owner == name && current != nil && c.term == current.term {
 			tombstones = append(tombstones, Record{Key: claimKey(kindAccept, id, c.term, c.owner)})
 		}
 	}
@@ -359,7 +372,8 @@
 // tombstones returns the records that delete all records of a job.
 func (j *job) tombstones(id batch.ID) []Record {
 	var tombstones []Record
-	for c, state := range j.claims {
+	for _, state := range j.claims {
+		c := state.claim
 		if state.acceptedJob != nil {
 			tombstones = append(tombstones, Record{Key: claimKey(kindAccept, id, c.term, c.owner)})
 		}
@@ -384,7 +398,7 @@
 			tombstones = append(tombstones, j.tombstones(id)...)
 			continue
 		}
-		for c := range j.claims {
+		for _, c := range j.claims {
 			withJobs[c.owner] = true
 		}
 	}
