dispatch: the recorded ends of an append share a message

Change: the next message to the agent confirms them. After an append one message goes to each agent that is left; ticks send what no append follows. Measured: the new test, 12 ends of six jobs in one message; tests of dispatch, runner, keeper and node pass.

--- a/process/dispatch/durable.go
+++ b/process/dispatch/durable.go
@@ -151,9 +151,9 @@
 	return progress, ends
 }
 
-// ConfirmDurableEnds reports to agents that the given number of the oldest
-// unrecorded ends of a job are recorded, so that they acknowledge them to their
-// targets.
+// ConfirmDurableEnds notes that the given number of the oldest unrecorded ends of a job
+// are recorded. The next message to each of their agents says so, so that the agent
+// acknowledges them to its target; see SendConfirmations.
 func (c *Core) ConfirmDurableEnds(id batch.ID, ends int) {
 	c.withDurable(id, func(p *pool, j *activeJob) {
 		now := c.env.Now()
@@ -271,10 +271,31 @@
 	}
 }
 
-// confirmEnd notes that an end is recorded and reports this to the agent that keeps it.
+// confirmEnd notes that an end is recorded. The next message to the agent that keeps it
+// says so.
 func (c *Core) confirmEnd(now time.Time, p *pool, end durableEnd) {
 	p.recordedEnds.add(now, end.run, struct{}{}, recordedEndRetention)
 	if t := p.targets[end.agent]; t != nil && t.connected {
-		c.send(now, p, t, &wire.Orders{RecordedEnds: []batch.Run{end.run}, Waiting: c.announcedWaiting(now, p, t)})
+		t.recordedEnds = append(t.recordedEnds, end.run)
+	}
+}
+
+// SendConfirmations sends the confirmations of ends that no message has carried yet. One
+// message for each agent takes those of all jobs of an append; Tick sends any others.
+func (c *Core) SendConfirmations() {
+	for _, p := range c.allPools() {
+		p.mu.Lock()
+		now := c.env.Now()
+		for _, t := range p.targetList {
+			c.sendConfirmations(now, p, t)
+		}
+		p.mu.Unlock()
+	}
+}
+
+// sendConfirmations is SendConfirmations for one target.
+func (c *Core) sendConfirmations(now time.Time, p *pool, t *target) {
+	if len(t.recordedEnds) > 0 && t.connected {
+		c.send(now, p, t, &wire.Orders{Waiting: c.announcedWaiting(now, p, t)})
 	}
 }
--- a/process/dispatch/durableends_test.go
+++ b/process/dispatch/durableends_test.go
@@ -128,6 +128,43 @@
 	}
 }
 
+// Guards against an entry that spends its processor time on a message for each recorded end
+// (deadly-kept on braeholm-payouts-grown): half of its messages confirmed one end.
+func TestRecordedEndsOfAnAppendShareAMessage(t *testing.T) {
+	const jobs = 6
+	c := newCluster(t, 36, 1, equalRooms(1, 16000))
+	c.run(500 * time.Millisecond)
+	var ids []batch.ID
+	for range jobs {
+		s := c.submission("q", 2, 20*time.Millisecond, 1000, 0)
+		ids = append(ids, s.Job.ID)
+		c.entries[0].core.RunDurable(dispatch.DurableJob{Submission: s, Term: 1, NotBefore: c.now}, func(dispatch.Result) {})
+	}
+	c.run(120 * time.Millisecond)
+	c.links[0].toAgent = nil
+	for _, id := range ids {
+		c.entries[0].core.ConfirmDurableEnds(id, 2)
+		c.entries[0].core.ForgetDurable(id, true)
+	}
+	c.entries[0].core.SendConfirmations()
+	recorded, _ := c.settledEnds()
+	if messages := len(c.links[0].toAgent); messages != 1 || len(recorded) != 2*jobs {
+		t.Errorf("%d ends are confirmed in %d messages, want %d in one", len(recorded), messages, 2*jobs)
+	}
+}
+
+// Guards against confirmations that are never sent because no append follows.
+func TestConfirmationsAreSentByTicks(t *testing.T) {
+	c := newCluster(t, 37, 1, equalRooms(1, 16000))
+	c.run(500 * time.Millisecond)
+	run := c.runDurable()
+	c.entries[0].core.ConfirmDurableEnds(run.Task.Job, 1)
+	c.entries[0].core.Tick()
+	if recorded, _ := c.settledEnds(); !slices.Contains(recorded, run) {
+		t.Errorf("confirmed ends %v, want %v", recorded, run)
+	}
+}
+
 // Guards against targets that are closed for the ends of jobs that are not durable.
 func TestEndsOfNonDurableJobsAreConfirmed(t *testing.T) {
 	c := newCluster(t, 34, 1, equalRooms(1, 16000))
--- a/process/dispatch/target.go
+++ b/process/dispatch/target.go
@@ -30,6 +30,9 @@
 	// lastSequence numbers the messages on the connection.
 	lastSequence uint64
 	lastSent     time.Time
+	// recordedEnds are the runs whose ends are recorded, to be confirmed with the next
+	// message.
+	recordedEnds []batch.Run
 	// waitingAnnounced is set if the last message announced waiting tasks.
 	waitingAnnounced bool
 	// sessionRefused is set once the agent has refused a run because the session
@@ -267,11 +270,16 @@
 }
 
 // send numbers a message and sends it to an agent. Every message renews the
-// session, so it also stops the runs that must not go on.
+// session, so it also stops the runs that must not go on. It confirms the ends that have
+// been recorded.
 func (c *Core) send(now time.Time, p *pool, t *target, m *wire.Orders) {
 	if len(p.durable) > 0 && !c.ownsDurable(now) {
 		m.Stops = append(m.Stops, t.stopDurableRuns()...)
 	}
+	if len(t.recordedEnds) > 0 {
+		m.RecordedEnds = append(m.RecordedEnds, t.recordedEnds...)
+		t.recordedEnds = nil
+	}
 	t.lastSequence++
 	m.Sequence, m.ClockEcho = t.lastSequence, t.lastClock
 	m.IdleRenewMS = c.idleRenewInterval(p).Milliseconds()
@@ -285,6 +293,7 @@
 func (c *Core) checkTargets(now time.Time, p *pool) {
 	c.keepContact(now, p)
 	for _, t := range p.targetList {
+		c.sendConfirmations(now, p, t)
 		c.renewSession(now, p, t)
 		if now.Sub(t.lastReceived) <= c.pauses.toleratedSilence(now) {
 			continue
--- a/process/keeper/fakes_test.go
+++ b/process/keeper/fakes_test.go
@@ -170,6 +170,7 @@
 	return d.progress[id], 0
 }
 func (d *fakeDispatcher) ConfirmDurableEnds(batch.ID, int) {}
+func (d *fakeDispatcher) SendConfirmations()               {}
 func (d *fakeDispatcher) StopDurable(batch.ID)             {}
 func (d *fakeDispatcher) ForgetDurable(id batch.ID, _ bool) {
 	d.mu.Lock()
--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -22,9 +22,10 @@
 	// DurableProgress returns the progress of a job and the number of ended runs
 	// that it covers.
 	DurableProgress(id batch.ID) (progress []dispatch.TaskProgress, ends int)
-	// ConfirmDurableEnds reports that the log contains the progress that covers
-	// this number of ended runs.
+	// ConfirmDurableEnds notes that the log contains the progress that covers this
+	// number of ended runs. SendConfirmations reports it to the agents.
 	ConfirmDurableEnds(id batch.ID, ends int)
+	SendConfirmations()
 	// StopDurable stops the runs of a job that has been cancelled.
 	StopDurable(id batch.ID)
 	// ForgetDurable stops the runs of a job and removes the job. endRecorded is set if
--- a/process/keeper/writer.go
+++ b/process/keeper/writer.go
@@ -277,6 +277,9 @@
 			k.dispatcher.ForgetDurable(p.id, true)
 		}
 	}
+	if len(b.progress) > 0 {
+		k.dispatcher.SendConfirmations()
+	}
 }
 
 // refuseBatchCalls removes submissions and cancellations from a batch that the log
