dispatch: passes over a long queue use the collected groups again

Change: with 200 jobs or more, passes, the expected wait and the description of the queue use the groups that were collected up to 50 us for each job before, 30 ms at most. Groups that become ready are added at once; ranks that change with time and holds that end show with the next collection. Ticks look at the deadlines of jobs only if one of them is not durable. The new test fails if tasks that were turned back are not added. Tests of dispatch pass.

--- a/process/dispatch/admit.go
+++ b/process/dispatch/admit.go
@@ -78,7 +78,7 @@
 		}
 	}
 	var workAhead float64
-	for _, g := range c.groups(now, p) {
+	for _, g := range *c.waitingQueue(now, p) {
 		if g.rank == rankLate || (g.rank == rankTimely && g.adjustedStart > adjustedStart) {
 			continue
 		}
@@ -132,10 +132,14 @@
 // overload it also ends those that have not started and will miss their objective,
 // because running them would make other jobs late.
 func (c *Core) checkJobs(now time.Time, p *pool) {
+	// Durable jobs run however late they are.
+	jobs := p.nonDurableJobsByAge()
+	if len(jobs) == 0 {
+		return
+	}
 	isolated := !p.hasAgentContact(now) && !c.pauses.recentlyStarted(now)
 	overloaded := c.anyTargetUsable(now, p) && p.hasTimelyTasks(now)
-	// Durable jobs run however late they are.
-	for _, j := range p.nonDurableJobsByAge() {
+	for _, j := range jobs {
 		switch {
 		case isolated:
 			c.endJob(now, p, j, unfinishedResult(j, ReasonIsolated))
--- a/process/dispatch/assign.go
+++ b/process/dispatch/assign.go
@@ -48,27 +48,37 @@
 
 // pass assigns the waiting tasks.
 func (c *Core) pass(now time.Time, p *pool) {
-	p.lastPass, p.waiting, p.waitingAt = now, nil, time.Time{}
+	p.lastPass = now
 	if c.pauses.justResumed(now) {
 		return
 	}
-	queue := newGroupQueue(c.groups(now, p))
+	queue := c.queueOfPass(now, p)
 	if queue.Len() == 0 {
-		p.waitingAt = now
 		return
 	}
 	out := orderBatch{orders: make(map[*target]*wire.Orders)}
-	unplaced := 0
+	var left []group
+	unplaced, owned := 0, c.ownsDurable(now)
 	for queue.Len() > 0 && unplaced < maxUnplacedGroups {
-		if c.place(now, p, queue.next(), &out) {
+		g := queue.next()
+		if !g.waits() || g.job.onHold(now, owned) {
+			continue
+		}
+		if c.place(now, p, g, &out) {
 			unplaced = 0
 		} else {
 			unplaced++
 		}
+		if g.waits() {
+			g.rank = g.job.rank(now.UnixNano(), g.state())
+			left = append(left, g)
+		}
+	}
+	for _, g := range left {
+		g.state().queued = true
+		queue.add(g)
 	}
-	// The queue keeps the groups that were taken from it in its memory.
-	p.waiting, p.waitingAt = describeGroups(now, p.groups), now
-	waiting := p.waiting
+	waiting := c.describeWaiting(now, p)
 	for _, t := range out.targets {
 		out.orders[t].Waiting = waiting
 		c.send(now, p, t, out.orders[t])
--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -80,14 +80,17 @@
 	// answerOrder holds the keys of retainedAnswers, the oldest first.
 	answerOrder []batch.ID
 	durations   durationStats
-	// lastPass is when the waiting tasks were last assigned, waiting their description at
-	// waitingAt, which is nil if there were none. waitingAt is zero if they have not been
-	// described since the last pass.
-	lastPass  time.Time
-	waiting   *wire.Waiting
-	waitingAt time.Time
-	// groups is the result of the last call of Core.groups.
-	groups        []group
+	// lastPass is when the waiting tasks were last assigned.
+	lastPass time.Time
+	// queue has the groups that were collected at queuedAt and have not been placed, see
+	// Core.waitingQueue. collected is their number at that time.
+	queue     groupQueue
+	queuedAt  time.Time
+	collected int
+	// waiting describes the waiting tasks at waitingAt, or is nil if there were none.
+	// waitingAt is zero if they have not been described since they were collected.
+	waiting       *wire.Waiting
+	waitingAt     time.Time
 	resubmissions resubmissionShares
 }
 
@@ -165,6 +168,7 @@
 		}
 		j = newActiveJob(now, s)
 		p.jobs[s.Job.ID] = j
+		c.enqueue(now, p, j)
 		c.env.Record(decision.Decision{Step: "accept", Job: s.Job.ID, Outcome: "accepted", Peer: s.Queue, Version: s.Version,
 			Routine: true, Inputs: []decision.Input{{Name: "objective_ms", Value: s.Objective.Milliseconds()},
 				{Name: "patience_ms", Value: s.CallerTimeout.Milliseconds()},
--- a/process/dispatch/dump.go
+++ b/process/dispatch/dump.go
@@ -55,7 +55,7 @@
 	defer p.mu.Unlock()
 	now := c.env.Now()
 	d := ServiceDump{Service: p.service, Jobs: len(p.jobs)}
-	for _, g := range c.groups(now, p) {
+	for _, g := range *c.waitingQueue(now, p) {
 		d.Waiting += len(g.job.steps[g.step].ready)
 	}
 	for _, t := range p.targetList {
--- a/process/dispatch/durable.go
+++ b/process/dispatch/durable.go
@@ -94,6 +94,7 @@
 		return
 	}
 	c.countReportedCrashes(now, p, j)
+	c.enqueue(now, p, j)
 	c.assign(now, p)
 }
 
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -47,6 +47,8 @@
 	// orders the groups of one rank.
 	latestStart   int64
 	adjustedStart int64
+	// queued is set while the step's group is in pool.queue.
+	queued bool
 	// runsPerNode counts the live runs by node, for steps with MaxPerTarget.
 	runsPerNode map[string]int
 }
--- a/process/dispatch/queue.go
+++ b/process/dispatch/queue.go
@@ -38,13 +38,55 @@
 // next higher level only if its latest start is earlier by more than this.
 const priorityDelay = 100 * time.Millisecond
 
+// Age up to which passes take the groups from the same collection of them, after which it
+// is made again. To collect them, all jobs are looked at. Groups that have become ready
+// meanwhile are added; a rank that has changed with time, and the end of a hold, show with
+// the next collection.
+const (
+	// queueAgePerJob is the age for each active job, if there are more than
+	// minJobsForPause. Otherwise each pass collects the groups.
+	queueAgePerJob = 50 * time.Microsecond
+	maxQueueAge    = 30 * time.Millisecond
+)
+
+// queueAge returns the age up to which the collected groups are used.
+func (p *pool) queueAge() time.Duration {
+	if len(p.jobs) < minJobsForPause {
+		return 0
+	}
+	return min(time.Duration(len(p.jobs))*queueAgePerJob, maxQueueAge)
+}
+
+// waitingQueue returns the waiting groups. Those of which all tasks have been placed or
+// whose job has ended since they were collected may still be among them.
+func (c *Core) waitingQueue(now time.Time, p *pool) *groupQueue {
+	if now.Sub(p.queuedAt) > p.queueAge() {
+		c.collectGroups(now, p)
+	}
+	return &p.queue
+}
+
+// queueOfPass returns the waiting groups for a pass, which collects them more readily.
+func (c *Core) queueOfPass(now time.Time, p *pool) *groupQueue {
+	if len(p.queue) == 0 || now.Sub(p.queuedAt) >= p.queueAge() {
+		c.collectGroups(now, p)
+	}
+	return &p.queue
+}
+
+func (g *group) state() *stepState { return &g.job.steps[g.step] }
+
+// waits reports whether tasks of the group still wait.
+func (g *group) waits() bool { return len(g.state().ready) > 0 }
+
 func (g *group) demand() batch.Resources { return g.job.Job.Steps[g.step].Demand }
 
-// groups returns the waiting groups in no particular order. The result is valid until the
-// next call, which uses its memory again.
-func (c *Core) groups(now time.Time, p *pool) []group {
-	previous := len(p.groups)
-	groups := p.groups[:0]
+// collectGroups sets the queue to the waiting groups, in the memory that it has.
+func (c *Core) collectGroups(now time.Time, p *pool) {
+	for i := range p.queue {
+		p.queue[i].state().queued = false
+	}
+	groups := p.queue[:0]
 	owned, nanos := c.ownsDurable(now), now.UnixNano()
 	for _, j := range p.jobs {
 		held, checked := false, false
@@ -59,14 +101,31 @@
 			if held {
 				break
 			}
+			state.queued = true
 			groups = append(groups, group{job: j, step: step, rank: j.rank(nanos, state), adjustedStart: state.adjustedStart})
 		}
 	}
-	if len(groups) < previous {
-		clear(p.groups[len(groups):previous])
+	if len(groups) < p.collected {
+		// Keeps no jobs that have ended.
+		clear(groups[len(groups):p.collected])
+	}
+	p.queue, p.collected, p.queuedAt = groups, len(groups), now
+	p.waiting, p.waitingAt = nil, time.Time{}
+	heap.Init(&p.queue)
+}
+
+// enqueue adds the groups of a job that have become ready to the collected ones.
+func (c *Core) enqueue(now time.Time, p *pool, j *activeJob) {
+	if j.ended || p.queueAge() == 0 || j.onHold(now, c.ownsDurable(now)) {
+		return
+	}
+	for step := range j.steps {
+		if state := &j.steps[step]; len(state.ready) > 0 && !state.queued {
+			state.queued = true
+			p.queue.add(group{job: j, step: step, rank: j.rank(now.UnixNano(), state), adjustedStart: state.adjustedStart})
+		}
 	}
-	p.groups = groups
-	return groups
+	p.collected = max(p.collected, len(p.queue))
 }
 
 // rank returns the rank of a step's waiting tasks. now is in nanoseconds of Unix time.
@@ -108,14 +167,15 @@
 // only the first groups of a long queue, which is cheaper than to sort it.
 type groupQueue []group
 
-func newGroupQueue(groups []group) *groupQueue {
-	q := groupQueue(groups)
-	heap.Init(&q)
-	return &q
-}
+// add adds a group.
+func (q *groupQueue) add(g group) { heap.Push(q, g) }
 
 // next removes and returns the first group.
-func (q *groupQueue) next() group { return heap.Pop(q).(group) }
+func (q *groupQueue) next() group {
+	g := heap.Pop(q).(group)
+	g.state().queued = false
+	return g
+}
 
 // Len, Less, Swap, Push and Pop implement heap.Interface.
 
@@ -131,40 +191,37 @@
 }
 
 // describeWaiting describes the tasks that wait for room, or returns nil if there are
-// none. With many jobs it repeats the description of the last pass for a moment.
+// none. With many jobs it repeats the description for a moment.
 func (c *Core) describeWaiting(now time.Time, p *pool) *wire.Waiting {
-	if !p.waitingAt.IsZero() && now.Sub(p.waitingAt) < p.passPause() {
-		return p.waiting
+	queue := c.waitingQueue(now, p)
+	if p.waitingAt.IsZero() || queue.Len() == 0 {
+		p.waiting, p.waitingAt = describeGroups(now, *queue), now
 	}
-	p.waiting, p.waitingAt = describeGroups(now, c.groups(now, p)), now
 	return p.waiting
 }
 
 // describeGroups describes the most urgent of the groups and the smallest task that fits
-// where a task of that one does. It leaves out groups whose tasks have been placed since
-// they were collected.
+// where a task of that one does.
 func describeGroups(now time.Time, groups []group) *wire.Waiting {
-	var first *group
+	var first group
 	nanos := now.UnixNano()
-	for i := range groups {
-		g := &groups[i]
-		state := &g.job.steps[g.step]
-		if len(state.ready) == 0 {
+	for _, g := range groups {
+		if !g.waits() {
 			continue
 		}
-		g.rank = g.job.rank(nanos, state)
-		if first == nil || g.isBefore(first) {
+		g.rank = g.job.rank(nanos, g.state())
+		if first.job == nil || g.isBefore(&first) {
 			first = g
 		}
 	}
-	if first == nil {
+	if first.job == nil {
 		return nil
 	}
 	largest := first.demand()
 	w := &wire.Waiting{SlackMS: first.slack(now).Milliseconds(), Smallest: largest}
 	for i := range groups {
 		g := &groups[i]
-		if demand := g.demand(); demand.FitsIn(largest) && compareDemands(demand, w.Smallest) < 0 && len(g.job.steps[g.step].ready) > 0 {
+		if demand := g.demand(); demand.FitsIn(largest) && compareDemands(demand, w.Smallest) < 0 && g.waits() {
 			w.Smallest = demand
 		}
 	}
--- a/process/dispatch/queue_test.go
+++ b/process/dispatch/queue_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/dispatch"
+	"github.com/azurerouter/azurerouter/request/batch"
 )
 
 // manyJobs is a number of jobs at which passes are spaced.
@@ -68,6 +69,47 @@
 	}
 }
 
+// startedJobs returns the jobs of the start orders that are under way to agent 0.
+func (c *cluster) startedJobs() []batch.ID {
+	var jobs []batch.ID
+	for _, d := range c.links[0].toAgent {
+		if orders, ok := d.m.(*wire.Orders); ok {
+			for _, start := range orders.Starts {
+				jobs = append(jobs, start.Job)
+			}
+		}
+	}
+	return jobs
+}
+
+// Guards against a task that was turned back and waits for the next look at all jobs,
+// while less urgent ones start.
+func TestTaskThatWasTurnedBackIsNextInALongQueue(t *testing.T) {
+	c := newCluster(t, 55, 1, equalRooms(1, 1000))
+	c.run(500 * time.Millisecond)
+	agent := c.agents[0]
+	c.agents[0].frozen = true
+	c.submitMany(1, 10*time.Second)
+	c.run(100 * time.Millisecond)
+	c.submitMany(manyJobs, 10*time.Second)
+	c.run(100 * time.Millisecond)
+	first := c.startedJobs()
+	if len(first) != 1 {
+		t.Fatalf("jobs %v are started, want one", first)
+	}
+	refused := wire.RunReport{Run: batch.Run{Task: batch.Task{Job: first[0]}, Number: 1}, RefusalReason: wire.RefusedFull}
+	for range 3 {
+		c.links[0].toAgent = nil
+		c.now = c.now.Add(20 * time.Millisecond)
+		c.entries[0].core.HandleReport(agent.id, &wire.AgentReport{Clock: c.now.UnixMicro(), HandledSequence: 1 << 40,
+			Free: batch.Resources{MilliCPU: 1000, MemoryMiB: 64}, Runs: []wire.RunReport{refused}})
+		refused.Run.Number++
+		if again := c.startedJobs(); len(again) != 1 || again[0] != first[0] {
+			t.Errorf("jobs %v are started, want %v again", again, first)
+		}
+	}
+}
+
 // Guards against targets that stay idle because passes over a long queue are spaced.
 func TestManyWaitingJobsKeepTargetsBusy(t *testing.T) {
 	const work, slots = 60 * time.Millisecond, 160
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -68,6 +68,7 @@
 	}
 	if !j.ended {
 		r.task.requeue()
+		c.enqueue(now, p, j)
 	}
 }
 
@@ -89,6 +90,7 @@
 		if j.completeTask(r.task) {
 			c.endJob(now, p, j, Result{Code: Completed})
 		}
+		c.enqueue(now, p, j)
 		return
 	case batch.EndFailed:
 		r.task.failures++
@@ -107,6 +109,7 @@
 		}
 	}
 	r.task.requeue()
+	c.enqueue(now, p, j)
 }
 
 // stopRun asks the agent to stop a run whose result is not needed.
