--- a/process/dispatch/admit.go
+++ b/process/dispatch/admit.go
@@ -45,8 +45,11 @@
 		}
 	}
 	slack := s.TimeLeft() - s.Job.CriticalPath()
-	adjustedStart := now.Add(slack + time.Duration(s.Priority)*priorityDelay)
-	if wait := c.expectedWait(now, adjustedStart, p); overloadWaitFactor*wait > slack && !c.hasRoomFor(now, p, s.Job.Steps[0]) {
+	adjustedStart := now.Add(slack + time.Duration(s.Priority)*priorityDelay).UnixNano()
+	if c.hasRoomFor(now, p, s.Job.Steps[0]) {
+		return Result{}, true
+	}
+	if wait := c.expectedWait(now, adjustedStart, p); overloadWaitFactor*wait > slack {
 		return Result{Code: NotRun, Reason: ReasonOverloaded, RetryAfter: wait}, false
 	}
 	return Result{}, true
@@ -67,7 +70,7 @@
 // adjusted start, waits for the tasks that are served before it. The processor
 // time used by the entry's own runs is taken as the rate at which it serves its
 // queue.
-func (c *Core) expectedWait(now, adjustedStart time.Time, p *pool) time.Duration {
+func (c *Core) expectedWait(now time.Time, adjustedStart int64, p *pool) time.Duration {
 	usedMilliCPU := 0
 	for _, t := range p.targetList {
 		for _, r := range t.runs {
@@ -75,8 +78,8 @@
 		}
 	}
 	var workAhead float64
-	for _, g := range c.groups(now, p) {
-		if g.rank == rankLate || (g.rank == rankTimely && g.adjustedStart.After(adjustedStart)) {
+	for _, g := range *c.waitingQueue(now, p) {
+		if g.rank == rankLate || (g.rank == rankTimely && g.adjustedStart > adjustedStart) {
 			continue
 		}
 		step := g.job.Job.Steps[g.step]
@@ -129,10 +132,14 @@
 // overload it also ends those that have not started and will miss their objective,
 // because running them would make other jobs late.
 func (c *Core) checkJobs(now time.Time, p *pool) {
+	// Durable jobs run however late they are.
+	jobs := p.nonDurableJobsByAge()
+	if len(jobs) == 0 {
+		return
+	}
 	isolated := !p.hasAgentContact(now) && !c.pauses.recentlyStarted(now)
 	overloaded := c.anyTargetUsable(now, p) && p.hasTimelyTasks(now)
-	// Durable jobs run however late they are.
-	for _, j := range p.nonDurableJobsByAge() {
+	for _, j := range jobs {
 		switch {
 		case isolated:
 			c.endJob(now, p, j, unfinishedResult(j, ReasonIsolated))
--- a/process/dispatch/assign.go
+++ b/process/dispatch/assign.go
@@ -48,22 +48,35 @@
 
 // pass assigns the waiting tasks.
 func (c *Core) pass(now time.Time, p *pool) {
-	p.lastPass, p.waiting = now, nil
+	p.lastPass = now
 	if c.pauses.justResumed(now) {
 		return
 	}
-	queue := newGroupQueue(c.groups(now, p))
+	queue := c.queueOfPass(now, p)
 	if queue.Len() == 0 {
 		return
 	}
 	out := orderBatch{orders: make(map[*target]*wire.Orders)}
-	unplaced := 0
+	var left []group
+	unplaced, mayStart := 0, c.mayStartDurable(now)
 	for queue.Len() > 0 && unplaced < maxUnplacedGroups {
-		if c.place(now, p, queue.next(), &out) {
+		g := queue.next()
+		if !g.waits() || g.job.onHold(now, mayStart) {
+			continue
+		}
+		if c.place(now, p, g, &out) {
 			unplaced = 0
 		} else {
 			unplaced++
 		}
+		if g.waits() {
+			g.rank = g.job.rank(now.UnixNano(), g.state())
+			left = append(left, g)
+		}
+	}
+	for _, g := range left {
+		g.state().queued = true
+		queue.add(g)
 	}
 	waiting := c.describeWaiting(now, p)
 	for _, t := range out.targets {
@@ -137,7 +150,7 @@
 	c.counters.runsOrdered.Add(uint64(len(start.Tasks)))
 	c.env.Record(decision.Decision{Step: "place", Job: j.Job.ID, Peer: t.node, Outcome: "ordered", Age: now.Sub(t.lastReceived),
 		Version: t.state.Revision, Routine: true, Inputs: []decision.Input{{Name: "job_step", Value: int64(g.step)},
-			{Name: "tasks", Value: int64(len(start.Tasks))}, {Name: "free_millicpu", Value: int64(t.reportedFree.MilliCPU)}, {Name: "slack_ms", Value: g.latestStart.Sub(now).Milliseconds()}}})
+			{Name: "tasks", Value: int64(len(start.Tasks))}, {Name: "free_millicpu", Value: int64(t.reportedFree.MilliCPU)}, {Name: "slack_ms", Value: j.latestStart(g.step).Sub(now).Milliseconds()}}})
 	if out.orders[t] == nil {
 		out.orders[t] = &wire.Orders{}
 		out.targets = append(out.targets, t)
--- a/process/dispatch/queue.go
+++ b/process/dispatch/queue.go
@@ -9,16 +9,14 @@
 	"github.com/azurerouter/azurerouter/request/batch"
 )
 
-// group holds the waiting tasks of one step of a job.
+// group holds the waiting tasks of one step of a job. It is small, because a pass creates
+// one for each waiting job.
 type group struct {
 	job  *activeJob
 	step int
 	rank rank
-	// latestStart is when the step must start for the job to meet its objective.
-	latestStart time.Time
-	// adjustedStart is latestStart, later for a queue of lower priority. It
-	// orders the groups of one rank.
-	adjustedStart time.Time
+	// adjustedStart is stepState.adjustedStart of the step.
+	adjustedStart int64
 }
 
 // rank is the first criterion of the order in which groups are served.
@@ -40,44 +38,115 @@
 // next higher level only if its latest start is earlier by more than this.
 const priorityDelay = 100 * time.Millisecond
 
-func (g group) demand() batch.Resources { return g.job.Job.Steps[g.step].Demand }
+// Age up to which passes take the groups from the same collection of them, after which it
+// is made again. To collect them, all jobs are looked at. Groups that have become ready
+// meanwhile are added; a rank that has changed with time, and the end of a hold, show with
+// the next collection.
+const (
+	// queueAgePerJob is the age for each active job, if there are more than
+	// minJobsForPause. Otherwise each pass collects the groups.
+	queueAgePerJob = 50 * time.Microsecond
+	maxQueueAge    = 30 * time.Millisecond
+)
+
+// queueAge returns the age up to which the collected groups are used.
+func (p *pool) queueAge() time.Duration {
+	if len(p.jobs) < minJobsForPause {
+		return 0
+	}
+	return min(time.Duration(len(p.jobs))*queueAgePerJob, maxQueueAge)
+}
 
-// groups returns the waiting groups in no particular order.
-func (c *Core) groups(now time.Time, p *pool) []group {
-	var groups []group
+// waitingQueue returns the waiting groups. Those of which all tasks have been placed or
+// whose job has ended since they were collected may still be among them.
+func (c *Core) waitingQueue(now time.Time, p *pool) *groupQueue {
+	if now.Sub(p.queuedAt) > p.queueAge() {
+		c.collectGroups(now, p)
+	}
+	return &p.queue
+}
+
+// queueOfPass returns the waiting groups for a pass, which collects them more readily.
+func (c *Core) queueOfPass(now time.Time, p *pool) *groupQueue {
+	if len(p.queue) == 0 || now.Sub(p.queuedAt) >= p.queueAge() {
+		c.collectGroups(now, p)
+	}
+	return &p.queue
+}
+
+func (g *group) state() *stepState { return &g.job.steps[g.step] }
+
+// waits reports whether tasks of the group still wait.
+func (g *group) waits() bool { return len(g.state().ready) > 0 }
+
+func (g *group) demand() batch.Resources { return g.job.Job.Steps[g.step].Demand }
+
+// collectGroups sets the queue to the waiting groups, in the memory that it has.
+func (c *Core) collectGroups(now time.Time, p *pool) {
+	for i := range p.queue {
+		p.queue[i].state().queued = false
+	}
+	groups := p.queue[:0]
+	mayStart, nanos := c.mayStartDurable(now), now.UnixNano()
 	for _, j := range p.jobs {
-		if c.onHold(now, j) {
-			continue
-		}
+		held, checked := false, false
 		for step := range j.steps {
-			if len(j.steps[step].ready) > 0 {
-				groups = append(groups, newGroup(now, j, step))
+			state := &j.steps[step]
+			if len(state.ready) == 0 {
+				continue
+			}
+			if !checked {
+				held, checked = j.onHold(now, mayStart), true
+			}
+			if held {
+				break
 			}
+			state.queued = true
+			groups = append(groups, group{job: j, step: step, rank: j.rank(nanos, state), adjustedStart: state.adjustedStart})
 		}
 	}
-	return groups
+	if len(groups) < p.collected {
+		// Keeps no jobs that have ended.
+		clear(groups[len(groups):p.collected])
+	}
+	p.queue, p.collected, p.queuedAt = groups, len(groups), now
+	p.waiting, p.waitingAt = nil, time.Time{}
+	heap.Init(&p.queue)
 }
 
-func newGroup(now time.Time, j *activeJob, step int) group {
-	g := group{job: j, step: step, rank: rankTimely, latestStart: j.latestStart(step)}
-	g.adjustedStart = g.latestStart.Add(time.Duration(j.Priority) * priorityDelay)
+// enqueue adds the groups of a job that have become ready to the collected ones.
+func (c *Core) enqueue(now time.Time, p *pool, j *activeJob) {
+	if j.ended || p.queueAge() == 0 || j.onHold(now, c.mayStartDurable(now)) {
+		return
+	}
+	for step := range j.steps {
+		if state := &j.steps[step]; len(state.ready) > 0 && !state.queued {
+			state.queued = true
+			p.queue.add(group{job: j, step: step, rank: j.rank(now.UnixNano(), state), adjustedStart: state.adjustedStart})
+		}
+	}
+	p.collected = max(p.collected, len(p.queue))
+}
+
+// rank returns the rank of a step's waiting tasks. now is in nanoseconds of Unix time.
+func (j *activeJob) rank(now int64, state *stepState) rank {
 	switch {
 	case j.runsStarted > 0:
-		g.rank = rankStarted
-	case g.latestStart.Before(now):
-		g.rank = rankLate
+		return rankStarted
+	case state.latestStart < now:
+		return rankLate
 	}
-	return g
+	return rankTimely
 }
 
 // isBefore reports whether the group is served before another one: by rank, then the least
 // slack first, so that a burst of jobs is served by urgency.
-func (g group) isBefore(other group) bool {
+func (g *group) isBefore(other *group) bool {
 	switch {
 	case g.rank != other.rank:
 		return g.rank < other.rank
-	case !g.adjustedStart.Equal(other.adjustedStart):
-		return g.adjustedStart.Before(other.adjustedStart)
+	case g.adjustedStart != other.adjustedStart:
+		return g.adjustedStart < other.adjustedStart
 	case g.job != other.job:
 		return g.job.Job.ID < other.job.Job.ID
 	}
@@ -91,26 +160,27 @@
 // slack returns the urgency of a group; less is more urgent. Agents compare it
 // with that of the groups of other entries.
 func (g group) slack(now time.Time) time.Duration {
-	return g.adjustedStart.Sub(now) + time.Duration(g.rank)*rankSlack
+	return time.Duration(g.adjustedStart-now.UnixNano()) + time.Duration(g.rank)*rankSlack
 }
 
 // groupQueue is a heap of groups, the one that is served first at the front. A pass needs
 // only the first groups of a long queue, which is cheaper than to sort it.
 type groupQueue []group
 
-func newGroupQueue(groups []group) *groupQueue {
-	q := groupQueue(groups)
-	heap.Init(&q)
-	return &q
-}
+// add adds a group.
+func (q *groupQueue) add(g group) { heap.Push(q, g) }
 
 // next removes and returns the first group.
-func (q *groupQueue) next() group { return heap.Pop(q).(group) }
+func (q *groupQueue) next() group {
+	g := heap.Pop(q).(group)
+	g.state().queued = false
+	return g
+}
 
 // Len, Less, Swap, Push and Pop implement heap.Interface.
 
 func (q groupQueue) Len() int           { return len(q) }
-func (q groupQueue) Less(i, j int) bool { return q[i].isBefore(q[j]) }
+func (q groupQueue) Less(i, j int) bool { return q[i].isBefore(&q[j]) }
 func (q groupQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
 func (q *groupQueue) Push(g any)        { *q = append(*q, g.(group)) }
 func (q *groupQueue) Pop() any {
@@ -121,30 +191,37 @@
 }
 
 // describeWaiting describes the tasks that wait for room, or returns nil if there are
-// none. With many jobs it repeats the description of the last pass for a moment.
+// none. With many jobs it repeats the description for a moment.
 func (c *Core) describeWaiting(now time.Time, p *pool) *wire.Waiting {
-	if p.waiting != nil && now.Sub(p.waitingAt) < p.passPause() {
-		return p.waiting
+	queue := c.waitingQueue(now, p)
+	if p.waitingAt.IsZero() || queue.Len() == 0 {
+		p.waiting, p.waitingAt = describeGroups(now, *queue), now
 	}
-	p.waiting, p.waitingAt = describeGroups(now, c.groups(now, p)), now
 	return p.waiting
 }
 
 // describeGroups describes the most urgent of the groups and the smallest task that fits
 // where a task of that one does.
 func describeGroups(now time.Time, groups []group) *wire.Waiting {
-	if len(groups) == 0 {
-		return nil
-	}
-	first := groups[0]
-	for _, g := range groups[1:] {
-		if g.isBefore(first) {
+	var first group
+	nanos := now.UnixNano()
+	for _, g := range groups {
+		if !g.waits() {
+			continue
+		}
+		g.rank = g.job.rank(nanos, g.state())
+		if first.job == nil || g.isBefore(&first) {
 			first = g
 		}
 	}
-	w := &wire.Waiting{SlackMS: first.slack(now).Milliseconds(), Smallest: first.demand()}
-	for _, g := range groups {
-		if demand := g.demand(); demand.FitsIn(first.demand()) && compareDemands(demand, w.Smallest) < 0 {
+	if first.job == nil {
+		return nil
+	}
+	largest := first.demand()
+	w := &wire.Waiting{SlackMS: first.slack(now).Milliseconds(), Smallest: largest}
+	for i := range groups {
+		g := &groups[i]
+		if demand := g.demand(); demand.FitsIn(largest) && compareDemands(demand, w.Smallest) < 0 && g.waits() {
 			w.Smallest = demand
 		}
 	}
--- a/process/keeper/fakes_test.go
+++ b/process/keeper/fakes_test.go
@@ -179,6 +179,7 @@
 	return d.progress[id], 0
 }
 func (d *fakeDispatcher) ConfirmDurableEnds(batch.ID, int) {}
+func (d *fakeDispatcher) SendConfirmations()               {}
 func (d *fakeDispatcher) StopDurable(id batch.ID) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/process/keeper/writer.go
+++ b/process/keeper/writer.go
@@ -286,6 +286,9 @@
 			k.dispatcher.ForgetDurable(p.id, true)
 		}
 	}
+	if len(b.progress) > 0 {
+		k.dispatcher.SendConfirmations()
+	}
 }
 
 // refuseBatchCalls removes submissions and cancellations from a batch that the log
