dispatch: start no task for a caller whose connection has ended

Cause: a caller whose kept connection is reset as it sends a job sends the job on a new connection at once, to another entry. The bytes of the first request can still be read after the reset. An entry that lacks processor time reads them late and starts the tasks before the goroutine that reads the connection has noticed its end; it then stops them, some 25 to 50 ms later, while the other entry runs them. Class: a permission is used without a look at whether it still holds. Change: before tasks of a job are ordered, the sockets of its callers are looked at (MSG_PEEK). A job without a connected caller ends.

--- a/process/dispatch/abandoned_test.go
+++ b/process/dispatch/abandoned_test.go
@@ -79,3 +79,33 @@
 		t.Errorf("result of the ended job: %+v %t, expected %s", result, known, dispatch.Completed)
 	}
 }
+
+// Guards against a task that runs twice at the same time: an entry that lacks processor
+// time starts it for a caller whose connection was reset before, and who has sent the job
+// to another entry at once.
+func TestJobOfACallerWhoHasLeftStartsNoTask(t *testing.T) {
+	for _, waitsForRoom := range []bool{false, true} {
+		c := newCluster(t, 63, 1, equalRooms(1, 1000))
+		c.run(500 * time.Millisecond)
+		if waitsForRoom {
+			c.entries[0].core.Submit(c.submission("q", 1, 200*time.Millisecond, 1000, 0), func(dispatch.Result) {})
+		}
+		connected := waitsForRoom
+		s := c.submission("q", 1, time.Second, 1000, 0)
+		s.CallerWaits = func() bool { return connected }
+		var result *dispatch.Result
+		c.entries[0].core.Submit(s, func(r dispatch.Result) { result = &r })
+		connected = false
+		for range 1000 {
+			c.step()
+			for _, run := range c.agents[0].executor.Running() {
+				if run.Task.Job == s.Job.ID {
+					t.Fatalf("waits for room %t: run %v of a caller who has left", waitsForRoom, run)
+				}
+			}
+		}
+		if result == nil || result.Reason != dispatch.ReasonCallerLeft {
+			t.Errorf("waits for room %t: result %+v, want %s", waitsForRoom, result, dispatch.ReasonCallerLeft)
+		}
+	}
+}
--- a/process/dispatch/assign.go
+++ b/process/dispatch/assign.go
@@ -108,7 +108,7 @@
 }
 
 // place assigns as many tasks of a group as there is room for. It reports whether
-// it assigned any.
+// it assigned any. A job whose callers have left is ended instead.
 func (c *Core) place(now time.Time, p *pool, g group, out *orderBatch) bool {
 	state := &g.job.steps[g.step]
 	placed := false
@@ -117,6 +117,10 @@
 		if t == nil {
 			return placed
 		}
+		if !placed && g.job.callersHaveLeft() {
+			c.endJob(now, p, g.job, unfinishedResult(g.job, ReasonCallerLeft))
+			return true
+		}
 		c.order(now, p, g, t, out)
 		placed = true
 	}
--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -179,7 +179,7 @@
 	}
 	j.callersLeaveAt = later(j.callersLeaveAt, now.Add(s.CallerTimeout))
 	id := c.lastWaiterID.Add(1)
-	j.waiters[id] = reply
+	j.waiters[id] = waiter{reply, s.CallerWaits}
 	c.assign(now, p)
 	return func() { c.removeWaiter(p, j, id) }
 }
--- a/process/dispatch/durable.go
+++ b/process/dispatch/durable.go
@@ -85,7 +85,7 @@
 	now := c.env.Now()
 	j := newActiveJob(now, d.Submission)
 	j.durableState = &durableState{notBefore: d.NotBefore, lastForeignRun: int(d.Term-1) * runNumbersPerTerm}
-	j.waiters[0] = finished
+	j.waiters[0] = waiter{reply: finished}
 	p.jobs[d.Job.ID] = j
 	p.durable[d.Job.ID] = j
 	j.resume(now, d)
--- a/process/dispatch/env.go
+++ b/process/dispatch/env.go
@@ -99,6 +99,8 @@
 	ReasonCrashes Reason = "crashes"
 	// ReasonWithdrawn: the caller has submitted the job to another entry.
 	ReasonWithdrawn Reason = "withdrawn"
+	// ReasonCallerLeft: the connections of all callers have ended.
+	ReasonCallerLeft Reason = "caller_left"
 	// ReasonRunsElsewhere: runs of the job at another entry may be alive for longer than
 	// the caller waits.
 	ReasonRunsElsewhere Reason = "runs_elsewhere"
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -20,7 +20,7 @@
 	// to another entry after that, also if this entry does not learn that it has left.
 	callersLeaveAt time.Time
 	steps          []stepState
-	waiters        map[uint64]func(Result)
+	waiters        map[uint64]waiter
 	// durableState is nil for a job that ends with its callers or its process.
 	durableState *durableState
 	// runsStarted counts the runs that were ordered and not refused.
@@ -33,6 +33,25 @@
 	timeToEnd []time.Duration
 }
 
+// waiter is a caller who waits for the result of a job.
+type waiter struct {
+	reply func(Result)
+	// connected is batch.Submission.CallerWaits.
+	connected func() bool
+}
+
+// callersHaveLeft reports whether the connections of all callers of a job have ended. Their
+// removal follows, but may take long in a process that lacks processor time, and the job
+// may have been submitted to another entry.
+func (j *activeJob) callersHaveLeft() bool {
+	for _, w := range j.waiters {
+		if w.connected == nil || w.connected() {
+			return false
+		}
+	}
+	return true
+}
+
 // stepState is the progress of one step of a job.
 type stepState struct {
 	// openDependencies is the number of steps that must end before this one.
@@ -93,7 +112,7 @@
 
 func newActiveJob(now time.Time, s batch.Submission) *activeJob {
 	j := &activeJob{Submission: s, acceptedAt: now, objectiveAt: now.Add(s.TimeLeft()), expiresAt: now.Add(min(s.CallerTimeout, expiryFactor*s.Objective)), callersLeaveAt: now.Add(s.CallerTimeout),
-		waiters: make(map[uint64]func(Result)), steps: make([]stepState, len(s.Job.Steps))}
+		waiters: make(map[uint64]waiter), steps: make([]stepState, len(s.Job.Steps))}
 	for stepIndex, step := range s.Job.Steps {
 		state := &j.steps[stepIndex]
 		state.openDependencies, state.unfinishedTasks = len(step.DependsOn), step.Tasks
@@ -217,8 +236,8 @@
 	if result.Code != Completed {
 		c.stopJob(now, p, j)
 	}
-	for _, reply := range j.waiters {
-		reply(result)
+	for _, w := range j.waiters {
+		w.reply(result)
 	}
 	j.waiters = nil
 }
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 
+	"github.com/azurerouter/azurerouter/connection/caller"
 	"github.com/azurerouter/azurerouter/connection/stream"
 	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/clock"
@@ -335,7 +336,8 @@
 
 // serveCallers serves callers until the process has drained.
 func (e *Entry) serveCallers(g *run.Group, ctx context.Context, stop <-chan struct{}) {
-	server := &http.Server{Addr: e.options.CallerAddr, Handler: e.options.CallerHandler(e), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout}
+	server := &http.Server{Addr: e.options.CallerAddr, Handler: e.options.CallerHandler(e), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
+		ConnContext: caller.WithConn}
 	g.Add(func() error {
 		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrapf(err, "serve callers on %s", e.options.CallerAddr)
--- a/request/batch/submission.go
+++ b/request/batch/submission.go
@@ -22,6 +22,9 @@
 	// Version is the version of the routing configuration that selected the
 	// queue.
 	Version uint64 `cbor:"9,keyasint"`
+	// CallerWaits, if set, reports whether the connection of the caller is open. It is not
+	// sent to other processes.
+	CallerWaits func() bool `cbor:"-"`
 }
 
 // TimeLeft returns the time from now within which the job should complete. It is
