runner: a target from the list of machines gets no runs before it reports

A target was filled beyond its room after its agent had started again, and one that was leaving could be used again.

Cause: the agent took the list of machines for a report of the target. The list has the room of the machine, and does not show that the target drains or has deregistered.

Change: such a target is known, so that its runs and ends are looked after, but closed until its own report.

TestTargetFoundInAListGetsNoRunsBeforeItsOwnReport failed before. Tests of process/runner, process/node and platform pass.

--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -62,8 +62,10 @@
 	runs     map[batch.Run]*heldRun
 	used     batch.Resources
 	target   target
-	health   health
-	revision uint64
+	// reportedTarget is the newest target that has sent a report itself.
+	reportedTarget string
+	health         health
+	revision       uint64
 	// foreignRunsCleared is set once the target has listed no foreign run, so
 	// that no run of an earlier agent incarnation is alive.
 	foreignRunsCleared bool
@@ -319,7 +321,7 @@
 	switch {
 	case c.leaving:
 		return wire.ClosedAgentLeaving
-	case c.target.id == "" || !c.target.clockKnown:
+	case c.target.id == "" || !c.target.clockKnown || c.target.id != c.reportedTarget:
 		return wire.ClosedNoTarget
 	case c.target.draining:
 		return wire.ClosedDraining
--- a/process/runner/target.go
+++ b/process/runner/target.go
@@ -79,15 +79,19 @@
 }
 
 // HandleTargetFound handles a report on a target that comes from another source. It
-// is ignored if a target is known already. Reports of the target itself replace it
-// later.
+// is ignored if a target is known already. The target gets no runs before it has reported
+// itself: the other source may show a capacity that has shrunk since, and does not show
+// that the target is leaving.
 func (c *Core) HandleTargetFound(r TargetReport) {
 	c.mu.Lock()
-	known := c.target.id != ""
-	c.mu.Unlock()
-	if !known {
-		c.HandleTargetReport(r)
+	defer c.mu.Unlock()
+	if c.target.id != "" {
+		return
 	}
+	now := c.env.Now()
+	c.adoptTarget(now, r)
+	c.applyReport(r)
+	c.flush(now)
 }
 
 // HandleTargetReport handles a report of the target. It returns false if the report
@@ -110,12 +114,21 @@
 		c.requestPoll()
 		return true
 	}
-	c.applyReport(r)
+	c.applyOwnReport(r)
 	c.inviteWaitingEntry(now)
 	c.flush(now)
 	return true
 }
 
+// applyOwnReport takes over a report of the known target itself.
+func (c *Core) applyOwnReport(r TargetReport) {
+	if c.reportedTarget != r.Target {
+		c.reportedTarget = r.Target
+		c.bumpRevision()
+	}
+	c.applyReport(r)
+}
+
 // noteSuccessor notes a report of another target than the known one. The report may be
 // delayed, or of another writer: only the answers to calls show which target is there. It
 // returns false if a newer target has reported.
@@ -189,7 +202,7 @@
 	c.bumpRevision()
 	if successor != nil {
 		c.adoptTarget(now, *successor)
-		c.applyReport(*successor)
+		c.applyOwnReport(*successor)
 	}
 }
 
--- a/process/runner/target_test.go
+++ b/process/runner/target_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/runner"
 	"github.com/azurerouter/azurerouter/request/batch"
 )
@@ -75,3 +76,36 @@
 		t.Errorf("lease until %d on the clock of a target that has just started", got)
 	}
 }
+
+// Guards against runs on a target that only the list of machines has described since the
+// agent started: its room may have shrunk (rule LIMIT), and the list does not show that it
+// is leaving or has deregistered (rule DRAIN).
+func TestTargetFoundInAListGetsNoRunsBeforeItsOwnReport(t *testing.T) {
+	h := &harness{t: t, now: time.UnixMilli(1_000_000), clock: 1000}
+	h.core = runner.New(h, runner.Options{Agent: 1, Node: "agent-1", Zone: "a", Fence: 10})
+	listed := runner.TargetReport{Target: targetID, Service: "card", Capacity: h.targetCapacity()}
+	h.core.HandleTargetFound(listed)
+	h.completeHold(1, nil, nil)
+	h.core.Connected(entryID)
+	early := h.sendStartOrder(0)
+	if report, _ := h.lastReportOf(early); len(h.starts) != 0 || report.RefusalReason != wire.RefusedClosed {
+		t.Errorf("%d starts and refusal %q before the target's own report, want none and %q", len(h.starts), report.RefusalReason, wire.RefusedClosed)
+	}
+	h.reportTarget(1, 4)
+	run := h.sendStartOrder(1)
+	if len(h.starts) != 1 || h.lastStart().Run != run {
+		t.Errorf("starts %+v after the target's own report, want that of %v", h.starts, run)
+	}
+}
+
+// Guards against a target that gets no runs after it has started again under its identity,
+// although it reported itself before.
+func TestRestartedTargetNeedsNoFurtherReport(t *testing.T) {
+	h := newHarness(t)
+	h.clock = 10
+	h.completeHold(2, nil, nil)
+	h.sendStartOrder(0)
+	if len(h.starts) != 1 {
+		t.Errorf("%d starts at a target that has started again, want 1", len(h.starts))
+	}
+}
