runner: one report of another writer does not change the target

One readable report under the identity of a target, with another service or a far sequence number, would have taken the target away from its queues, or made it seem never to drain.

Cause: the higher sequence number decided alone, and all later reports of the target counted as outdated.

Change: a report that changes the service, or raises the sequence number by over 1,000, is held until the next one agrees with it.

Measured: TestReportThatContradictsTheTargetIsIgnored failed before in its three cases. Tests of process/runner and those of reports in platform pass.

--- a/process/runner/target.go
+++ b/process/runner/target.go
@@ -37,6 +37,9 @@
 	// target answers at the address. successorAt is when the report was received.
 	successor   *TargetReport
 	successorAt time.Time
+	// doubtful is the newest report that contradicts those before it, or nil. The next
+	// one that agrees with it confirms it.
+	doubtful *TargetReport
 	// capacityRefusedAt is when the target refused a run for which the agent had
 	// counted enough free capacity. It is zero once the target has listed its
 	// runs in answer to a later call.
@@ -113,6 +116,8 @@
 		// began after the restart.
 		c.requestPoll()
 		return true
+	case c.isDoubtful(r):
+		return true
 	}
 	c.applyOwnReport(r)
 	c.inviteWaitingEntry(now)
@@ -120,6 +125,36 @@
 	return true
 }
 
+// maxSequenceStep is the largest step between two sequence numbers of a target that is
+// taken for granted. Targets report every second or two, so that it covers many minutes
+// without a report.
+const maxSequenceStep = 1000
+
+// isDoubtful reports whether a report contradicts the earlier ones of the same target, so
+// that another writer may have sent it: a target keeps its service, and its sequence
+// numbers rise slowly. A high number would make all later reports seem outdated. A second
+// report that agrees with the first such one is not doubtful.
+func (c *Core) isDoubtful(r TargetReport) bool {
+	if c.reportedTarget != r.Target {
+		return false
+	}
+	present := TargetReport{Service: c.target.service, Sequence: c.target.sequence}
+	first := c.target.doubtful
+	if r.follows(present) || first != nil && r.Sequence > first.Sequence && r.follows(*first) {
+		c.target.doubtful = nil
+		return false
+	}
+	c.target.doubtful = &r
+	c.env.Record(decision.Decision{Step: "target_report", Peer: r.Target, Outcome: "ignored", Reason: "contradicts the earlier reports", Version: r.Sequence})
+	return true
+}
+
+// follows reports whether a report may be the next one of the target that sent an earlier
+// one.
+func (r TargetReport) follows(earlier TargetReport) bool {
+	return r.Service == earlier.Service && r.Sequence-earlier.Sequence <= maxSequenceStep
+}
+
 // applyOwnReport takes over a report of the known target itself.
 func (c *Core) applyOwnReport(r TargetReport) {
 	if c.reportedTarget != r.Target {
--- a/process/runner/target_test.go
+++ b/process/runner/target_test.go
@@ -109,3 +109,40 @@
 		t.Errorf("%d starts at a target that has started again, want 1", len(h.starts))
 	}
 }
+
+// Guards against a target that is lost to its service, or whose own reports are ignored as
+// outdated, because of one report of another writer under its identity.
+func TestReportThatContradictsTheTargetIsIgnored(t *testing.T) {
+	cases := map[string]runner.TargetReport{
+		"another service":               {Service: "other", Sequence: 2},
+		"a far sequence number":         {Service: "card", Sequence: 1 << 60},
+		"both, as another writer sends": {Service: "other", Sequence: 1 << 60},
+	}
+	for name, foreign := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			foreign.Target, foreign.StartTime, foreign.Capacity = targetID, 1, h.targetCapacity()
+			h.core.HandleTargetReport(foreign)
+			if got := h.core.Dump().Service; got != "card" {
+				t.Errorf("service %q after the report of another writer, want %q", got, "card")
+			}
+			h.core.HandleTargetReport(runner.TargetReport{Target: targetID, Service: "card", StartTime: 1, Sequence: 3, Capacity: h.targetCapacity(), Draining: true})
+			h.sendStartOrder(0)
+			if len(h.starts) != 0 {
+				t.Error("a run started although the target had reported that it is draining")
+			}
+		})
+	}
+}
+
+// Guards against a target whose reports are ignored for ever once one was doubtful.
+func TestSecondReportConfirmsADoubtfulOne(t *testing.T) {
+	h := newHarness(t)
+	for sequence := uint64(5000); sequence <= 5001; sequence++ {
+		h.core.HandleTargetReport(runner.TargetReport{Target: targetID, Service: "card", StartTime: 1, Sequence: sequence, Capacity: h.targetCapacity(), Draining: true})
+	}
+	h.sendStartOrder(0)
+	if len(h.starts) != 0 {
+		t.Error("a run started although two reports said that the target is draining")
+	}
+}
