dispatch: a job whose tasks have run is not answered as not run

Callers whose answer was lost, and who submitted the job again, were refused with 503, which says that it never runs, although tasks of it had run.

Cause: a refusal was decided from the present load alone. The entry forgot what it had run once the caller had left, and did not say it in its reply to a withdrawal by another entry.

Measured: TestRefusalOfAJobThatHasRunDoesNotSayThatItHasNot and the case "runs elsewhere" of TestResubmittedJobIsWithdrawnElsewhere failed before. Tests of process/dispatch, process/node and connection/wire pass.

--- a/connection/wire/jobcall.go
+++ b/connection/wire/jobcall.go
@@ -40,8 +40,8 @@
 	// Reason and RetryAfterMS, in milliseconds, are set for a refusal.
 	Reason       string `cbor:"3,keyasint,omitempty"`
 	RetryAfterMS int64  `cbor:"4,keyasint,omitempty"`
-	// State is the state of the job. Started is set if one of its tasks has
-	// started. Both are set in replies to DurableState.
+	// State is the state of the job, in replies to DurableState. Started is set if one
+	// of its tasks has started, in these and in replies to WithdrawJob without a code.
 	State   string `cbor:"5,keyasint,omitempty"`
 	Started bool   `cbor:"6,keyasint,omitempty"`
 }
--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -94,6 +94,9 @@
 type retainedAnswer struct {
 	result     Result
 	answeredAt time.Time
+	// mayHaveRun is set if a run of the job was ordered here and not refused, for this
+	// submission of the job or an earlier one.
+	mayHaveRun bool
 }
 
 // New returns the state of a new entry incarnation in an availability zone. seed
@@ -159,6 +162,7 @@
 	if j == nil {
 		s.PriorWait = p.resubmissions.credibleWait(s)
 		if refusal, ok := c.admit(now, p, s); !ok {
+			refusal = p.correctNotRun(s.Job.ID, refusal)
 			c.refuse(now, p, s, refusal)
 			reply(refusal)
 			return func() {}
@@ -218,6 +222,9 @@
 	c.counters.callersLeft.Add(1)
 	j.ended = true
 	delete(p.jobs, j.Job.ID)
+	if j.durableState == nil {
+		p.retainAnswer(now, j, Result{Code: GaveUp, Reason: ReasonCallerLeft})
+	}
 	c.stopJob(now, p, j)
 	c.assign(now, p)
 }
@@ -248,17 +255,43 @@
 }
 
 // retainAnswer keeps the answer of a job for a caller who submits the job again.
-func (p *pool) retainAnswer(now time.Time, id batch.ID, result Result) {
-	if _, known := p.retainedAnswers[id]; !known {
+func (p *pool) retainAnswer(now time.Time, j *activeJob, result Result) {
+	id := j.Job.ID
+	previous, known := p.retainedAnswers[id]
+	if !known {
 		p.answerOrder = append(p.answerOrder, id)
 	}
-	p.retainedAnswers[id] = retainedAnswer{result, now}
+	p.retainedAnswers[id] = retainedAnswer{result, now, previous.mayHaveRun || j.runsStarted > 0}
 	for len(p.answerOrder) > 0 && (len(p.answerOrder) > maxRetainedAnswers || now.Sub(p.retainedAnswers[p.answerOrder[0]].answeredAt) > answerRetention) {
 		delete(p.retainedAnswers, p.answerOrder[0])
 		p.answerOrder = p.answerOrder[1:]
 	}
 }
 
+// correctNotRun returns the answer to a job in place of one that may say that it has not
+// run: tasks of an earlier submission, whose answer the caller did not get, may have run.
+func (p *pool) correctNotRun(id batch.ID, result Result) Result {
+	if result.Code == NotRun && p.retainedAnswers[id].mayHaveRun {
+		return Result{Code: GaveUp, Reason: result.Reason}
+	}
+	return result
+}
+
+// MayHaveRun reports whether a run of a job that is not durable was ordered here and not
+// refused, as far as this is remembered.
+func (c *Core) MayHaveRun(id batch.ID) bool {
+	for _, p := range c.allPools() {
+		p.mu.Lock()
+		j := p.jobs[id]
+		ran := p.retainedAnswers[id].mayHaveRun || j != nil && j.durableState == nil && j.runsStarted > 0
+		p.mu.Unlock()
+		if ran {
+			return true
+		}
+	}
+	return false
+}
+
 // ActiveJobs returns the number of jobs that have not been answered.
 func (c *Core) ActiveJobs() int {
 	active := 0
--- a/process/dispatch/env.go
+++ b/process/dispatch/env.go
@@ -99,6 +99,8 @@
 	ReasonCrashes Reason = "crashes"
 	// ReasonWithdrawn: the caller has submitted the job to another entry.
 	ReasonWithdrawn Reason = "withdrawn"
+	// ReasonCallerLeft: the caller has closed the connection.
+	ReasonCallerLeft Reason = "caller_left"
 	// ReasonIsolated: the entry has lost contact with every agent of the service.
 	ReasonIsolated Reason = "isolated"
 	// ReasonStoreUnavailable: the job can't be recorded in the store.
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -191,7 +191,8 @@
 	j.ended = true
 	delete(p.jobs, j.Job.ID)
 	if j.durableState == nil {
-		p.retainAnswer(now, j.Job.ID, result)
+		result = p.correctNotRun(j.Job.ID, result)
+		p.retainAnswer(now, j, result)
 	}
 	c.counters.countResult(result)
 	inputs := []decision.Input{{Name: "took_ms", Value: now.Sub(j.acceptedAt).Milliseconds()},
--- a/process/node/resubmissions.go
+++ b/process/node/resubmissions.go
@@ -33,13 +33,15 @@
 	go func() {
 		defer cancelWait()
 		start := time.Now()
-		result, known := withdrawElsewhere(ctx, e.keeperPeers(), s.Job.ID)
-		if known {
-			reply(result)
+		withdrawn := withdrawElsewhere(ctx, e.keeperPeers(), s.Job.ID)
+		if withdrawn.ended {
+			reply(withdrawn.result)
 			return
 		}
 		s.CallerTimeout -= time.Since(start)
-		again.submit(func() (cancel func()) { return e.Core.Submit(s, reply) })
+		again.submit(func() (cancel func()) {
+			return e.Core.Submit(s, func(r dispatch.Result) { reply(withdrawn.correctNotRun(r)) })
+		})
 	}()
 	return func() {
 		cancelWait()
@@ -72,9 +74,26 @@
 	}
 }
 
+// withdrawal is what other entries have replied about a withdrawn job.
+type withdrawal struct {
+	// ended is set if the job has ended with result at one of them.
+	ended  bool
+	result dispatch.Result
+	// mayHaveRun is set if tasks of it may have run at one of them.
+	mayHaveRun bool
+}
+
+// correctNotRun returns a result in place of one that may say that the job has not run.
+func (w withdrawal) correctNotRun(result dispatch.Result) dispatch.Result {
+	if result.Code == dispatch.NotRun && w.mayHaveRun {
+		return dispatch.Result{Code: dispatch.GaveUp, Reason: result.Reason}
+	}
+	return result
+}
+
 // withdrawElsewhere asks other entries to end a job and returns when all of them have
 // replied, one has replied with the result of the job, or the context ends.
-func withdrawElsewhere(ctx context.Context, peers []keeper.Peer, id batch.ID) (result dispatch.Result, known bool) {
+func withdrawElsewhere(ctx context.Context, peers []keeper.Peer, id batch.ID) withdrawal {
 	replies := make(chan wire.JobReply, len(peers))
 	for _, peer := range peers {
 		go func() {
@@ -83,13 +102,16 @@
 			replies <- reply
 		}()
 	}
+	var w withdrawal
 	for range peers {
 		reply := <-replies
 		if reply.Code != "" {
-			return dispatch.Result{Code: dispatch.Code(reply.Code), Reason: dispatch.Reason(reply.Reason)}, true
+			w.ended, w.result = true, dispatch.Result{Code: dispatch.Code(reply.Code), Reason: dispatch.Reason(reply.Reason)}
+			return w
 		}
+		w.mayHaveRun = w.mayHaveRun || reply.Started
 	}
-	return dispatch.Result{}, false
+	return w
 }
 
 // serveWithdrawal ends a job and replies once none of its runs is alive, or the context
@@ -100,6 +122,7 @@
 		reply.Code, reply.Reason = string(result.Code), string(result.Reason)
 		return reply
 	}
+	reply.Started = e.Core.MayHaveRun(call.ID)
 	for e.Core.HasRuns(call.ID) && ctx.Err() == nil {
 		pause(ctx, withdrawPollInterval)
 	}
