keeper: a resubmitted job that may be recorded is not refused

Callers whose answer was lost, and who submitted a kept job again, could be refused with 503 by an entry without room, although the job was accepted.

Cause: the refusing entry may not have read the record, or the entry whose answer was lost may still append it.

Change: a refused submission that looks repeated is looked up in the log, read to its present end: accepted if it is there, otherwise undecided (504). Kept jobs count for the share above which a queue's submissions are not taken for repeats.

Tests of process/keeper and process/node and those of submissions in process/dispatch pass.

--- a/process/dispatch/durable.go
+++ b/process/dispatch/durable.go
@@ -67,11 +67,12 @@
 }
 
 // AdmitDurable reports whether a new durable job is admitted, and returns the
-// refusal if not. It does not add the job.
+// refusal if not. It does not add the job. It counts for LooksResubmitted.
 func (c *Core) AdmitDurable(s batch.Submission) (Result, bool) {
 	p := c.pool(s.Service)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.resubmissions.credibleWait(s)
 	return c.admit(c.env.Now(), p, s)
 }
 
--- a/process/dispatch/resubmissions_test.go
+++ b/process/dispatch/resubmissions_test.go
@@ -50,3 +50,22 @@
 		})
 	}
 }
+
+// Guards against kept jobs of a queue whose callers always leave little time, all of which
+// seem to be submitted again when they are refused.
+func TestShortDeadlinesOfKeptJobsAreNotResubmissions(t *testing.T) {
+	c := newCluster(t, 64, 1, equalRooms(1, 16000))
+	c.run(500 * time.Millisecond)
+	core := c.entries[0].core
+	s := c.submission("q", 1, time.Second, 1000, 0)
+	s.PriorWait = time.Second
+	if !core.LooksResubmitted(s) {
+		t.Error("the first submission with a short deadline is not taken for a resubmission")
+	}
+	for range 500 {
+		core.AdmitDurable(s)
+	}
+	if core.LooksResubmitted(s) {
+		t.Error("a submission is taken for a resubmission although all of its queue look so")
+	}
+}
--- a/process/keeper/fakes_test.go
+++ b/process/keeper/fakes_test.go
@@ -155,6 +155,8 @@
 	ownedUntil time.Time
 	// startsUntil is the latest end of the time for starts that was passed.
 	startsUntil time.Time
+	// refusal, if set, is the answer to every new job.
+	refusal *dispatch.Result
 	// stopped is the set of jobs that StopDurable was called for.
 	stopped map[batch.ID]bool
 }
@@ -165,8 +167,15 @@
 }
 
 func (d *fakeDispatcher) AdmitDurable(batch.Submission) (dispatch.Result, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.refusal != nil {
+		return *d.refusal, false
+	}
 	return dispatch.Result{}, true
 }
+func (d *fakeDispatcher) LooksResubmitted(s batch.Submission) bool { return s.PriorWait > 0 }
+
 func (d *fakeDispatcher) RunDurable(job dispatch.DurableJob, finished func(dispatch.Result)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -16,6 +16,9 @@
 	// AdmitDurable reports whether a new job would be served in time; if not, the
 	// result is the refusal.
 	AdmitDurable(s batch.Submission) (dispatch.Result, bool)
+	// LooksResubmitted reports whether the caller of a job seems to have submitted it
+	// before.
+	LooksResubmitted(s batch.Submission) bool
 	// RunDurable runs the remaining tasks of a job. It calls finished at most
 	// once; finished must not block.
 	RunDurable(d dispatch.DurableJob, finished func(dispatch.Result))
--- a/process/keeper/peers.go
+++ b/process/keeper/peers.go
@@ -28,6 +28,9 @@
 // log is unavailable to this entry, it forwards the submission to other entries.
 func (k *Keeper) Submit(ctx context.Context, s batch.Submission) Outcome {
 	o := k.submitOrForward(ctx, s)
+	if o.Code == NotAccepted && o.Refusal.Reason != dispatch.ReasonUnsupported && k.dispatcher.LooksResubmitted(s) {
+		o = k.outcomeOfResubmission(ctx, s.Job.ID)
+	}
 	k.counters.countSubmission(o)
 	switch o.Code {
 	case NotAccepted:
@@ -38,6 +41,22 @@
 	return o
 }
 
+// outcomeOfResubmission returns the outcome of a refused submission whose caller seems to
+// have submitted the job before. A refusal would say that the job never runs, but its
+// record may be in the log, or on its way from an entry whose answer was lost.
+func (k *Keeper) outcomeOfResubmission(ctx context.Context, id batch.ID) Outcome {
+	ctx, cancel := context.WithTimeout(ctx, currentReadTimeout)
+	defer cancel()
+	if k.awaitCurrent(ctx) == nil {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		if _, known := k.table.Job(id); known {
+			return Outcome{Code: Accepted}
+		}
+	}
+	return Outcome{Code: Undecided}
+}
+
 // submitOrForward submits a job here or, if the log is unavailable to this entry,
 // at another one.
 func (k *Keeper) submitOrForward(ctx context.Context, s batch.Submission) Outcome {
