runner: a late deregistration does not close the next life of a target

A target that had started again under its identity would have got no runs any more.

Cause: the notice of the life before, delayed, was matched by the identity alone.

Measured: TestDelayedDeregistrationDoesNotCloseTheNextLife failed before. Tests of process/runner, process/node and platform pass.

--- a/process/runner/target.go
+++ b/process/runner/target.go
@@ -214,11 +214,13 @@
 	c.requestPoll()
 }
 
-// HandleTargetDeregistered handles a target's notice that it shuts down.
-func (c *Core) HandleTargetDeregistered(id string) {
+// HandleTargetDeregistered handles a target's notice that it shuts down. startTime is that
+// of the sender, or zero if the notice has none: one that was delayed until after a restart
+// of the target under its identity is not about the present one.
+func (c *Core) HandleTargetDeregistered(id string, startTime int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.target.id != id {
+	if c.target.id != id || startTime != 0 && startTime < c.target.startTime {
 		return
 	}
 	c.target.draining = true
--- a/process/runner/target_test.go
+++ b/process/runner/target_test.go
@@ -146,3 +146,21 @@
 		t.Error("a run started although two reports said that the target is draining")
 	}
 }
+
+// Guards against a target that gets no more runs because the deregistration of its earlier
+// life, under the same identity, arrives late.
+func TestDelayedDeregistrationDoesNotCloseTheNextLife(t *testing.T) {
+	h := newHarness(t)
+	h.clock = 10
+	h.completeHold(2, nil, nil)
+	h.core.HandleTargetDeregistered(targetID, 1)
+	h.sendStartOrder(0)
+	if len(h.starts) != 1 {
+		t.Errorf("%d starts after a delayed deregistration, want 1", len(h.starts))
+	}
+	h.core.HandleTargetDeregistered(targetID, 2)
+	h.sendStartOrder(1)
+	if len(h.starts) != 1 {
+		t.Errorf("%d starts after the deregistration, want no further one", len(h.starts))
+	}
+}
