--- a/process/node/resubmissions.go
+++ b/process/node/resubmissions.go
@@ -40,12 +40,12 @@
 	go func() {
 		defer cancelWait()
 		start := time.Now()
-		w := withdrawElsewhere(ctx, e.withdrawalPeers(), s.Job.ID)
-		if w.known {
-			reply(w.result)
+		withdrawn := withdrawElsewhere(ctx, e.withdrawalPeers(), s.Job.ID)
+		if withdrawn.known {
+			reply(withdrawn.result)
 			return
 		}
-		wait := w.runsEnd.Sub(clock.Now())
+		wait := withdrawn.runsEnd.Sub(clock.Now())
 		if wait > 0 {
 			e.decisions.Record(decision.Decision{Step: "accept", Job: s.Job.ID, Outcome: "withheld", Reason: "runs at another entry may be alive", Age: wait})
 		}
@@ -55,7 +55,9 @@
 		}
 		pause(ctx, wait)
 		s.CallerTimeout -= time.Since(start)
-		again.submit(func() (cancel func()) { return e.Core.Submit(s, reply) })
+		again.submit(func() (cancel func()) {
+			return e.Core.Submit(s, func(r dispatch.Result) { reply(withdrawn.correctNotRun(r)) })
+		})
 	}()
 	return func() {
 		cancelWait()
@@ -108,10 +110,20 @@
 	// result is the final result that the job had, if known is set.
 	result dispatch.Result
 	known  bool
+	// mayHaveRun is set if tasks of it may have run at one of them.
+	mayHaveRun bool
 	// runsEnd is when the runs at entries that have not confirmed their end have ended.
 	runsEnd time.Time
 }
 
+// correctNotRun returns a result in place of one that may say that the job has not run.
+func (w withdrawal) correctNotRun(result dispatch.Result) dispatch.Result {
+	if result.Code == dispatch.NotRun && w.mayHaveRun {
+		return dispatch.Result{Code: dispatch.GaveUp, Reason: result.Reason}
+	}
+	return result
+}
+
 // withdrawElsewhere asks other entries to end a job and returns when each of them has
 // confirmed that no run is alive or does not reply, when one has replied with the result
 // of the job, or when the context ends.
@@ -126,6 +138,7 @@
 		if w.known {
 			return w
 		}
+		all.mayHaveRun = all.mayHaveRun || w.mayHaveRun
 		if w.runsEnd.After(all.runsEnd) {
 			all.runsEnd = w.runsEnd
 		}
@@ -147,7 +160,7 @@
 		case reply.Code != "":
 			return withdrawal{result: dispatch.Result{Code: dispatch.Code(reply.Code), Reason: dispatch.Reason(reply.Reason)}, known: true}
 		case !reply.RunsAlive:
-			return withdrawal{}
+			return withdrawal{mayHaveRun: reply.Started}
 		}
 	}
 }
@@ -160,6 +173,7 @@
 		reply.Code, reply.Reason = string(result.Code), string(result.Reason)
 		return reply
 	}
+	reply.Started = e.Core.MayHaveRun(call.ID)
 	for e.Core.HasRuns(call.ID) {
 		if ctx.Err() != nil {
 			reply.RunsAlive = true
--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -63,9 +63,11 @@
 	used     batch.Resources
 	target   target
 	// lives counts the lives of targets that the agent has learned of.
-	lives    uint64
-	health   health
-	revision uint64
+	lives uint64
+	// reportedTarget is the newest target that has sent a report itself.
+	reportedTarget string
+	health         health
+	revision       uint64
 	// foreignRunsCleared is set once the target has listed no foreign run, so
 	// that no run of an earlier agent incarnation is alive.
 	foreignRunsCleared bool
@@ -335,7 +337,7 @@
 	switch {
 	case c.leaving:
 		return wire.ClosedAgentLeaving
-	case c.target.id == "" || !c.target.clockKnown:
+	case c.target.id == "" || !c.target.clockKnown || c.target.id != c.reportedTarget:
 		return wire.ClosedNoTarget
 	case c.target.draining:
 		return wire.ClosedDraining
--- a/process/runner/target.go
+++ b/process/runner/target.go
@@ -43,6 +43,9 @@
 	// target answers at the address. successorAt is when the report was received.
 	successor   *TargetReport
 	successorAt time.Time
+	// doubtful is the newest report that contradicts those before it, or nil. The next
+	// one that agrees with it confirms it.
+	doubtful *TargetReport
 	// capacityRefusedAt is when the target refused a run for which the agent had
 	// counted enough free capacity. It is zero once the target has listed its
 	// runs in answer to a later call.
@@ -98,15 +101,19 @@
 }
 
 // HandleTargetFound handles a report on a target that comes from another source. It
-// is ignored if a target is known already. Reports of the target itself replace it
-// later.
+// is ignored if a target is known already. The target gets no runs before it has reported
+// itself: the other source may show a capacity that has shrunk since, and does not show
+// that the target is leaving.
 func (c *Core) HandleTargetFound(r TargetReport) {
 	c.mu.Lock()
-	known := c.target.id != ""
-	c.mu.Unlock()
-	if !known {
-		c.HandleTargetReport(r)
+	defer c.mu.Unlock()
+	if c.target.id != "" {
+		return
 	}
+	now := c.env.Now()
+	c.adoptTarget(now, r)
+	c.applyReport(r)
+	c.flush(now)
 }
 
 // HandleTargetReport handles a report of the target. It returns false if the report
@@ -128,13 +135,54 @@
 		// began after the restart.
 		c.requestPoll()
 		return true
+	case c.isDoubtful(r):
+		return true
 	}
-	c.applyReport(r)
+	c.applyOwnReport(r)
 	c.inviteWaitingEntry(now)
 	c.flush(now)
 	return true
 }
 
+// maxSequenceStep is the largest step between two sequence numbers of a target that is
+// taken for granted. Targets report every second or two, so that it covers many minutes
+// without a report.
+const maxSequenceStep = 1000
+
+// isDoubtful reports whether a report contradicts the earlier ones of the same target, so
+// that another writer may have sent it: a target keeps its service, and its sequence
+// numbers rise slowly. A high number would make all later reports seem outdated. A second
+// report that agrees with the first such one is not doubtful.
+func (c *Core) isDoubtful(r TargetReport) bool {
+	if c.reportedTarget != r.Target {
+		return false
+	}
+	present := TargetReport{Service: c.target.service, Sequence: c.target.sequence}
+	first := c.target.doubtful
+	if r.follows(present) || first != nil && r.Sequence > first.Sequence && r.follows(*first) {
+		c.target.doubtful = nil
+		return false
+	}
+	c.target.doubtful = &r
+	c.env.Record(decision.Decision{Step: "target_report", Peer: r.Target, Outcome: "ignored", Reason: "contradicts the earlier reports", Version: r.Sequence})
+	return true
+}
+
+// follows reports whether a report may be the next one of the target that sent an earlier
+// one.
+func (r TargetReport) follows(earlier TargetReport) bool {
+	return r.Service == earlier.Service && r.Sequence-earlier.Sequence <= maxSequenceStep
+}
+
+// applyOwnReport takes over a report of the known target itself.
+func (c *Core) applyOwnReport(r TargetReport) {
+	if c.reportedTarget != r.Target {
+		c.reportedTarget = r.Target
+		c.bumpRevision()
+	}
+	c.applyReport(r)
+}
+
 // noteSuccessor notes a report of another target than the known one. The report may be
 // delayed, or of another writer: only the answers to calls show which target is there. It
 // returns false if a newer target has reported.
@@ -185,11 +233,13 @@
 	c.requestPoll()
 }
 
-// HandleTargetDeregistered handles a target's notice that it shuts down.
-func (c *Core) HandleTargetDeregistered(id string) {
+// HandleTargetDeregistered handles a target's notice that it shuts down. startTime is that
+// of the sender, or zero if the notice has none: one that was delayed until after a restart
+// of the target under its identity is not about the present one.
+func (c *Core) HandleTargetDeregistered(id string, startTime int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.target.id != id {
+	if c.target.id != id || startTime != 0 && startTime < c.target.startTime {
 		return
 	}
 	c.target.draining = true
@@ -208,7 +258,7 @@
 	c.bumpRevision()
 	if successor != nil {
 		c.adoptTarget(now, *successor)
-		c.applyReport(*successor)
+		c.applyOwnReport(*successor)
 	}
 }
 
--- a/process/runner/target_test.go
+++ b/process/runner/target_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/runner"
 	"github.com/azurerouter/azurerouter/request/batch"
 )
@@ -75,3 +76,91 @@
 		t.Errorf("lease until %d on the clock of a target that has just started", got)
 	}
 }
+
+// Guards against runs on a target that only the list of machines has described since the
+// agent started: its room may have shrunk (rule LIMIT), and the list does not show that it
+// is leaving or has deregistered (rule DRAIN).
+func TestTargetFoundInAListGetsNoRunsBeforeItsOwnReport(t *testing.T) {
+	h := &harness{t: t, now: time.UnixMilli(1_000_000), clock: 1000}
+	h.core = runner.New(h, runner.Options{Agent: 1, Node: "agent-1", Zone: "a", Fence: 10})
+	listed := runner.TargetReport{Target: targetID, Service: "card", Capacity: h.targetCapacity()}
+	h.core.HandleTargetFound(listed)
+	h.completeHold(1, nil, nil)
+	h.core.Connected(entryID)
+	early := h.sendStartOrder(0)
+	if report, _ := h.lastReportOf(early); len(h.starts) != 0 || report.RefusalReason != wire.RefusedClosed {
+		t.Errorf("%d starts and refusal %q before the target's own report, want none and %q", len(h.starts), report.RefusalReason, wire.RefusedClosed)
+	}
+	h.reportTarget(1, 4)
+	run := h.sendStartOrder(1)
+	if len(h.starts) != 1 || h.lastStart().Run != run {
+		t.Errorf("starts %+v after the target's own report, want that of %v", h.starts, run)
+	}
+}
+
+// Guards against a target that gets no runs after it has started again under its identity,
+// although it reported itself before.
+func TestRestartedTargetNeedsNoFurtherReport(t *testing.T) {
+	h := newHarness(t)
+	h.clock = 10
+	h.completeHold(2, nil, nil)
+	h.sendStartOrder(0)
+	if len(h.starts) != 1 {
+		t.Errorf("%d starts at a target that has started again, want 1", len(h.starts))
+	}
+}
+
+// Guards against a target that is lost to its service, or whose own reports are ignored as
+// outdated, because of one report of another writer under its identity.
+func TestReportThatContradictsTheTargetIsIgnored(t *testing.T) {
+	cases := map[string]runner.TargetReport{
+		"another service":               {Service: "other", Sequence: 2},
+		"a far sequence number":         {Service: "card", Sequence: 1 << 60},
+		"both, as another writer sends": {Service: "other", Sequence: 1 << 60},
+	}
+	for name, foreign := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			foreign.Target, foreign.StartTime, foreign.Capacity = targetID, 1, h.targetCapacity()
+			h.core.HandleTargetReport(foreign)
+			if got := h.core.Dump().Service; got != "card" {
+				t.Errorf("service %q after the report of another writer, want %q", got, "card")
+			}
+			h.core.HandleTargetReport(runner.TargetReport{Target: targetID, Service: "card", StartTime: 1, Sequence: 3, Capacity: h.targetCapacity(), Draining: true})
+			h.sendStartOrder(0)
+			if len(h.starts) != 0 {
+				t.Error("a run started although the target had reported that it is draining")
+			}
+		})
+	}
+}
+
+// Guards against a target whose reports are ignored for ever once one was doubtful.
+func TestSecondReportConfirmsADoubtfulOne(t *testing.T) {
+	h := newHarness(t)
+	for sequence := uint64(5000); sequence <= 5001; sequence++ {
+		h.core.HandleTargetReport(runner.TargetReport{Target: targetID, Service: "card", StartTime: 1, Sequence: sequence, Capacity: h.targetCapacity(), Draining: true})
+	}
+	h.sendStartOrder(0)
+	if len(h.starts) != 0 {
+		t.Error("a run started although two reports said that the target is draining")
+	}
+}
+
+// Guards against a target that gets no more runs because the deregistration of its earlier
+// life, under the same identity, arrives late.
+func TestDelayedDeregistrationDoesNotCloseTheNextLife(t *testing.T) {
+	h := newHarness(t)
+	h.clock = 10
+	h.completeHold(2, nil, nil)
+	h.core.HandleTargetDeregistered(targetID, 1)
+	h.sendStartOrder(0)
+	if len(h.starts) != 1 {
+		t.Errorf("%d starts after a delayed deregistration, want 1", len(h.starts))
+	}
+	h.core.HandleTargetDeregistered(targetID, 2)
+	h.sendStartOrder(1)
+	if len(h.starts) != 1 {
+		t.Errorf("%d starts after the deregistration, want no further one", len(h.starts))
+	}
+}
