runner: an agent without a target stays in the pool of its service

Cause: while another target takes the place of the former one, an agent has none for up to a heartbeat. If it connected to an entry then, it named no service: the entry ended its runs as moved to another service, without looking at the ends that the agent reported, and crashes reported on that connection counted for no job of the service. Change: an agent without a target names the service of its last one, as it kept its place in the pool before if it stayed connected. Measured: TestAgentWithoutTargetNamesItsService failed before (service ""), passes now. All tests of process/runner, process/dispatch, process/node and platform pass.

--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -62,8 +62,11 @@
 	runs     map[batch.Run]*heldRun
 	used     batch.Resources
 	target   target
-	health   health
-	revision uint64
+	// lastService is the service of the last target. Without a target, the agent stays in
+	// the pool of that service.
+	lastService string
+	health      health
+	revision    uint64
 	// foreignRunsCleared is set once the target has listed no foreign run, so
 	// that no run of an earlier agent incarnation is alive.
 	foreignRunsCleared bool
@@ -312,7 +315,10 @@
 func (c *Core) bumpRevision() { c.revision++ }
 
 func (c *Core) targetState() wire.TargetState {
-	return wire.TargetState{Target: c.target.id, Service: c.target.service, Capacity: c.target.capacity, Labels: c.target.labels,
+	if c.target.service != "" {
+		c.lastService = c.target.service
+	}
+	return wire.TargetState{Target: c.target.id, Service: c.lastService, Capacity: c.target.capacity, Labels: c.target.labels,
 		Closed: c.closedReason(), Probing: c.health.probing, Revision: c.revision}
 }
 
--- a/process/runner/reports_test.go
+++ b/process/runner/reports_test.go
@@ -67,3 +67,21 @@
 		t.Error("the failure is not reported at once")
 	}
 }
+
+// Guards against ends and crashes that count for nothing, because the agent connects while
+// it has no target and its entry takes it for one of another service.
+func TestAgentWithoutTargetNamesItsService(t *testing.T) {
+	h := newHarness(t)
+	run := h.startDurableRun(0)
+	h.answerLastStart(runner.VerdictDone)
+	h.completeHold(1, nil, h.endRows(run, batch.EndDone))
+	call, _ := h.core.NextHold(false)
+	h.core.HoldFailed(call, runner.VerdictOtherTarget)
+	h.core.Disconnected(entryID)
+	h.sent = nil
+	h.core.Connected(entryID)
+	enroll := h.sent[0].(*wire.Enroll)
+	if enroll.Target.Target != "" || enroll.Target.Service != "card" {
+		t.Errorf("enrolled with the target %q of the service %q, want no target of the service card", enroll.Target.Target, enroll.Target.Service)
+	}
+}
