--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -66,8 +66,11 @@
 	lives uint64
 	// reportedTarget is the newest target that has sent a report itself.
 	reportedTarget string
-	health         health
-	revision       uint64
+	// lastService is the service of the last target. Without a target, the agent stays in
+	// the pool of that service.
+	lastService string
+	health      health
+	revision    uint64
 	// foreignRunsCleared is set once the target has listed no foreign run, so
 	// that no run of an earlier agent incarnation is alive.
 	foreignRunsCleared bool
@@ -327,7 +330,10 @@
 func (c *Core) bumpRevision() { c.revision++ }
 
 func (c *Core) targetState() wire.TargetState {
-	return wire.TargetState{Target: c.target.id, Service: c.target.service, Capacity: c.target.capacity, Labels: c.target.labels,
+	if c.target.service != "" {
+		c.lastService = c.target.service
+	}
+	return wire.TargetState{Target: c.target.id, Service: c.lastService, Capacity: c.target.capacity, Labels: c.target.labels,
 		Closed: c.closedReason(), Probing: c.health.probing, Revision: c.revision}
 }
 
