dispatch: agents are not invited for tasks that a pass does not try to place

Cause: an entry with many waiting tasks announced the smallest of them, but a pass gives up after eight groups that fit nowhere.

--- a/process/dispatch/assign.go
+++ b/process/dispatch/assign.go
@@ -74,11 +74,9 @@
 			left = append(left, g)
 		}
 	}
-	for _, g := range left {
-		g.state().queued = true
-		queue.add(g)
-	}
-	waiting := c.describeWaiting(now, p)
+	queue.restore(left)
+	waiting := describeGroups(now, left)
+	p.waiting, p.waitingAt = waiting, now
 	for _, t := range out.targets {
 		out.orders[t].Waiting = waiting
 		c.send(now, p, t, out.orders[t])
@@ -98,13 +96,23 @@
 	return c.describeWaiting(now, p)
 }
 
-// waitingFor describes the waiting tasks for the reply to a report. An agent that
-// invites the entry learns of all of them.
-func (c *Core) waitingFor(now time.Time, p *pool, t *target, invited bool) *wire.Waiting {
-	if invited {
-		return c.describeWaiting(now, p)
+// acceptInvitation assigns the waiting tasks, however recent the last pass is, and answers
+// the agent. If the description of the waiting tasks fits its room and none of them was
+// placed there all the same, it says that none waits: the agent would repeat the invitation
+// at once and reserve its room meanwhile. A later pass announces them again, see
+// declinePause.
+func (c *Core) acceptInvitation(now time.Time, p *pool, t *target) {
+	c.pauses.recordActivity(now)
+	sent := t.lastSequence
+	c.pass(now, p)
+	if t.lastSequence > sent {
+		return
+	}
+	waiting := c.describeWaiting(now, p)
+	if waiting != nil && waiting.Smallest.FitsIn(t.expectedFree()) {
+		t.declinedAt, waiting = now, nil
 	}
-	return c.announcedWaiting(now, p, t)
+	c.send(now, p, t, &wire.Orders{Waiting: waiting})
 }
 
 // place assigns as many tasks of a group as there is room for. It reports whether
--- a/process/dispatch/queue.go
+++ b/process/dispatch/queue.go
@@ -195,11 +195,32 @@
 func (c *Core) describeWaiting(now time.Time, p *pool) *wire.Waiting {
 	queue := c.waitingQueue(now, p)
 	if p.waitingAt.IsZero() || queue.Len() == 0 {
-		p.waiting, p.waitingAt = describeGroups(now, *queue), now
+		p.waiting, p.waitingAt = describeGroups(now, queue.head()), now
 	}
 	return p.waiting
 }
 
+// head returns the groups that a pass tries to place if there is no room for any. Smaller
+// tasks behind them do not start, so that agents need not invite the entry for them.
+func (q *groupQueue) head() []group {
+	var head []group
+	for q.Len() > 0 && len(head) < maxUnplacedGroups {
+		if g := q.next(); g.waits() {
+			head = append(head, g)
+		}
+	}
+	q.restore(head)
+	return head
+}
+
+// restore adds groups that have been taken from the queue.
+func (q *groupQueue) restore(groups []group) {
+	for _, g := range groups {
+		g.state().queued = true
+		q.add(g)
+	}
+}
+
 // describeGroups describes the most urgent of the groups and the smallest task that fits
 // where a task of that one does.
 func describeGroups(now time.Time, groups []group) *wire.Waiting {
--- a/process/dispatch/sessions.go
+++ b/process/dispatch/sessions.go
@@ -30,6 +30,10 @@
 	// tasks, in addition to one for each waiting step. Several are asked because
 	// others may have filled a target since its last message.
 	minAnnouncements = 2
+	// declinePause is the time after an invitation that came to nothing, though there was
+	// room for the announced tasks, in which no tasks are announced to the target. Its
+	// agent does not know why they can't run there and would invite the entry again.
+	declinePause = wire.SessionRenewInterval
 	// contactPause is the time without a message of any agent after which some are
 	// asked for one, contactProbes the number of agents that are asked.
 	contactPause  = 2 * maxReportAge
@@ -118,7 +122,7 @@
 	}
 	var candidates []candidate
 	for _, t := range p.targetList {
-		if t.waitingAnnounced || !c.isUsable(now, p, t) {
+		if t.waitingAnnounced || !c.isUsable(now, p, t) || now.Sub(t.declinedAt) < declinePause {
 			continue
 		}
 		rank := 0
--- a/process/dispatch/target.go
+++ b/process/dispatch/target.go
@@ -35,6 +35,9 @@
 	recordedEnds []batch.Run
 	// waitingAnnounced is set if the last message announced waiting tasks.
 	waitingAnnounced bool
+	// declinedAt is when an invitation of the agent last came to nothing although tasks
+	// waited.
+	declinedAt time.Time
 	// sessionRefused is set once the agent has refused a run because the session
 	// has ended, until it enrolls again.
 	sessionRefused bool
@@ -223,9 +226,13 @@
 		c.handleRunReport(now, p, t, report)
 	}
 	sent := t.lastSequence
-	c.assign(now, p)
-	if t.lastSequence == sent && (m.Invitation || now.Sub(t.lastSent) >= replyAfter) {
-		c.send(now, p, t, &wire.Orders{Waiting: c.waitingFor(now, p, t, m.Invitation)})
+	if m.Invitation {
+		c.acceptInvitation(now, p, t)
+	} else {
+		c.assign(now, p)
+	}
+	if t.lastSequence == sent && now.Sub(t.lastSent) >= replyAfter {
+		c.send(now, p, t, &wire.Orders{Waiting: c.announcedWaiting(now, p, t)})
 	}
 }
 
