runonce: a model of "no two runs of one task" with the real cores

The simulation of process/dispatch has no owners that change, and its faults come at random.

Change: package process/runonce, tests only, plays two entries (dispatch and keeper), two agents (runner) and their targets in virtual time with one task and up to three faults on a grid of times. Scenarios are numbered; a test plays a part of them, spread over the space, or all.

Not played: the whole spaces.

--- /dev/null
+++ b/process/runonce/model_test.go
@@ -0,0 +1,101 @@
+package runonce
+
+import (
+	"testing"
+	"time"
+)
+
+// offsets are the times between the faults of a scenario.
+var offsets = ms(0, 100, 200, 400, 600, 900, 1300, 1700, 2200)
+
+// breakdowns are faults after which a task may start elsewhere.
+const breakdowns = "kill_agent freeze_agent cut_agent cut_entry freeze_entry lost_stops kill_entry"
+
+// jobs returns a variant for each kind of job.
+func jobs(change func(*scenario)) []scenario {
+	var variants []scenario
+	for _, durable := range []bool{true, false} {
+		for _, work := range ms(400, 1000, 6000) {
+			s := scenario{durable: durable, work: work}
+			if change != nil {
+				change(&s)
+			}
+			variants = append(variants, s)
+		}
+	}
+	return variants
+}
+
+// allJobs returns a variant for each kind of job, with exact and with slow clocks.
+func allJobs() []scenario {
+	return append(jobs(nil), jobs(func(s *scenario) { s.slowClocks = true })...)
+}
+
+func grantLeases(s *scenario) { s.lateCallsGrant = true }
+
+// Guards against a task that runs twice, or starts after an end that counts, because one
+// thing fails.
+func TestTaskRunsOnceUnderOneFault(t *testing.T) {
+	newSpace(1, grid(1700*time.Millisecond, 100*time.Millisecond), nil, allJobs()...).explore(t)
+}
+
+// Guards against the same when a second thing fails before, while or after the processes
+// react to the first.
+func TestTaskRunsOnceUnderTwoFaults(t *testing.T) {
+	newSpace(2, grid(1200*time.Millisecond, 100*time.Millisecond), offsets, allJobs()...).explore(t)
+}
+
+// Guards against the same under three faults.
+func TestTaskRunsOnceUnderThreeFaults(t *testing.T) {
+	newSpace(3, grid(1200*time.Millisecond, 200*time.Millisecond), offsets, allJobs()...).explore(t)
+}
+
+// Guards against a task that starts although as many failed ends of it count as its queue
+// allows (rule BUDGET).
+func TestFailingTaskKeepsToItsAttempts(t *testing.T) {
+	fails := func(s *scenario) { s.fails = true }
+	newSpace(2, grid(1200*time.Millisecond, 100*time.Millisecond), offsets, jobs(fails)[:2]...).explore(t)
+}
+
+// Guards against two runs after a start that a restarted target has carried out late, with
+// a lease that is longer than the one its agent asks for.
+func TestLateStartAtARestartedTargetRunsAlone(t *testing.T) {
+	newSeries(ms(0, 100, 300), ms(0, 20, 50, 100, 200, 300, 500), jobs(nil), "late_starts late_calls", "restart_target crash_target", breakdowns).explore(t)
+}
+
+// Guards against an owner that resumes while the other entry takes its job over, and orders
+// the task before it has read that (docs/incidents/former-owners.md).
+func TestOwnerThatResumesDuringItsTakeoverRunsNothing(t *testing.T) {
+	lasting := []scenario{{durable: true, work: 6 * time.Second}}
+	newSeries(ms(200), nil, lasting, namesOf(ownerFaultKinds())).explore(t)
+}
+
+// Guards against the same while orders to stop runs get lost.
+func TestOwnerThatResumesWhileStopsAreLostRunsNothing(t *testing.T) {
+	lasting := []scenario{{durable: true, work: 6 * time.Second}}
+	newSeries(ms(200), ms(5400, 5800), lasting, namesOf(ownerFaultKinds()), "lost_stops").explore(t)
+}
+
+// Guards against a done task that starts again because its entry has not read the report
+// of the end (docs/incidents/late-reports.md).
+func TestEntryThatLacksProcessorTimeStartsNoDoneTask(t *testing.T) {
+	newSeries(grid(1500*time.Millisecond, 50*time.Millisecond), nil, jobs(nil)[:2], namesOf(starvationKinds())).explore(t)
+}
+
+// Guards against two runs of a job whose caller submits it to the other entry while the
+// first one, or its agent, does not end the first run in time.
+func TestResubmittedJobRunsOnceWhenItsFirstEntryFails(t *testing.T) {
+	newSeries(ms(0, 200), ms(400, 800, 1000, 1200, 1300, 1400), jobs(nil)[3:], "caller_leaves_unnoticed",
+		"freeze_entry freeze_entry_tick_first cut_entry cut_to_entry cut_to_agents kill_agent freeze_agent lost_stops late_stops").explore(t)
+}
+
+// Guards against a start of a killed agent that its target carries out after a restart.
+func TestLateStartOfAKilledAgentRunsAlone(t *testing.T) {
+	newSeries(ms(0, 100, 300), ms(0, 20, 50, 100, 200, 300, 500), jobs(nil), "late_starts late_calls", "kill_agent", "restart_target crash_target").explore(t)
+}
+
+// Guards against calls that a target carries out late and that grant a lease from then on:
+// runs and ends outlive the lease that the agent counts on.
+func TestLateCallsThatGrantLeasesKeepTheRule(t *testing.T) {
+	newSeries(ms(0, 200, 700), ms(0, 100, 300, 500), jobs(grantLeases), "late_starts late_calls late_holds", breakdowns).explore(t)
+}
