--- a/process/runonce/faults_test.go
+++ b/process/runonce/faults_test.go
@@ -18,8 +18,11 @@
 	slowClocks bool
 	// lateCallsGrant makes a call that is carried out late grant a lease from then on.
 	lateCallsGrant bool
-	faults         []fault
-	trace          bool
+	// otherUnread keeps the other entry from reading the log from before the job is
+	// submitted, of which it learns nothing.
+	otherUnread bool
+	faults      []fault
+	trace       bool
 }
 
 // horizon is the longest time from the submission to the end of a scenario.
@@ -121,6 +124,15 @@
 	return &faultKind{name: "caller_leaves_unnoticed", durations: ms(0), nonDurableOnly: true, begin: func(w *world, _ fault) { w.breakConnection(0, false) }}
 }
 
+// silence is a cut of an agent that ends between the end of the job elsewhere and the time
+// after which the agent voids the ends that it holds.
+func silence() *faultKind {
+	return &faultKind{name: "silence", durations: ms(2050, 2150, 2250), begin: func(w *world, f fault) {
+		holder := w.holder()
+		w.cut(f, func(l *link) bool { return l.agent == holder }, true, true)
+	}}
+}
+
 // starvationKinds returns faults of an entry that lacks processor time: it runs for
 // starvedSlot after each pause, and passes over its timers before it reads what has arrived.
 func starvationKinds() []*faultKind {
@@ -170,6 +182,14 @@
 			w.after(f.duration+4*timeStep, func() { w.log.setFault(0, logFault{unanswered: true, delay: -1, blind: true}) })
 			w.after(f.duration+resumedFor, func() { w.log.setFault(0, logFault{}) })
 		}},
+		{name: "resume_without_log_and_stops", durations: ms(5485, 5490, 5495, 5500, 5505), durableOnly: true, begin: func(w *world, f fault) {
+			w.log.setFault(0, logFault{blind: true})
+			w.freezeEntry(f, 0, true)
+			w.after(f.duration+4*timeStep, func() { w.log.setFault(0, logFault{unanswered: true, delay: -1, blind: true}) })
+			for _, t := range w.targets {
+				t.faults[stopCalls] = callFault{active: true, delay: -1}
+			}
+		}},
 		{name: "freeze_with_append", durations: ms(1500, 3000, 5800, 6500, 7300, 8000), durableOnly: true, begin: func(w *world, f fault) {
 			w.entries[0].keeper.NoteProgress(jobID)
 			w.after(timeStep, func() {
--- a/process/runonce/model_test.go
+++ b/process/runonce/model_test.go
@@ -76,6 +76,40 @@
 	newSeries(ms(200), ms(5400, 5800), lasting, namesOf(ownerFaultKinds()), "lost_stops").explore(t)
 }
 
+// Guards against runs of such an owner that outlive its ownership: it is delayed again when
+// the ownership ends, 7.7 s after the submission, and its next message renews the sessions
+// (docs/incidents/former-owners.md, part 5).
+func TestRunsOfAResumedOwnerEndBeforeTheyStartElsewhere(t *testing.T) {
+	lasting := []scenario{{durable: true, work: 12 * time.Second}}
+	newSeries(ms(200), ms(7150, 7200, 7250, 7300, 7350, 7400, 7450), lasting, "resume_without_log_and_stops", "freeze_entry freeze_entry_tick_first").explore(t)
+}
+
+// Guards against an end that counts although its task starts again: it came after the
+// session of its entry, and the job had ended when its agent could offer it
+// (docs/incidents/review-4-late-ends.md).
+func TestEndAfterTheSessionDoesNotCount(t *testing.T) {
+	// The session ends at 0.375 s or later, and the stop takes effect 40 ms after that.
+	var around []scenario
+	for _, work := range grid(400*time.Millisecond, timeStep)[340*time.Millisecond/timeStep:] {
+		around = append(around, scenario{durable: true, work: work})
+	}
+	newSeries(ms(50, 75, 100), nil, around, "silence").explore(t)
+}
+
+// Guards against an end that counts although its task starts again: an entry that does not
+// know the job, because it has not read the log, has confirmed it
+// (docs/incidents/review-1-unread-log.md).
+func TestEntryThatHasNotReadTheLogConfirmsNoEnd(t *testing.T) {
+	unread := func(s *scenario) { s.otherUnread = true }
+	newSeries(grid(1100*time.Millisecond, 25*time.Millisecond), ms(50, 200, 600), jobs(unread)[:2], "kill_agent", "kill_entry reset_entry cut_agent").explore(t)
+}
+
+// Guards against runs that outlive their session because orders to stop them are lost at
+// the target (docs/incidents/overdue-stops.md).
+func TestRunsEndAlthoughStopsAreLost(t *testing.T) {
+	newSeries(ms(0, 300, 600), ms(0, 100, 200), allJobs(), "lost_stops", "freeze_entry cut_entry cut_agent cut_to_agents kill_entry reset_entry caller_leaves").explore(t)
+}
+
 // Guards against a done task that starts again because its entry has not read the report
 // of the end (docs/incidents/late-reports.md).
 func TestEntryThatLacksProcessorTimeStartsNoDoneTask(t *testing.T) {
--- a/process/runonce/space_test.go
+++ b/process/runonce/space_test.go
@@ -48,7 +48,7 @@
 // faultsNamed returns the kinds of faults that are named, with each duration.
 func faultsNamed(names string) []fault {
 	var faults []fault
-	for _, k := range slices.Concat(faultKinds(), ownerFaultKinds(), starvationKinds(), []*faultKind{callerLeavesUnnoticed()}) {
+	for _, k := range slices.Concat(faultKinds(), ownerFaultKinds(), starvationKinds(), []*faultKind{callerLeavesUnnoticed(), silence()}) {
 		if !slices.Contains(strings.Fields(names), k.name) {
 			continue
 		}
--- a/process/runonce/world_test.go
+++ b/process/runonce/world_test.go
@@ -85,6 +85,9 @@
 	synctest.Test(t, func(*testing.T) {
 		w := newWorld(s)
 		w.run(warmUp)
+		if s.otherUnread {
+			w.log.setFault(1, logFault{blind: true})
+		}
 		w.submit()
 		w.placedFaults = len(s.faults)
 		for _, f := range s.faults {
