runonce: the present rule for a job that is submitted again

Cause: the model repeated the rule of the time before, 250 ms, which no longer is in package node. Change: as node has it: the second entry waits until the first has confirmed that no run is alive, or, if it is frozen, until its runs have ended by themselves.

--- a/process/runonce/caller_test.go
+++ b/process/runonce/caller_test.go
@@ -3,17 +3,13 @@
 import (
 	"time"
 
+	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/dispatch"
 	"github.com/azurerouter/azurerouter/process/keeper"
 )
 
-const (
-	// resendAfter is when a caller submits its job again after a broken connection.
-	resendAfter = 1300 * time.Millisecond
-	// withdrawTimeout is how long an entry waits for another one to withdraw a job that is
-	// submitted again.
-	withdrawTimeout = 250 * time.Millisecond
-)
+// resendAfter is when a caller submits its job again after a broken connection.
+const resendAfter = 1300 * time.Millisecond
 
 // caller submits the job, and submits it again at the other entry when its connection has
 // broken or the entry has given up.
@@ -69,19 +65,22 @@
 		w.submitAt(index, 0)
 		return
 	}
-	w.withdraw(index, now().Add(withdrawTimeout), priorWait, false)
+	w.withdraw(index, priorWait, false)
 }
 
-// withdraw waits until the other entry has no runs of the job, or for withdrawTimeout.
-func (w *world) withdraw(index int, until time.Time, priorWait time.Duration, asked bool) {
+// withdraw waits until the other entry has no runs of the job. An entry that is frozen does
+// not reply; its runs have ended wire.OwnerRunsLostAfter after it was last heard of.
+func (w *world) withdraw(index int, priorWait time.Duration, asked bool) {
 	attempt, other := w.caller.attempt, w.entries[(index+1)%entryCount]
 	if !asked {
 		other.deliver(func() { other.core.Withdraw(jobID) })
 	}
-	if now().Before(until) && !(other.running() && !other.core.HasRuns(jobID)) && other.alive {
+	mayHaveRuns := other.running() && other.core.HasRuns(jobID) ||
+		!other.running() && now().Before(other.freeze.since().Add(wire.OwnerRunsLostAfter))
+	if mayHaveRuns && other.alive {
 		w.after(timeStep, func() {
 			if attempt == w.caller.attempt {
-				w.withdraw(index, until, priorWait, true)
+				w.withdraw(index, priorWait, true)
 			}
 		})
 		return
--- a/process/runonce/entry_test.go
+++ b/process/runonce/entry_test.go
@@ -53,6 +53,13 @@
 	}
 }
 
+// since returns when the process was last frozen.
+func (f *freezer) since() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.frozenAt
+}
+
 // now returns the time as the process sees it.
 func (f *freezer) now() time.Time {
 	f.mu.Lock()
