dispatch: end the jobs of callers who have left after the pass

Cause: a pass that noticed that a caller had left ended the job at once, which sent the stops of its runs, while their starts were sent at the end of the pass. The agent ignored the stop of a run that it did not know and started it then; it was not stopped again. Change: such jobs end after the orders of the pass are sent. Measured: TestCallerWhoLeavesDuringAPassLeavesNoRuns failed before (one run went on).

--- a/process/dispatch/abandoned_test.go
+++ b/process/dispatch/abandoned_test.go
@@ -109,3 +109,19 @@
 		}
 	}
 }
+
+// Guards against a run that goes on because the stop of its job was sent before its start:
+// the entry notices in the middle of a pass that the caller has left.
+func TestCallerWhoLeavesDuringAPassLeavesNoRuns(t *testing.T) {
+	c := newCluster(t, 64, 1, equalRooms(2, 1000))
+	c.run(500 * time.Millisecond)
+	s := c.submission("q", 1, 2*time.Second, 1000, 0)
+	s.Job.Steps = append(s.Job.Steps, s.Job.Steps[0])
+	looks := 0
+	s.CallerWaits = func() bool { looks++; return looks == 1 }
+	c.entries[0].core.Submit(s, func(dispatch.Result) {})
+	c.run(300 * time.Millisecond)
+	if c.running() > 0 || looks < 2 {
+		t.Errorf("%d runs of a caller who has left, after %d looks", c.running(), looks)
+	}
+}
--- a/process/dispatch/assign.go
+++ b/process/dispatch/assign.go
@@ -17,6 +17,9 @@
 type orderBatch struct {
 	targets []*target
 	orders  map[*target]*wire.Orders
+	// abandoned are the jobs whose callers have left. They end after the orders are sent,
+	// so that no stop precedes the start of its run.
+	abandoned []*activeJob
 }
 
 // Times between two passes over the waiting tasks. A pass looks at every job, so that with
@@ -81,6 +84,9 @@
 		out.orders[t].Waiting = waiting
 		c.send(now, p, t, out.orders[t])
 	}
+	for _, j := range out.abandoned {
+		c.endJob(now, p, j, unfinishedResult(j, ReasonCallerLeft))
+	}
 	if waiting != nil {
 		c.announceWaiting(now, p, waiting, unplaced)
 	}
@@ -116,7 +122,7 @@
 }
 
 // place assigns as many tasks of a group as there is room for. It reports whether
-// it assigned any. A job whose callers have left is ended instead.
+// it assigned any. A job whose callers have left is added to the abandoned ones instead.
 func (c *Core) place(now time.Time, p *pool, g group, out *orderBatch) bool {
 	state := &g.job.steps[g.step]
 	placed := false
@@ -126,7 +132,7 @@
 			return placed
 		}
 		if !placed && g.job.callersHaveLeft() {
-			c.endJob(now, p, g.job, unfinishedResult(g.job, ReasonCallerLeft))
+			out.abandoned = append(out.abandoned, g.job)
 			return true
 		}
 		c.order(now, p, g, t, out)
