runner: stop listed runs again after a restart of their target

Cause: a stop that the former life of a target had confirmed counted as confirmed for a copy of the run that the present life has carried out late, so that it was neither repeated nor bounded by the lease. Change: such stops are repeated to the present life. Measured: TestListedRunIsStoppedAgainAfterARestart failed before (one stop).

--- a/process/runner/lives_test.go
+++ b/process/runner/lives_test.go
@@ -131,3 +131,18 @@
 		}
 	}
 }
+
+// Guards against a run that goes on although it was to be stopped: the former life of the target
+// has confirmed the stop, and the present one has carried out a late copy of the start.
+func TestListedRunIsStoppedAgainAfterARestart(t *testing.T) {
+	h := newHarness(t)
+	run := h.sendStartOrder(0)
+	h.answerLastStart(runner.VerdictDone)
+	h.core.HandleMessage(entryID, &wire.Orders{ClockEcho: h.now.UnixMicro(), Stops: []batch.Run{run}})
+	h.core.HandleStopAnswer(h.stops[0], runner.Answer{Verdict: runner.VerdictDone, Clock: h.clock})
+	h.clock = 10
+	h.completeHold(2, []batch.Run{run}, nil)
+	if len(h.stops) != 2 || h.stops[1].Run != run {
+		t.Errorf("stops %+v, want another one of %s", h.stops, run)
+	}
+}
--- a/process/runner/target.go
+++ b/process/runner/target.go
@@ -296,10 +296,13 @@
 	for _, row := range answer.Ended {
 		listed[row.Run] = true
 	}
-	var lost, inFlight []*heldRun
+	var lost, inFlight, listedStopping []*heldRun
 	for _, h := range batch.SortedByRun(c.runs) {
 		switch {
 		case listed[h.run]:
+			if h.state == stateStopping {
+				listedStopping = append(listedStopping, h)
+			}
 		case h.observed && h.unansweredStarts == 0 && call.SentAt.After(h.confirmedAt):
 			lost = append(lost, h)
 		default:
@@ -316,6 +319,11 @@
 	c.bumpRevision()
 	c.env.Record(decision.Decision{Step: "target", Peer: c.target.id, Outcome: "born_again", Version: uint64(answer.StartTime),
 		Inputs: []decision.Input{{Name: "starts_on_the_way", Value: int64(len(inFlight))}, {Name: "runs_listed", Value: int64(len(listed))}}})
+	for _, h := range listedStopping {
+		// The former life may have confirmed the stop.
+		h.stopConfirmedAt = time.Time{}
+		c.sendStop(now, h)
+	}
 	for _, h := range inFlight {
 		// The run may have begun before the restart.
 		h.observed, h.listed = true, false
