node: the end of a former connection disconnects no agent

Cause: the end of a connection decided whether it was the present one, and told the core later; an enrolment on the next connection in between left the agent connected, and the core without it until the next enrolment. Change: both halves are under the lock of enrolments. Measured: TestEndOfAFormerConnectionDisconnectsNoAgent failed before (after the third connection).

--- a/process/node/enroll_test.go
+++ b/process/node/enroll_test.go
@@ -67,3 +67,28 @@
 		})
 	}
 }
+
+// Guards against an agent that counts as disconnected although it is connected, and so gets
+// neither orders nor stops: the end of its former connection is handled beside the enrolment on the
+// next one.
+func TestEndOfAFormerConnectionDisconnectsNoAgent(t *testing.T) {
+	observer := observe.New("entry", io.Discard)
+	e := NewEntry(EntryOptions{Node: "entry-1"}, observer, observer.Decisions(100, 100))
+	conn := acceptAgent(t, e).conn
+	link := func(number uint64) *processLink {
+		return &processLink{entry: e, conn: conn, number: number, done: make(chan struct{})}
+	}
+	former := link(1)
+	e.handleEnroll(former, enrolment(2, clock.Now()))
+	for number := uint64(2); number < 5000; number++ {
+		next := link(number)
+		go former.Closed(nil)
+		e.handleEnroll(next, enrolment(2, clock.Now()))
+		e.Core.Tick()
+		<-former.done
+		if !e.Core.Dump().Services[0].Targets[0].Connected {
+			t.Fatalf("disconnected after connection %d was closed", number-1)
+		}
+		former = next
+	}
+}
--- a/process/node/entrylinks.go
+++ b/process/node/entrylinks.go
@@ -170,6 +170,10 @@
 func (l *processLink) Closed(err error) {
 	defer close(l.done)
 	e := l.entry
+	// An enrolment on the next connection must not come between the two halves, or else the
+	// agent would count as disconnected although it is connected.
+	e.enrollMu.Lock()
+	defer e.enrollMu.Unlock()
 	e.mu.Lock()
 	delete(e.peers, l)
 	current := l.agent != 0 && e.agents[l.agent] == l
