node: call other entries on the connection that was heard last

Cause: two entries often have two connections; calls took any of them. On a silent one a withdrawal has no reply, and the time at which the entry was last heard of is too early. Change: the connection on which the entry was heard last is taken. Measured: TestCallsTakeTheConnectionThatWasHeardLast failed before.

--- a/process/node/enroll_test.go
+++ b/process/node/enroll_test.go
@@ -92,3 +92,19 @@
 		former = next
 	}
 }
+
+// Guards against asking an entry on a silent connection while another one to it works.
+func TestCallsTakeTheConnectionThatWasHeardLast(t *testing.T) {
+	observer := observe.New("entry", io.Discard)
+	e := NewEntry(EntryOptions{Node: "entry-1"}, observer, observer.Decisions(100, 100))
+	heard := &processLink{entry: e, name: "entry-2"}
+	heard.lastHeard.Store(2)
+	silent := &processLink{entry: e, name: "entry-2"}
+	silent.lastHeard.Store(1)
+	e.peers[heard], e.peers[silent] = true, true
+	for range 100 {
+		if links := e.peerLinks(); len(links) != 1 || links[0] != heard {
+			t.Fatal("the silent connection was taken")
+		}
+	}
+}
--- a/process/node/jobcalls.go
+++ b/process/node/jobcalls.go
@@ -112,13 +112,16 @@
 	return peers
 }
 
-// peerLinks returns one connection to each connected entry.
+// peerLinks returns one connection to each connected entry, the one on which it was heard
+// last: two entries often have two connections, of which one may be silent.
 func (e *Entry) peerLinks() []*processLink {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	byName := make(map[string]*processLink)
 	for l := range e.peers {
-		byName[l.name] = l
+		if known := byName[l.name]; known == nil || l.lastHeard.Load() > known.lastHeard.Load() {
+			byName[l.name] = l
+		}
 	}
 	return slices.Collect(maps.Values(byName))
 }
