node: do not start a job whose runs elsewhere are reported as alive

Cause: an entry that still replied at the end of a withdrawal that runs may be alive was taken for one that does not reply, and the wait for its runs ended with the time of the withdrawal. The time waited did not count suspensions. Change: the job is given up then; the wait ends with the caller only; time is that of the steady clock. Measured: TestResubmittedJobWithLastingRunsElsewhereIsNotStarted; the field that it checks did not exist before. Also: the look at a caller's connection is left out of JSON.

--- a/process/node/resubmissions.go
+++ b/process/node/resubmissions.go
@@ -35,11 +35,11 @@
 	if !e.Core.LooksResubmitted(s) {
 		return e.Core.Submit(s, reply)
 	}
-	ctx, cancelWait := context.WithTimeout(context.Background(), maxWithdrawal)
+	ctx, cancelWait := context.WithCancel(context.Background())
 	again := &resubmission{}
 	go func() {
 		defer cancelWait()
-		start := time.Now()
+		start := clock.Now()
 		withdrawn := withdrawElsewhere(ctx, e.withdrawalPeers(), s.Job.ID)
 		if withdrawn.known {
 			reply(withdrawn.result)
@@ -49,12 +49,12 @@
 		if wait > 0 {
 			e.decisions.Record(decision.Decision{Step: "accept", Job: s.Job.ID, Outcome: "withheld", Reason: "runs at another entry may be alive", Age: wait})
 		}
-		if wait >= s.CallerTimeout-time.Since(start) {
+		if withdrawn.runsAlive || wait >= s.CallerTimeout-clock.Now().Sub(start) {
 			reply(dispatch.Result{Code: dispatch.GaveUp, Reason: dispatch.ReasonRunsElsewhere})
 			return
 		}
 		pause(ctx, wait)
-		s.CallerTimeout -= time.Since(start)
+		s.CallerTimeout -= clock.Now().Sub(start)
 		again.submit(func() (cancel func()) {
 			return e.Core.Submit(s, func(r dispatch.Result) { reply(withdrawn.correctNotRun(r)) })
 		})
@@ -112,6 +112,8 @@
 	known  bool
 	// mayHaveRun is set if tasks of it may have run at one of them.
 	mayHaveRun bool
+	// runsAlive is set if an entry has replied up to maxWithdrawal that runs may be alive.
+	runsAlive bool
 	// runsEnd is when the runs at entries that have not confirmed their end have ended.
 	runsEnd time.Time
 }
@@ -128,6 +130,8 @@
 // confirmed that no run is alive or does not reply, when one has replied with the result
 // of the job, or when the context ends.
 func withdrawElsewhere(ctx context.Context, peers []withdrawalPeer, id batch.ID) withdrawal {
+	ctx, cancel := context.WithTimeout(ctx, maxWithdrawal)
+	defer cancel()
 	replies := make(chan withdrawal, len(peers))
 	for _, peer := range peers {
 		go func() { replies <- withdrawAt(ctx, peer, id) }()
@@ -138,7 +142,7 @@
 		if w.known {
 			return w
 		}
-		all.mayHaveRun = all.mayHaveRun || w.mayHaveRun
+		all.mayHaveRun, all.runsAlive = all.mayHaveRun || w.mayHaveRun, all.runsAlive || w.runsAlive
 		if w.runsEnd.After(all.runsEnd) {
 			all.runsEnd = w.runsEnd
 		}
@@ -150,18 +154,20 @@
 // that does not reply may have renewed the sessions with its agents until it was last
 // heard of, or later if it is only cut off from this one.
 func withdrawAt(ctx context.Context, peer withdrawalPeer, id batch.ID) withdrawal {
+	runsAlive := false
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, withdrawTimeout)
 		reply, err := peer.Call(callCtx, wire.JobCall{Action: wire.WithdrawJob, ID: id})
 		cancel()
 		switch {
 		case err != nil:
-			return withdrawal{runsEnd: peer.LastHeard().Add(wire.OwnerRunsLostAfter)}
+			return withdrawal{runsEnd: peer.LastHeard().Add(wire.OwnerRunsLostAfter), runsAlive: runsAlive && ctx.Err() != nil}
 		case reply.Code != "":
 			return withdrawal{result: dispatch.Result{Code: dispatch.Code(reply.Code), Reason: dispatch.Reason(reply.Reason)}, known: true}
 		case !reply.RunsAlive:
 			return withdrawal{mayHaveRun: reply.Started}
 		}
+		runsAlive = true
 	}
 }
 
--- a/process/node/resubmissions_test.go
+++ b/process/node/resubmissions_test.go
@@ -104,6 +104,16 @@
 	}
 }
 
+// Guards against a job that starts although an entry still replies that runs of it are alive.
+func TestResubmittedJobWithLastingRunsElsewhereIsNotStarted(t *testing.T) {
+	busy := &fakePeer{delay: 10 * time.Millisecond, runsEnd: time.Now().Add(time.Hour), calls: make(chan wire.JobCall, 1000)}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*withdrawTimeout)
+	defer cancel()
+	if w := withdrawElsewhere(ctx, []withdrawalPeer{busy}, "j"); !w.runsAlive {
+		t.Errorf("%+v, want runs that are alive", w)
+	}
+}
+
 // Guards against a job that is submitted after its caller has left.
 func TestCallerWhoLeavesBeforeTheSubmissionIsNotServed(t *testing.T) {
 	var again resubmission
--- a/request/batch/submission.go
+++ b/request/batch/submission.go
@@ -24,7 +24,7 @@
 	Version uint64 `cbor:"9,keyasint"`
 	// CallerWaits, if set, reports whether the connection of the caller is open. It is not
 	// sent to other processes.
-	CallerWaits func() bool `cbor:"-"`
+	CallerWaits func() bool `cbor:"-" json:"-"`
 }
 
 // TimeLeft returns the time from now within which the job should complete. It is
