runner: ask for the runs at a target that has taken the place of another

Cause: a request for a list that was due while there was no target stayed marked as pending for as long as the process ran, so that none was asked for any more and only the long poll, every 150 ms, showed the runs. Change: the mark is cleared before the target is looked at. Measured: TestListIsAskedForAfterTheTargetWasReplaced failed before (no request).

--- a/process/runner/hold.go
+++ b/process/runner/hold.go
@@ -34,11 +34,11 @@
 func (c *Core) NextHold(wait bool) (HoldCall, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.pollRequested = c.pollRequested && wait
 	if c.target.id == "" {
 		return HoldCall{}, false
 	}
 	now := c.env.Now()
-	c.pollRequested = c.pollRequested && wait
 	call := HoldCall{Target: c.target.id, Life: c.target.life, Fence: c.fence, AckedEnds: c.target.ends.acknowledged(), SentAt: now}
 	if c.target.clockKnown && !c.target.unreachable && len(c.runs) > 0 && !c.target.ends.leaseMustLapse(now) {
 		call.LeaseUntil = c.extendLease(now)
--- a/process/runner/lives_test.go
+++ b/process/runner/lives_test.go
@@ -146,3 +146,21 @@
 		t.Errorf("stops %+v, want another one of %s", h.stops, run)
 	}
 }
+
+// Guards against an agent that asks for no list of runs any more, because its target was
+// replaced while it was about to ask.
+func TestListIsAskedForAfterTheTargetWasReplaced(t *testing.T) {
+	h := newHarness(t)
+	h.sendStartOrder(0)
+	for range 3 {
+		h.answerLastStart(runner.VerdictUnanswered)
+	}
+	call, _ := h.core.NextHold(true)
+	h.core.HoldFailed(call, runner.VerdictOtherTarget)
+	h.core.NextHold(false)
+	h.polls = 0
+	h.core.HandleTargetReport(runner.TargetReport{Target: "successor", Service: "card", StartTime: 3, Sequence: 1, Capacity: h.targetCapacity()})
+	if h.polls == 0 {
+		t.Error("no list of the runs at the successor is asked for")
+	}
+}
