evacuation: start nothing in availability zones that the operator evacuates

Change: version/evacuation holds the evacuated zones with the offset of the operator's log; the platform adapter reads them beside the configuration, entries pass them on to entries and agents in optional fields of EntryHello and EntryMembers, entries order nothing there, agents refuse what was ordered before.

--- a/connection/wire/run.go
+++ b/connection/wire/run.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/azurerouter/azurerouter/request/batch"
+	"github.com/azurerouter/azurerouter/version/evacuation"
 	"github.com/azurerouter/azurerouter/version/routing"
 )
 
@@ -43,6 +44,8 @@
 	// PauseMS is the longest pause between two messages to another entry, in
 	// milliseconds.
 	PauseMS int64 `cbor:"5,keyasint,omitempty"`
+	// Evacuation are the evacuated zones, if the sender has learned of them.
+	Evacuation *evacuation.State `cbor:"6,keyasint,omitempty"`
 }
 
 // EntryMember is one entry known to the sender.
@@ -58,6 +61,8 @@
 	Entries []EntryMember `cbor:"1,keyasint,omitempty"`
 	// PauseMS is the same as EntryHello.PauseMS.
 	PauseMS int64 `cbor:"2,keyasint,omitempty"`
+	// Evacuation is the same as EntryHello.Evacuation. It is set after a change.
+	Evacuation *evacuation.State `cbor:"3,keyasint,omitempty"`
 }
 
 // RoutingUpdate sends a version of the routing configuration to another entry.
@@ -101,6 +106,8 @@
 	ClosedStalled ClosedReason = "stalled"
 	// ClosedUnreachable means that the target does not respond to the agent.
 	ClosedUnreachable ClosedReason = "unreachable"
+	// ClosedEvacuated means that the operator has evacuated the zone of the target.
+	ClosedEvacuated ClosedReason = "evacuated"
 	// ClosedLapsing means that the agent holds ends of runs that it may
 	// acknowledge only after the lease of the target has lapsed, because the
 	// ends must not count or no entry has confirmed them.
--- a/process/dispatch/assign.go
+++ b/process/dispatch/assign.go
@@ -189,7 +189,7 @@
 	var best *target
 	var bestCost float64
 	for _, t := range p.targetList {
-		if !t.acceptsOrders(now) || !step.Demand.FitsIn(t.state.Capacity) || !state.allowsRunOn(step, t) || !t.hasLabel(step.Label) {
+		if !c.acceptsOrders(now, t) || !step.Demand.FitsIn(t.state.Capacity) || !state.allowsRunOn(step, t) || !t.hasLabel(step.Label) {
 			continue
 		}
 		fits := step.Demand.FitsIn(t.expectedFree())
--- a/process/dispatch/cluster_test.go
+++ b/process/dispatch/cluster_test.go
@@ -101,6 +101,7 @@
 	node
 	c        *cluster
 	name     string
+	zone     string
 	core     *runner.Core
 	executor *executor.Executor
 	sequence uint64
@@ -143,7 +144,7 @@
 		c.startEntry(e)
 	}
 	for i, room := range rooms {
-		a := &agentNode{c: c, name: fmt.Sprintf("agent-%d", i)}
+		a := &agentNode{c: c, name: fmt.Sprintf("agent-%d", i), zone: "zone-0"}
 		a.executor = executor.New(c.now, fmt.Sprintf("target-%d", i), room, c.workOf)
 		c.agents = append(c.agents, a)
 		c.startAgent(a)
@@ -186,7 +187,7 @@
 func (c *cluster) startAgent(a *agentNode) {
 	a.node = node{alive: true, id: wire.Incarnation(c.random.Uint64())}
 	a.pendingHolds, a.inbox = nil, nil
-	a.core = runner.New((*agentEnv)(a), runner.Options{Agent: a.id, Node: a.name, Zone: "zone-0", Fence: uint64(c.now.UnixMilli())})
+	a.core = runner.New((*agentEnv)(a), runner.Options{Agent: a.id, Node: a.name, Zone: a.zone, Fence: uint64(c.now.UnixMilli())})
 	a.report()
 }
 
--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -11,6 +11,7 @@
 	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/decision"
 	"github.com/azurerouter/azurerouter/request/batch"
+	"github.com/azurerouter/azurerouter/version/evacuation"
 )
 
 // answerRetention is how long the answer of a job is kept for a caller who submits
@@ -47,6 +48,8 @@
 	lastWaiterID atomic.Uint64
 	// entryCount is the number of entries that hold sessions with the same agents.
 	entryCount atomic.Int64
+	// evacuation are the evacuated zones, or nil before this entry has learned of any.
+	evacuation atomic.Pointer[evacuation.State]
 	counters   counters
 }
 
--- a/process/dispatch/sessions.go
+++ b/process/dispatch/sessions.go
@@ -71,7 +71,7 @@
 // be asked for room. It may get orders only once acceptsOrders is true.
 func (c *Core) isUsable(now time.Time, p *pool, t *target) bool {
 	limit := max(maxReportAge, idleRenewsMissed*c.idleRenewInterval(p))
-	return t.connected && !t.sessionRefused && t.state.Closed == "" && now.Sub(t.lastReceived) <= limit
+	return t.connected && !t.sessionRefused && c.isOpen(t) && now.Sub(t.lastReceived) <= limit
 }
 
 // keepContact asks some agents for a message if none has sent one for contactPause,
--- a/process/dispatch/target.go
+++ b/process/dispatch/target.go
@@ -60,12 +60,6 @@
 	return free
 }
 
-// acceptsOrders reports whether the agent is connected and has sent a message
-// within maxReportAge, and its target is open.
-func (t *target) acceptsOrders(now time.Time) bool {
-	return t.connected && !t.sessionRefused && t.state.Closed == "" && now.Sub(t.lastReceived) <= maxReportAge
-}
-
 // HandleEnroll handles the first message of an agent on a connection. Runs that the
 // agent does not list are counted as lost.
 func (c *Core) HandleEnroll(m *wire.Enroll) {
--- a/process/node/agent.go
+++ b/process/node/agent.go
@@ -14,6 +14,7 @@
 	"github.com/azurerouter/azurerouter/process/decision"
 	"github.com/azurerouter/azurerouter/process/observe"
 	"github.com/azurerouter/azurerouter/process/runner"
+	"github.com/azurerouter/azurerouter/version/evacuation"
 )
 
 // Intervals and limits of an agent process.
@@ -189,15 +190,24 @@
 	switch m := m.(type) {
 	case *wire.EntryHello:
 		l.agent.dialer.add(m.Entries)
+		l.agent.handleEvacuation(m.Evacuation)
 		l.agent.handleHello(l, m)
 	case *wire.EntryMembers:
 		l.agent.dialer.add(m.Entries)
+		l.agent.handleEvacuation(m.Evacuation)
 	case *wire.Orders:
 		l.conn.SetMessagePause(m.IdleRenewInterval())
 		l.agent.core.HandleMessage(l.entry, m)
 	}
 }
 
+// handleEvacuation handles the evacuated zones in a message of an entry, if any.
+func (a *Agent) handleEvacuation(state *evacuation.State) {
+	if state != nil {
+		a.core.HandleEvacuation(*state)
+	}
+}
+
 // Closed removes the connection, unless a newer one has replaced it already.
 func (l *entryLink) Closed(err error) {
 	defer close(l.done)
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -22,6 +22,7 @@
 	"github.com/azurerouter/azurerouter/process/ledger"
 	"github.com/azurerouter/azurerouter/process/observe"
 	"github.com/azurerouter/azurerouter/request/batch"
+	"github.com/azurerouter/azurerouter/version/evacuation"
 	"github.com/azurerouter/azurerouter/version/routing"
 )
 
@@ -48,10 +49,10 @@
 
 // ConfigSource is where the operator publishes the routing configuration.
 type ConfigSource interface {
-	// FollowConfig calls apply with each published configuration, until the context
-	// ends. It calls report with the error of each failed read, and with nil after
-	// each successful one.
-	FollowConfig(ctx context.Context, apply func(routing.Config), report func(error))
+	// FollowConfig calls apply with each published configuration and evacuate with the
+	// evacuated zones, until the context ends. It calls report with the error of each
+	// failed read, and with nil after each successful one.
+	FollowConfig(ctx context.Context, apply func(routing.Config), evacuate func(evacuation.State), report func(error))
 }
 
 // EntryOptions configures an entry process.
@@ -302,7 +303,7 @@
 
 func (e *Entry) followConfig(ctx context.Context) error {
 	condition := e.observer.Condition("store_config")
-	e.options.Config.FollowConfig(ctx, func(c routing.Config) { e.applyConfig(c, "store") }, func(err error) {
+	e.options.Config.FollowConfig(ctx, func(c routing.Config) { e.applyConfig(c, "store") }, e.applyEvacuation, func(err error) {
 		e.configUnreadable.Store(err != nil)
 		condition.Set(err)
 	})
--- a/process/node/entrylinks.go
+++ b/process/node/entrylinks.go
@@ -58,7 +58,7 @@
 	l.conn = c
 	members := e.members()
 	l.send(&wire.EntryHello{Entry: e.incarnation, Name: e.options.Node, Zone: e.options.Zone, Entries: members,
-		PauseMS: heartbeatPause(len(members)).Milliseconds()})
+		PauseMS: heartbeatPause(len(members)).Milliseconds(), Evacuation: e.knownEvacuation()})
 	return l
 }
 
@@ -87,6 +87,7 @@
 	case *wire.EntryMembers:
 		l.conn.SetMessagePause(time.Duration(m.PauseMS) * time.Millisecond)
 		l.entry.addMembers(m.Entries)
+		l.entry.handleEvacuation(m.Evacuation)
 	case *wire.JobCall:
 		l.serveJobCall(m)
 	case *wire.JobReply:
@@ -133,6 +134,7 @@
 	e.mu.Unlock()
 	e.observer.Log.Info().Str("step", "entry").Str("peer", m.Name).Str("outcome", "connected").Msg("connected to entry")
 	e.addMembers(m.Entries)
+	e.handleEvacuation(m.Evacuation)
 	if table := e.RoutingTable(); table != nil {
 		l.send(&wire.RoutingUpdate{Config: table.Config})
 	}
--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -8,6 +8,7 @@
 
 	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/request/batch"
+	"github.com/azurerouter/azurerouter/version/evacuation"
 )
 
 // Timing parameters of Core.
@@ -71,6 +72,8 @@
 	lastService string
 	health      health
 	revision    uint64
+	// evacuation are the evacuated zones as far as the agent has learned of them.
+	evacuation evacuation.State
 	// foreignRunsCleared is set once the target has listed no foreign run, so
 	// that no run of an earlier agent incarnation is alive.
 	foreignRunsCleared bool
@@ -347,6 +350,8 @@
 		return wire.ClosedNoTarget
 	case c.target.draining:
 		return wire.ClosedDraining
+	case c.evacuation.Contains(c.options.Zone):
+		return wire.ClosedEvacuated
 	case c.target.unreachable:
 		return wire.ClosedUnreachable
 	case c.target.ends.lapsing():
