--- a/process/node/metrics.go
+++ b/process/node/metrics.go
@@ -44,13 +44,15 @@
 	snapshotRecords tally.Gauge
 	logUnread       *observe.Condition
 	routingVersion  tally.Gauge
+	zonesEvacuated  tally.Gauge
 	totals          map[string]*cumulativeCounter
 }
 
 func newEntryMetrics(o *observe.Observer, e *Entry) *entryMetrics {
 	m := &entryMetrics{entry: e, scope: o.Metrics, responseTime: o.Metrics.Histogram(observe.ResponseSeconds, responseBuckets),
 		activeJobs: o.Metrics.Gauge(observe.JobsActive), durableJobs: o.Metrics.Gauge(observe.DurableJobsHere),
-		snapshotRecords: o.Metrics.Gauge(observe.DurableSnapshotRecords), logUnread: o.Condition("durable_log_unread"), routingVersion: o.Metrics.Gauge(observe.RoutingVersion), totals: make(map[string]*cumulativeCounter)}
+		snapshotRecords: o.Metrics.Gauge(observe.DurableSnapshotRecords), logUnread: o.Condition("durable_log_unread"), routingVersion: o.Metrics.Gauge(observe.RoutingVersion),
+		zonesEvacuated: o.Metrics.Gauge(observe.ZonesEvacuated), totals: make(map[string]*cumulativeCounter)}
 	return m
 }
 
@@ -67,6 +69,7 @@
 		if table := m.entry.RoutingTable(); table != nil {
 			m.routingVersion.Update(float64(table.Version))
 		}
+		m.zonesEvacuated.Update(float64(len(m.entry.Evacuation().Zones)))
 		m.countJobs(m.entry.Counts())
 		m.countDurableJobs(m.entry.keeper.Counts())
 		m.durableJobs.Update(float64(m.entry.keeper.OwnedJobs()))
--- a/process/observe/names.go
+++ b/process/observe/names.go
@@ -110,6 +110,8 @@
 	TickLateSeconds = "tick_late_seconds"
 	// RoutingVersion is the version of the routing configuration in force.
 	RoutingVersion = "routing_version"
+	// ZonesEvacuated is the number of availability zones that the operator has evacuated.
+	ZonesEvacuated = "zones_evacuated"
 
 	// ConfigFaults is the number of faults in the configuration in force.
 	ConfigFaults = "config_faults"
