runner, dispatch: listed targets that enforce their capacity get runs at once

Cause: after all processes have started again, each target stays closed until its next report, up to a heartbeat (1.5 s) later, because its capacity in the list may be too high. That matters only for targets that do not refuse what does not fit. Change: entries tell agents whether the configuration says that the targets of the service enforce their capacity; agents repeat a lookup that the platform has refused, twice, after a random pause.

--- a/connection/wire/run.go
+++ b/connection/wire/run.go
@@ -150,6 +150,9 @@
 	// IdleRenewMS is the longest pause between two messages of a session that is
 	// not active, in milliseconds, or 0 for SessionRenewInterval.
 	IdleRenewMS int64 `cbor:"8,keyasint,omitempty"`
+	// CapacityEnforced is set if the configuration says that the targets of the service
+	// refuse runs that exceed their free capacity.
+	CapacityEnforced bool `cbor:"9,keyasint,omitempty"`
 }
 
 // IdleRenewInterval returns the longest pause between two messages of a session
--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -57,8 +57,10 @@
 type pool struct {
 	service string
 	mu      sync.Mutex
-	random  *rand.Rand
-	targets map[wire.Incarnation]*target
+	// capacityEnforced is set if the targets refuse runs that exceed their free capacity.
+	capacityEnforced bool
+	random           *rand.Rand
+	targets          map[wire.Incarnation]*target
 	// targetList holds the targets in the order in which they were added.
 	targetList []*target
 	// lastReceived is when an agent last sent a message, lastProbe when agents were
--- a/process/dispatch/target.go
+++ b/process/dispatch/target.go
@@ -232,7 +232,7 @@
 	} else {
 		c.assign(now, p)
 	}
-	if t.lastSequence == sent && now.Sub(t.lastSent) >= replyAfter {
+	if t.lastSequence == sent && (now.Sub(t.lastSent) >= replyAfter || m.Target != nil && t.awaitsService(p)) {
 		c.send(now, p, t, &wire.Orders{Waiting: c.announcedWaiting(now, p, t)})
 	}
 }
@@ -291,6 +291,7 @@
 	t.lastSequence++
 	m.Sequence, m.ClockEcho = t.lastSequence, t.lastClock
 	m.IdleRenewMS = c.idleRenewInterval(p).Milliseconds()
+	m.CapacityEnforced = p.capacityEnforced
 	t.waitingAnnounced = m.Waiting != nil
 	t.lastSent = now
 	c.env.Send(t.agent, m)
--- a/process/node/agent.go
+++ b/process/node/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -24,6 +25,13 @@
 	maxConcurrentHolds = 3
 	// holdRetryPause is the pause after a hold call that failed or was not due.
 	holdRetryPause = 20 * time.Millisecond
+	// maxLookups bounds the attempts to look up a target that has not reported itself. The
+	// pause between two of them is minLookupPause and a random part of lookupPauseSpread,
+	// so that agents that were refused together don't try again together. All attempts
+	// fit in the time between two reports of a target.
+	maxLookups        = 3
+	minLookupPause    = 150 * time.Millisecond
+	lookupPauseSpread = 350 * time.Millisecond
 	// directoryPollInterval is how often an agent that is connected to no entry
 	// reads the list of entries from the platform's store.
 	directoryPollInterval = 2 * time.Second
@@ -281,9 +289,13 @@
 	return nil
 }
 
-// lookUpTarget looks up, once, the report of a target that started before the agent.
+// lookUpTarget looks up the report of a target that started before the agent. It tries
+// again if the platform does not answer, which limits the calls of all agents together.
 func (a *Agent) lookUpTarget(ctx context.Context) error {
-	if a.options.FindTarget != nil {
+	for attempt := 0; a.options.FindTarget != nil && attempt < maxLookups && !a.core.HasTarget(); attempt++ {
+		if attempt > 0 {
+			pause(ctx, minLookupPause+rand.N(lookupPauseSpread))
+		}
 		report, err := a.options.FindTarget(ctx)
 		a.observer.Log.Info().Err(err).Str("step", "find_target").Str("peer", report.Target).Msg("target looked up")
 		if err == nil {
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -230,6 +230,9 @@
 	}
 	e.observer.Log.Info().Str("step", "config").Uint64("version", c.Version).Str("source", source).Int("queues", len(c.Queues)).
 		Str("outcome", "in_force").Msg("configuration")
+	for _, service := range c.Services {
+		e.Core.SetCapacityEnforced(service.Name, service.EnforcesCapacity)
+	}
 	update := &wire.RoutingUpdate{Config: c}
 	e.mu.Lock()
 	peers := make([]*processLink, 0, len(e.peers))
--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -67,6 +67,9 @@
 	lives uint64
 	// reportedTarget is the newest target that has sent a report itself.
 	reportedTarget string
+	// capacityEnforced is set if an entry has said that the target refuses runs that exceed
+	// its free capacity.
+	capacityEnforced bool
 	// lastService is the service of the last target. Without a target, the agent stays in
 	// the pool of that service.
 	lastService string
@@ -225,6 +228,7 @@
 		s.ended = len(orders.Starts) > 0 && now.After(s.expiresAt)
 	}
 	s.idleRenew = orders.IdleRenewInterval()
+	c.setCapacityEnforced(orders.CapacityEnforced)
 	s.handledSequence = max(s.handledSequence, orders.Sequence)
 	c.settleEnds(now, orders)
 	s.forgetReports(orders.RecordedEnds)
@@ -346,7 +350,7 @@
 	switch {
 	case c.leaving:
 		return wire.ClosedAgentLeaving
-	case c.target.id == "" || !c.target.clockKnown || c.target.id != c.reportedTarget:
+	case c.target.id == "" || !c.target.clockKnown || !c.isCapacityCertain():
 		return wire.ClosedNoTarget
 	case c.target.draining:
 		return wire.ClosedDraining
--- a/process/runner/target.go
+++ b/process/runner/target.go
@@ -100,10 +100,37 @@
 	return false
 }
 
+// isCapacityCertain reports whether runs can't exceed the capacity of the target. The
+// capacity that another source than the target itself has given may have shrunk since; a
+// target that enforces its capacity refuses what does not fit.
+func (c *Core) isCapacityCertain() bool {
+	return c.target.id == c.reportedTarget || c.capacityEnforced
+}
+
+// setCapacityEnforced records whether the target enforces its capacity, as an entry says.
+func (c *Core) setCapacityEnforced(enforced bool) {
+	if c.capacityEnforced == enforced {
+		return
+	}
+	before := c.closedReason()
+	c.capacityEnforced = enforced
+	if c.closedReason() != before {
+		c.bumpRevision()
+	}
+}
+
+// HasTarget reports whether the agent knows its target.
+func (c *Core) HasTarget() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.target.id != ""
+}
+
 // HandleTargetFound handles a report on a target that comes from another source. It
-// is ignored if a target is known already. The target gets no runs before it has reported
-// itself: the other source may show a capacity that has shrunk since, and does not show
-// that the target is leaving.
+// is ignored if a target is known already. A target that does not enforce its capacity gets
+// no runs before it has reported itself, since the other source may show a capacity that
+// has shrunk. A target that had begun to leave was not found; one that begins later reports
+// so to this agent.
 func (c *Core) HandleTargetFound(r TargetReport) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/process/runner/target_test.go
+++ b/process/runner/target_test.go
@@ -98,6 +98,37 @@
 	}
 }
 
+// Guards against an agent that has just started and refuses runs until the next report of
+// its target, up to a heartbeat later, although the target refuses what does not fit; and
+// against one that goes on so after the configuration says otherwise.
+func TestListedTargetThatEnforcesItsCapacityGetsRuns(t *testing.T) {
+	h := &harness{t: t, now: time.UnixMilli(1_000_000), clock: 1000}
+	h.core = runner.New(h, runner.Options{Agent: 1, Node: "agent-1", Zone: "a", Fence: 10})
+	h.core.HandleTargetFound(runner.TargetReport{Target: targetID, Service: "card", Capacity: h.targetCapacity()})
+	h.completeHold(1, nil, nil)
+	h.core.Connected(entryID)
+	tell := func(enforced bool) {
+		h.sequence++
+		h.core.HandleMessage(entryID, &wire.Orders{Sequence: h.sequence, ClockEcho: h.now.UnixMicro(), CapacityEnforced: enforced})
+	}
+	tell(true)
+	if report := h.sent[len(h.sent)-1].(*wire.AgentReport); report.Target == nil || report.Target.Closed != "" {
+		t.Errorf("the entry was not told that the target is open: %+v", report)
+	}
+	h.sequence++
+	start := wire.StartOrder{Job: "0123456789abcdef", Target: targetID, Demand: batch.Resources{MilliCPU: 1000, MemoryMiB: 64},
+		Tasks: []wire.StartTask{{RunNumber: 1}}}
+	h.core.HandleMessage(entryID, &wire.Orders{Sequence: h.sequence, ClockEcho: h.now.UnixMicro(), CapacityEnforced: true, Starts: []wire.StartOrder{start}})
+	if len(h.starts) != 1 {
+		t.Fatalf("%d starts before the target's own report, want 1", len(h.starts))
+	}
+	tell(false)
+	h.sendStartOrder(1)
+	if len(h.starts) != 1 {
+		t.Errorf("%d starts after the configuration has changed, want 1", len(h.starts))
+	}
+}
+
 // Guards against a target that gets no runs after it has started again under its identity,
 // although it reported itself before.
 func TestRestartedTargetNeedsNoFurtherReport(t *testing.T) {
