node: agents look for other entries soon after their start

Cause: after all machines had lost power, five of eight entries were up at 37.21 to 37.26 s, but agents know only the seeds at their start, and the three seeds came up at 37.54 to 37.56 s. The list of entries was read after 2 s without a connection. Change: in the first 3 s after its start an agent that is not connected reads the list every 60 to 180 ms.

--- a/process/node/agent.go
+++ b/process/node/agent.go
@@ -35,6 +35,13 @@
 	// directoryPollInterval is how often an agent that is connected to no entry
 	// reads the list of entries from the platform's store.
 	directoryPollInterval = 2 * time.Second
+	// startPollPeriod is the time after the start of an agent in which it does so more
+	// often, after startPollPause and a random part of startPollSpread: after a restart of
+	// all processes other entries may be up before the seeds are. The spread keeps the
+	// reads of all agents apart.
+	startPollPeriod = 3 * time.Second
+	startPollPause  = 60 * time.Millisecond
+	startPollSpread = 120 * time.Millisecond
 )
 
 // TargetClient calls the target beside an agent.
@@ -353,17 +360,31 @@
 // searchEntries reads the list of entries from the directory while none is
 // connected.
 func (a *Agent) searchEntries(ctx context.Context) error {
-	return runEvery(ctx, directoryPollInterval, func() {
-		a.mu.Lock()
-		connected := len(a.entries)
-		a.mu.Unlock()
-		if connected > 0 {
-			return
+	for start := time.Now(); ctx.Err() == nil; {
+		pause(ctx, directoryPollPause(time.Since(start)))
+		if ctx.Err() == nil && !a.isConnected() {
+			members, err := a.options.Directory.Members(ctx)
+			a.observer.Log.Info().Err(err).Str("step", "search_entries").Int("found", len(members)).Msg("no entry connected, searched the directory")
+			a.dialer.add(members)
 		}
-		members, err := a.options.Directory.Members(ctx)
-		a.observer.Log.Info().Err(err).Str("step", "search_entries").Int("found", len(members)).Msg("no entry connected, searched the directory")
-		a.dialer.add(members)
-	})
+	}
+	return nil
+}
+
+// directoryPollPause returns the pause before the list of entries is read, by the time since
+// the start of the agent.
+func directoryPollPause(sinceStart time.Duration) time.Duration {
+	if sinceStart < startPollPeriod {
+		return startPollPause + rand.N(startPollSpread)
+	}
+	return directoryPollInterval
+}
+
+// isConnected reports whether an entry is connected.
+func (a *Agent) isConnected() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.entries) > 0
 }
 
 // leaveOnSignal ends the process after the first signal to shut down. It refuses
