dispatch: expected duration of a task at a target

The cost of a placement used the slowness of a node directly. Rules that weigh a target against a wait need the duration itself, so it is a function of its own. The cost of a target is unchanged.

--- a/process/dispatch/assign.go
+++ b/process/dispatch/assign.go
@@ -232,7 +232,12 @@
 
 // cost returns the cost of placing a task of a group on a target.
 func (c *Core) cost(p *pool, g group, t *target) float64 {
-	cost := p.durations.slowness(t.node) + costRandom*p.random.Float64()
+	cost := costRandom * p.random.Float64()
+	if estimate := g.job.Job.Steps[g.step].Estimate; estimate > 0 {
+		cost += float64(p.expectedDuration(g, t)) / float64(estimate)
+	} else {
+		cost += p.durations.slowness(t.node)
+	}
 	if t.state.Probing {
 		cost += costProbing
 	}
--- a/process/dispatch/durations.go
+++ b/process/dispatch/durations.go
@@ -36,6 +36,13 @@
 	s.nodeSlowness[node] = s.slowness(node) + nodeWeight*(ratio/usual-s.slowness(node))
 }
 
+// expectedDuration returns the expected duration of a task of the group at the target,
+// counted from its order. It is zero if the caller gave no estimate.
+func (p *pool) expectedDuration(g group, t *target) time.Duration {
+	estimate := g.job.Job.Steps[g.step].Estimate
+	return time.Duration(float64(estimate) * p.durations.slowness(t.node))
+}
+
 // slowness returns the duration of a task on an instance, relative to the usual
 // one. It is 1 for an instance without a completed run.
 func (s *durationStats) slowness(node string) float64 {
