placement: model of speeds by target and request class

One moving average per node took a straggler of seven times the usual duration at full weight, mixed classes and never forgot. The new package process/placement learns the usual ratio of duration to estimate of each class, the speed of each target, how a class differs from it there, and the effect of contention, by clipped differences of logarithms. Samples decay, few of them count little, and a target that has started again (TargetState.StartTime, optional), was replaced or was taken back into service is unknown and counts as cold for 3 s.

--- a/connection/wire/codec_test.go
+++ b/connection/wire/codec_test.go
@@ -23,7 +23,7 @@
 	room := batch.Resources{MilliCPU: 16000, MemoryMiB: 32768, GPUs: 1}
 	run := batch.Run{Task: batch.Task{Job: "0123456789abcdef", Occurrence: 1, Step: 2, Index: 3}, Number: 4}
 	members := []EntryMember{{Name: "entry-1", Addr: "127.0.0.1:7001"}}
-	target := TargetState{Target: "t-1", Service: "card", Capacity: room, Labels: []string{"rack-1"}, Closed: ClosedFaulty, Probing: true, Revision: 6}
+	target := TargetState{Target: "t-1", Service: "card", Capacity: room, Labels: []string{"rack-1"}, Closed: ClosedFaulty, Probing: true, Revision: 6, StartTime: 7}
 	return []Message{
 		&Hello{Role: RoleAgent, Incarnation: math.MaxUint64, Name: "agent-1", Zone: "zone-a", PeerAddr: "127.0.0.1:7000",
 			Service: "card", Slots: 8, MemoryMB: 32768, Accelerators: 1, ConfigOffset: 5},
--- a/connection/wire/run.go
+++ b/connection/wire/run.go
@@ -86,6 +86,9 @@
 	// Revision increases with each change of the state within one agent
 	// incarnation.
 	Revision uint64 `cbor:"7,keyasint"`
+	// StartTime is when the target started, in milliseconds of Unix time by its clock. It
+	// changes with each restart and is zero if it is not known.
+	StartTime int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // ClosedReason is a reason why a target accepts no new runs.
--- a/process/dispatch/assign.go
+++ b/process/dispatch/assign.go
@@ -156,7 +156,7 @@
 		next := state.ready[0]
 		state.ready = state.ready[1:]
 		next.lastNumber++
-		r := &run{task: next, target: t, number: next.lastNumber, orderedAt: now, demand: step.Demand}
+		r := &run{task: next, target: t, number: next.lastNumber, orderedAt: now, demand: step.Demand, load: t.loadWith(step.Demand)}
 		next.liveRun = r
 		t.runs[r.id()] = r
 		p.addToNodeCount(r, 1)
@@ -232,12 +232,7 @@
 
 // cost returns the cost of placing a task of a group on a target.
 func (c *Core) cost(p *pool, g group, t *target) float64 {
-	cost := costRandom * p.random.Float64()
-	if estimate := g.job.Job.Steps[g.step].Estimate; estimate > 0 {
-		cost += float64(p.expectedDuration(g, t)) / float64(estimate)
-	} else {
-		cost += p.durations.slowness(t.node)
-	}
+	cost := p.expectedRatio(g, t) + costRandom*p.random.Float64()
 	if t.state.Probing {
 		cost += costProbing
 	}
--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -10,6 +10,7 @@
 
 	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/decision"
+	"github.com/azurerouter/azurerouter/process/placement"
 	"github.com/azurerouter/azurerouter/request/batch"
 	"github.com/azurerouter/azurerouter/version/evacuation"
 )
@@ -85,7 +86,8 @@
 	retainedAnswers map[batch.ID]retainedAnswer
 	// answerOrder holds the keys of retainedAnswers, the oldest first.
 	answerOrder []batch.ID
-	durations   durationStats
+	// speeds is what is known of the durations of tasks at the targets.
+	speeds placement.Model
 	// lastPass is when the waiting tasks were last assigned.
 	lastPass time.Time
 	// queue has the groups that were collected at queuedAt and have not been placed, see
--- a/process/dispatch/dump.go
+++ b/process/dispatch/dump.go
@@ -63,7 +63,7 @@
 			break
 		}
 		d.Targets = append(d.Targets, TargetDump{Node: t.node, Connected: t.connected, Closed: t.state.Closed, Free: t.reportedFree, Runs: len(t.runs),
-			HeardMS: now.Sub(t.lastReceived).Milliseconds(), Slowness: p.durations.slowness(t.node)})
+			HeardMS: now.Sub(t.lastReceived).Milliseconds(), Slowness: p.speeds.Slowness(now, t.speed)})
 	}
 	slices.SortFunc(d.Targets, func(a, b TargetDump) int { return strings.Compare(a.Node, b.Node) })
 	return d
--- a/process/dispatch/durations.go
+++ b/process/dispatch/durations.go
@@ -1,53 +1,54 @@
 package dispatch
 
-import "time"
+import (
+	"time"
 
-// Weights of a new run in the moving averages of its queue and its node.
-const (
-	queueWeight = 0.02
-	nodeWeight  = 0.1
+	"github.com/azurerouter/azurerouter/connection/wire"
+	"github.com/azurerouter/azurerouter/process/placement"
+	"github.com/azurerouter/azurerouter/request/batch"
 )
 
-// durationStats measures how long tasks take on each instance, relative to the
-// others. The estimates of callers are inaccurate, so the ratio of duration to
-// estimate is compared with the usual ratio of the same queue.
-type durationStats struct {
-	// queueRatios is the usual ratio of duration to estimate by queue.
-	queueRatios map[string]float64
-	// nodeSlowness is the ratio on an instance relative to the usual one.
-	nodeSlowness map[string]float64
+// expectedDuration returns the expected duration of a task of the group at the target,
+// counted from its order. It is zero if the caller gave no estimate.
+func (p *pool) expectedDuration(g group, t *target) time.Duration {
+	step := g.job.Job.Steps[g.step]
+	return time.Duration(float64(step.Estimate) * p.expectedRatio(g, t))
 }
 
-// record adds the duration of a completed run.
-func (s *durationStats) record(t *task, node string, ran time.Duration) {
-	estimate := t.job.Job.Steps[t.step].Estimate
-	if estimate <= 0 || ran <= 0 {
-		return
-	}
-	if s.queueRatios == nil {
-		s.queueRatios, s.nodeSlowness = make(map[string]float64), make(map[string]float64)
-	}
-	ratio := float64(ran) / float64(estimate)
-	usual, known := s.queueRatios[t.job.Queue]
-	if !known {
-		usual = ratio
+// expectedRatio returns the expected ratio of the duration of a task of the group at the
+// target to its estimate.
+func (p *pool) expectedRatio(g group, t *target) float64 {
+	return p.speeds.Ratio(p.lastPass, p.speeds.Class(g.job.Queue), t.speed, t.loadWith(g.demand()))
+}
+
+// loadWith returns the share of the target's capacity that is in use once a task with the
+// demand has started there.
+func (t *target) loadWith(demand batch.Resources) float64 {
+	if t.state.Capacity.MilliCPU <= 0 {
+		return 0
 	}
-	s.queueRatios[t.job.Queue] = usual + queueWeight*(ratio-usual)
-	s.nodeSlowness[node] = s.slowness(node) + nodeWeight*(ratio/usual-s.slowness(node))
+	used := t.state.Capacity.MilliCPU - t.expectedFree().MilliCPU + demand.MilliCPU
+	return max(0, min(float64(used)/float64(t.state.Capacity.MilliCPU), 1))
 }
 
-// expectedDuration returns the expected duration of a task of the group at the target,
-// counted from its order. It is zero if the caller gave no estimate.
-func (p *pool) expectedDuration(g group, t *target) time.Duration {
-	estimate := g.job.Job.Steps[g.step].Estimate
-	return time.Duration(float64(estimate) * p.durations.slowness(t.node))
+// recordDuration records the duration of a completed run.
+func (p *pool) recordDuration(now time.Time, r *run, ran time.Duration) {
+	j := r.task.job
+	p.speeds.Record(now, p.speeds.Class(j.Queue), r.target.speed, j.Job.Steps[r.task.step].Estimate, ran, r.load)
+}
+
+// incarnationOf identifies the process of a target. What was learned of an earlier one does
+// not hold for it.
+func incarnationOf(state wire.TargetState) placement.Incarnation {
+	return placement.Incarnation{ID: state.Target, StartTime: state.StartTime}
 }
 
-// slowness returns the duration of a task on an instance, relative to the usual
-// one. It is 1 for an instance without a completed run.
-func (s *durationStats) slowness(node string) float64 {
-	if ratio, known := s.nodeSlowness[node]; known {
-		return ratio
+// isOutOfService reports whether a closed target is cold when it is opened again. One that
+// is closed for its speed or for failed runs is not: it is probed.
+func isOutOfService(closed wire.ClosedReason) bool {
+	switch closed {
+	case wire.ClosedNoTarget, wire.ClosedDraining, wire.ClosedUnreachable, wire.ClosedEvacuated:
+		return true
 	}
-	return 1
+	return false
 }
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -102,6 +102,8 @@
 	// crash is what is known of a crash of the target once the run has ended.
 	crash  crashKind
 	demand batch.Resources
+	// load is the share of the target that was in use when the run was ordered.
+	load float64
 }
 
 func (t *task) id() batch.Task {
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -30,7 +30,7 @@
 		c.runRefused(now, p, r, report.RefusalReason)
 	case report.End != "":
 		if report.End == batch.EndDone {
-			p.durations.record(r.task, t.node, time.Duration(report.RanMS)*time.Millisecond)
+			p.recordDuration(now, r, time.Duration(report.RanMS)*time.Millisecond)
 		}
 		r.crash = crashKindOf(report)
 		c.addDurableEnd(now, p, r, report.EndUnrecorded)
--- a/process/dispatch/target.go
+++ b/process/dispatch/target.go
@@ -5,6 +5,7 @@
 
 	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/decision"
+	"github.com/azurerouter/azurerouter/process/placement"
 	"github.com/azurerouter/azurerouter/request/batch"
 )
 
@@ -42,6 +43,8 @@
 	// has ended, until it enrolls again.
 	sessionRefused bool
 	runs           map[batch.Run]*run
+	// speed is the model of the durations of tasks at the target.
+	speed *placement.Target
 }
 
 // inFlightOrder is the demand of a run ordered with the message of the sequence
@@ -84,6 +87,7 @@
 	t.connected, t.lastReceived, t.lastClock = true, now, m.Clock
 	p.lastReceived = now
 	t.state, t.reportedFree, t.inFlight, t.lastSequence, t.waitingAnnounced = m.Target, m.Free, nil, 0, false
+	t.speed = p.speeds.Target(now, t.node, incarnationOf(t.state))
 	c.env.Record(decision.Decision{Step: "agent", Peer: m.Node, Outcome: "enrolled", Reason: string(m.Target.Closed),
 		Version: m.Target.Revision, Inputs: []decision.Input{{Name: "runs", Value: int64(len(t.runs))}, {Name: "free_millicpu", Value: int64(m.Free.MilliCPU)}}})
 	c.reconcile(now, p, t, m.HeldRuns)
@@ -221,7 +225,7 @@
 		t.inFlight = t.inFlight[1:]
 	}
 	if m.Target != nil {
-		c.updateTargetState(t, *m.Target)
+		c.updateTargetState(now, p, t, *m.Target)
 	}
 	for _, report := range m.Runs {
 		c.handleRunReport(now, p, t, report)
@@ -238,7 +242,7 @@
 }
 
 // updateTargetState stores a state unless it is older than the one it replaces.
-func (c *Core) updateTargetState(t *target, state wire.TargetState) {
+func (c *Core) updateTargetState(now time.Time, p *pool, t *target, state wire.TargetState) {
 	if state.Revision < t.state.Revision {
 		return
 	}
@@ -249,7 +253,11 @@
 		}
 		c.env.Record(decision.Decision{Step: "target", Peer: t.node, Outcome: outcome, Reason: string(state.Closed), Version: state.Revision})
 	}
+	if isOutOfService(t.state.Closed) && !isOutOfService(state.Closed) {
+		t.speed.Reset(now)
+	}
 	t.state = state
+	t.speed = p.speeds.Target(now, t.node, incarnationOf(state))
 }
 
 // moveTarget moves an agent to the pool of the service that its target has joined
@@ -272,6 +280,7 @@
 	if t != nil {
 		to.mu.Lock()
 		to.addTarget(t)
+		t.speed = to.speeds.Target(c.env.Now(), t.node, incarnationOf(t.state))
 		to.mu.Unlock()
 	}
 	return to
--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -337,7 +337,7 @@
 		c.lastService = c.target.service
 	}
 	return wire.TargetState{Target: c.target.id, Service: c.lastService, Capacity: c.target.capacity, Labels: c.target.labels,
-		Closed: c.closedReason(), Probing: c.health.probing, Revision: c.revision}
+		Closed: c.closedReason(), Probing: c.health.probing, Revision: c.revision, StartTime: c.target.startTime}
 }
 
 // closedReason returns why the target takes no new runs, or an empty reason if
