runner: stragglers do not close a healthy target

A target was closed once two jobs had slow runs that were more than half of those observed. Each run now counts once, when its speed is known from its progress or its end. The target is closed after four slow runs of two or more jobs, less half for each usual run. By the chance of such a sequence that is about one false closure in a million runs; at a target that has turned eight times slower the first four runs are enough.

TestFaultyTargetsAreAvoided passes unchanged.

--- a/process/runner/health.go
+++ b/process/runner/health.go
@@ -21,6 +21,21 @@
 	// target takes no runs. The time doubles with each failed probe.
 	minClosedDuration = 400 * time.Millisecond
 	maxClosedDuration = 1600 * time.Millisecond
+	// A target counts as slow once slowLimit of its runs were slow, in different jobs and
+	// without 1 / usualRunCredit usual runs for each of them. With 3 % of stragglers that
+	// happens by chance about once in a million runs; at a target that has turned eight
+	// times slower the first four runs are enough.
+	slowLimit      = 4.0
+	usualRunCredit = 0.5
+)
+
+// runSpeed is the judgement of the speed of a run.
+type runSpeed uint8
+
+const (
+	speedUnknown runSpeed = iota
+	speedUsual
+	speedSlow
 )
 
 // health judges a target by the outcomes of its runs. It detects faults that
@@ -29,6 +44,12 @@
 	failedJobs  []batch.ID
 	lastFailure time.Time
 
+	// slowRuns is the number of slow runs less usualRunCredit for each usual one, and
+	// slowJobs are the jobs of the slow ones. lastSlow is when the last one was judged.
+	slowRuns float64
+	slowJobs []batch.ID
+	lastSlow time.Time
+
 	// closedReason is empty while the target takes runs. The target is closed
 	// until reopenAt and then probed with one run at a time.
 	closedReason   wire.ClosedReason
@@ -46,7 +67,32 @@
 	case h.probing && slow:
 		h.close(now, wire.ClosedStalled)
 	default:
-		*h = health{}
+		*h = health{slowRuns: h.slowRuns, slowJobs: h.slowJobs, lastSlow: h.lastSlow}
+	}
+}
+
+// noteSpeed records the speed of a run. It closes the target if too many runs are slow
+// for stragglers of a healthy target.
+func (h *health) noteSpeed(now time.Time, job batch.ID, speed runSpeed) {
+	if h.closedReason != "" {
+		return
+	}
+	if speed == speedUsual || now.Sub(h.lastSlow) > failureWindow {
+		h.slowRuns = max(0, h.slowRuns-usualRunCredit)
+		if h.slowRuns == 0 || now.Sub(h.lastSlow) > failureWindow {
+			h.slowRuns, h.slowJobs = 0, nil
+		}
+	}
+	if speed != speedSlow {
+		return
+	}
+	h.lastSlow = now
+	h.slowRuns++
+	if !slices.Contains(h.slowJobs, job) {
+		h.slowJobs = append(h.slowJobs, job)
+	}
+	if h.slowRuns >= slowLimit && len(h.slowJobs) >= minSlowJobs || h.probing {
+		h.close(now, wire.ClosedStalled)
 	}
 }
 
@@ -85,6 +131,7 @@
 	h.closedReason, h.probing = reason, false
 	h.reopenAt = now.Add(h.closedDuration)
 	h.failedJobs = nil
+	h.slowRuns, h.slowJobs = 0, nil
 }
 
 // reopenIfDue reopens a closed target for probing when reopenAt has passed. It
--- a/process/runner/progress.go
+++ b/process/runner/progress.go
@@ -19,7 +19,8 @@
 	// evaluated.
 	minObservation = 80 * time.Millisecond
 	// minSlowJobs is how many different jobs must have slow runs before the
-	// target is closed. A single job may simply take longer than its estimate.
+	// target is closed, see slowLimit. A single job may simply take longer than its
+	// estimate.
 	minSlowJobs = 2
 	// A run counts as stalled if its progress has not changed for longer than
 	// stallAfter plus stallEstimateShare of its estimate. The second part is
@@ -42,6 +43,17 @@
 	return float64(elapsed) / float64(h.estimate) * 100 / float64(max(h.progressPercent, 1))
 }
 
+// speedOf judges the duration of a completed run by its estimate.
+func speedOf(ran, estimate time.Duration) runSpeed {
+	switch {
+	case estimate <= 0:
+		return speedUnknown
+	case ran > time.Duration(slowFactor*float64(estimate)):
+		return speedSlow
+	}
+	return speedUsual
+}
+
 // remaining returns the time that a run still needs at its speed so far.
 func (h *heldRun) remaining(now time.Time) time.Duration {
 	elapsed := now.Sub(h.confirmedAt)
@@ -59,8 +71,6 @@
 // runs that would end sooner at another target.
 func (c *Core) checkProgress(now time.Time) {
 	var slow []*heldRun
-	jobs := make(map[batch.ID]bool)
-	measured := 0
 	for _, h := range batch.SortedByRun(c.runs) {
 		if h.stalled(now) {
 			c.updateHealth(now, func() { c.health.runsStalled(now) })
@@ -71,17 +81,12 @@
 		if slowdown == 0 {
 			continue
 		}
-		measured++
-		if slowdown >= slowFactor {
-			slow = append(slow, h)
-			jobs[h.run.Task.Job] = true
+		if slowdown < slowFactor {
+			c.judgeSpeed(now, h, speedUsual)
+			continue
 		}
-	}
-	if len(slow) == 0 {
-		return
-	}
-	if (len(jobs) >= minSlowJobs && 2*len(slow) > measured) || c.health.probing {
-		c.updateHealth(now, func() { c.health.runsStalled(now) })
+		slow = append(slow, h)
+		c.judgeSpeed(now, h, speedSlow)
 	}
 	if c.health.closedReason != wire.ClosedStalled {
 		return
@@ -93,6 +98,16 @@
 	}
 }
 
+// judgeSpeed counts a run for the speed of the target, once, or again if it turns out to
+// be slow later.
+func (c *Core) judgeSpeed(now time.Time, h *heldRun, speed runSpeed) {
+	if speed <= h.speed {
+		return
+	}
+	h.speed = speed
+	c.updateHealth(now, func() { c.health.noteSpeed(now, h.run.Task.Job, speed) })
+}
+
 // evict stops a run so that its entry starts the task at another target.
 func (c *Core) evict(now time.Time, h *heldRun) {
 	c.env.Record(decision.Decision{Step: "run", Job: h.run.Task.Job, Run: h.run, Peer: c.target.id, Outcome: "stopped",
--- a/process/runner/start.go
+++ b/process/runner/start.go
@@ -295,8 +295,9 @@
 		Routine: end == batch.EndDone, Inputs: []decision.Input{{Name: "ran_ms", Value: report.RanMS}}})
 	switch end {
 	case batch.EndDone:
-		slow := h.estimate > 0 && ran > time.Duration(slowFactor*float64(h.estimate))
-		c.updateHealth(now, func() { c.health.runDone(now, slow) })
+		speed := speedOf(ran, h.estimate)
+		c.judgeSpeed(now, h, speed)
+		c.updateHealth(now, func() { c.health.runDone(now, speed == speedSlow) })
 	case batch.EndFailed:
 		c.updateHealth(now, func() { c.health.runFailed(now, h.run.Task.Job) })
 	}
