placement: learn how far estimates hold within a class

Estimates that are off by 40 % although the tasks of a class are alike made the expected duration of a task wrong by as much. Each class now learns by regression how far durations follow the estimates, between not at all and fully. Full trust is the prior.

--- a/process/dispatch/durations.go
+++ b/process/dispatch/durations.go
@@ -11,12 +11,12 @@
 // expectedDuration returns the expected duration of a task of the group at the target,
 // counted from its order. It is zero if the caller gave no estimate.
 func (p *pool) expectedDuration(g group, t *target) time.Duration {
-	step := g.job.Job.Steps[g.step]
-	return time.Duration(float64(step.Estimate) * p.expectedRatio(g, t))
+	usual := p.speeds.Class(g.job.Queue).Usual(g.job.Job.Steps[g.step].Estimate)
+	return time.Duration(float64(usual) * p.expectedRatio(g, t))
 }
 
-// expectedRatio returns the expected ratio of the duration of a task of the group at the
-// target to its estimate.
+// expectedRatio returns the expected duration of a task of the group at the target relative
+// to that at a usual target.
 func (p *pool) expectedRatio(g group, t *target) float64 {
 	return p.speeds.Ratio(p.lastPass, p.speeds.Class(g.job.Queue), t.speed, t.loadWith(g.demand()))
 }
