dispatch: prefer targets with recent reports

Agents refused one run in ten at 0.4 and two in five at 0.85 of the capacity for lack of room: an entry chose targets whose room another entry had taken since their last report. The age of the report, up to 100 ms, now costs up to half of the usual duration. A fixed preference of each entry for some targets, a cost for targets that are nearly full and a smaller random cost were tried and gave no less. The decision log names the expected duration of the task (expected_ms).

--- a/process/dispatch/assign.go
+++ b/process/dispatch/assign.go
@@ -168,7 +168,7 @@
 	c.counters.runsOrdered.Add(uint64(len(start.Tasks)))
 	c.env.Record(decision.Decision{Step: "place", Job: j.Job.ID, Peer: t.node, Outcome: "ordered", Age: now.Sub(t.lastReceived),
 		Version: t.state.Revision, Routine: true, Inputs: []decision.Input{{Name: "job_step", Value: int64(g.step)},
-			{Name: "tasks", Value: int64(len(start.Tasks))}, {Name: "free_millicpu", Value: int64(t.reportedFree.MilliCPU)}, {Name: "slack_ms", Value: j.latestStart(g.step).Sub(now).Milliseconds()}}})
+			{Name: "tasks", Value: int64(len(start.Tasks))}, {Name: "free_millicpu", Value: int64(t.reportedFree.MilliCPU)}, {Name: "expected_ms", Value: p.expectedDuration(g, t).Milliseconds()}, {Name: "slack_ms", Value: j.latestStart(g.step).Sub(now).Milliseconds()}}})
 	if out.orders[t] == nil {
 		out.orders[t] = &wire.Orders{}
 		out.targets = append(out.targets, t)
@@ -228,6 +228,10 @@
 	// costRandom bounds a random cost that spreads the orders of entries with
 	// the same information over several targets.
 	costRandom = 0.3
+	// costStale is for a target whose last report has the age staleAfter or more: the room
+	// there may have been taken by another entry. A newer report costs in proportion.
+	costStale  = 0.5
+	staleAfter = 100 * time.Millisecond
 )
 
 // cost returns the cost of placing a task of a group on a target.
@@ -236,6 +240,7 @@
 	if t.state.Probing {
 		cost += costProbing
 	}
+	cost += costStale * min(1, float64(p.lastPass.Sub(t.lastReceived))/float64(staleAfter))
 	if t.zone != c.zone {
 		cost += costOtherZone
 	}
