dispatch, runner: restart a straggler elsewhere where that pays

With 3 % of stragglers at seven times the duration, one job of 2 tasks in seventeen and one of 8 tasks in five has one, which no placement avoids. An agent may now stop a run that its progress shows to be a straggler (StartTask.StopIfSlow, optional), if the time that it still needs exceeds 1.5 times the usual duration plus 60 ms; the task starts elsewhere after the end is confirmed, so it never has two runs at a time. It happens once for each task and never for durable jobs. Agents judge runs by the usual duration of the class instead of the caller's estimate, which may be wrong by a factor.

--- a/connection/wire/run.go
+++ b/connection/wire/run.go
@@ -179,8 +179,8 @@
 	Step       int             `cbor:"3,keyasint,omitempty"`
 	Occurrence int             `cbor:"4,keyasint,omitempty"`
 	Demand     batch.Resources `cbor:"5,keyasint"`
-	// EstimateMS is the caller's estimate of the duration of one task, in
-	// milliseconds.
+	// EstimateMS is the expected duration of one task at a usual target, in
+	// milliseconds. It is the caller's estimate until the entry knows better.
 	EstimateMS int64 `cbor:"6,keyasint"`
 	// SlackMS orders the entries that wait for free resources, the lowest first.
 	// It grows with the time left until the task must start.
@@ -199,6 +199,9 @@
 	// Index is the number of the task within the step, RunNumber that of its run.
 	Index     int `cbor:"1,keyasint,omitempty"`
 	RunNumber int `cbor:"2,keyasint"`
+	// StopIfSlow lets the agent stop the run if it is a straggler, so that the task starts
+	// at another target once the end is confirmed. The work done is lost.
+	StopIfSlow bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Run returns the full name of one run of the order.
--- a/process/dispatch/assign.go
+++ b/process/dispatch/assign.go
@@ -147,7 +147,7 @@
 func (c *Core) order(now time.Time, p *pool, g group, t *target, out *orderBatch) {
 	j, state, step := g.job, &g.job.steps[g.step], g.job.Job.Steps[g.step]
 	start := wire.StartOrder{Job: j.Job.ID, Target: t.state.Target, Spec: j.Job.Spec, Step: g.step, Demand: step.Demand,
-		Durable: j.durableState != nil, EstimateMS: step.Estimate.Milliseconds(), SlackMS: g.slack(now).Milliseconds()}
+		Durable: j.durableState != nil, EstimateMS: p.usualDuration(g).Milliseconds(), SlackMS: g.slack(now).Milliseconds()}
 	room := t.expectedFree()
 	for len(state.ready) > 0 && step.Demand.FitsIn(room) && state.allowsRunOn(step, t) {
 		if len(start.Tasks) > 0 && t.state.Probing {
@@ -161,7 +161,7 @@
 		t.runs[r.id()] = r
 		p.addToNodeCount(r, 1)
 		j.runsStarted++
-		start.Tasks = append(start.Tasks, wire.StartTask{Index: next.index, RunNumber: next.lastNumber})
+		start.Tasks = append(start.Tasks, wire.StartTask{Index: next.index, RunNumber: next.lastNumber, StopIfSlow: p.mayRestart(next)})
 		t.inFlight = append(t.inFlight, inFlightOrder{t.lastSequence + 1, step.Demand})
 		room = room.Sub(step.Demand)
 	}
--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -88,6 +88,8 @@
 	answerOrder []batch.ID
 	// speeds is what is known of the durations of tasks at the targets.
 	speeds placement.Model
+	// restarts is whether it pays to restart stragglers.
+	restarts placement.Restarts
 	// lastPass is when the waiting tasks were last assigned.
 	lastPass time.Time
 	// queue has the groups that were collected at queuedAt and have not been placed, see
--- a/process/dispatch/durations.go
+++ b/process/dispatch/durations.go
@@ -21,6 +21,15 @@
 	return p.speeds.Ratio(p.lastPass, p.speeds.Class(g.job.Queue), t.speed, t.loadWith(g.demand()))
 }
 
+// usualDuration returns the duration by which an agent judges whether a run is slow: that of
+// the group's tasks at a usual target. Estimates that are wrong by a factor would otherwise
+// show all runs as slow. It is at least half the estimate, so that a class of which most tasks
+// are short does not make the others stragglers.
+func (p *pool) usualDuration(g group) time.Duration {
+	estimate := g.job.Job.Steps[g.step].Estimate
+	return max(estimate/2, p.speeds.Class(g.job.Queue).Usual(estimate))
+}
+
 // loadWith returns the share of the target's capacity that is in use once a task with the
 // demand has started there.
 func (t *target) loadWith(demand batch.Resources) float64 {
@@ -52,3 +61,26 @@
 	}
 	return false
 }
+
+// mayRestart reports whether an agent may stop a run of the task if it is a straggler. It
+// may once for each task, as long as that pays. The runs of durable jobs are not stopped:
+// such a job is not in a hurry, and the end of each run has to be recorded.
+func (p *pool) mayRestart(t *task) bool {
+	return t.job.durableState == nil && !t.restarted && p.restarts.Pay(p.lastPass)
+}
+
+// noteRestart learns from the end of a run whether it paid to restart its task.
+func (p *pool) noteRestart(now time.Time, r *run, report wire.RunReport) {
+	t := r.task
+	switch {
+	case report.End == batch.EndStopped && !r.stopRequested:
+		t.restarted = true
+	case report.End == batch.EndDone && t.restarted:
+		usual := p.speeds.Class(t.job.Queue).Usual(t.job.Job.Steps[t.step].Estimate)
+		p.restarts.Record(now, time.Duration(report.RanMS)*time.Millisecond < stragglerFactor*usual)
+	}
+}
+
+// stragglerFactor is the ratio to the usual duration from which a run that was started again
+// counts as slow once more.
+const stragglerFactor = 3
--- a/process/dispatch/heterogeneous_test.go
+++ b/process/dispatch/heterogeneous_test.go
@@ -81,6 +81,20 @@
 	return s
 }
 
+// makeStragglersUsualOnRestart makes a straggler take the usual time when it is started
+// again.
+func (c *cluster) makeStragglersUsualOnRestart() {
+	for _, a := range c.agents {
+		a.executor.OnStart = func(run batch.Run) {
+			w := c.work[run.Task]
+			if i := slices.IndexFunc(kindsB, func(k jobKind) bool { return w.Duration == stragglerFactor*k.work }); i >= 0 {
+				w.Duration = kindsB[i].work
+				c.work[run.Task] = w
+			}
+		}
+	}
+}
+
 // served describes what callers of one queue, or of all, got.
 type served struct {
 	inTime, rejected, failed float64
@@ -148,21 +162,27 @@
 // of stragglers one job in ten has one.
 func TestTargetsOfDifferentSpeeds(t *testing.T) {
 	cases := []struct {
-		name     string
-		kind     mixedLoad
-		load     float64
+		name string
+		kind mixedLoad
+		load float64
+		// byChance makes a straggler take the usual time when it is started again.
+		byChance bool
 		inTime   float64
 		rejected float64
 	}{
-		{"three speeds, half of the capacity", loadA, 0.5, 0.98, 0.01},
-		{"three speeds, most of the capacity", loadA, 0.85, 0.95, 0.03},
-		{"one slow target in four and stragglers, little load", loadB, 0.4, 0.84, 0.03},
-		{"one slow target in four and stragglers, most of the capacity", loadB, 0.8, 0.80, 0.05},
+		{"three speeds, half of the capacity", loadA, 0.5, false, 0.98, 0.01},
+		{"three speeds, most of the capacity", loadA, 0.85, false, 0.95, 0.03},
+		{"one slow target in four and stragglers, little load", loadB, 0.4, false, 0.84, 0.03},
+		{"one slow target in four and stragglers, most of the capacity", loadB, 0.8, false, 0.80, 0.05},
+		{"stragglers by chance", loadB, 0.8, true, 0.86, 0.03},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
 			c := newCluster(t, 11, 6, equalRooms(12, 32000))
 			c.setSpeeds(test.kind.speeds)
+			if test.byChance {
+				c.makeStragglersUsualOnRestart()
+			}
 			c.run(300 * time.Millisecond)
 			test.kind.load = test.load
 			callers := c.submitMixed(test.kind)
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -86,6 +86,8 @@
 	done    bool
 	// liveRun is the run that may be alive, or nil.
 	liveRun *run
+	// restarted is set once an agent has stopped a run of the task because it was slow.
+	restarted bool
 	// avoidedNodes are the nodes where the target refused or did not complete a
 	// run of the task.
 	avoidedNodes []string
--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -160,6 +160,8 @@
 	// confirmed.
 	progressPercent int
 	progressAt      time.Time
+	// stopIfSlow is wire.StartTask.StopIfSlow.
+	stopIfSlow bool
 	// speed is how the run has counted for the speed of the target.
 	speed runSpeed
 	// missingAnswers counts the successive answers of the target that lack the
--- a/process/runner/progress.go
+++ b/process/runner/progress.go
@@ -30,6 +30,9 @@
 	// A slow run is stopped, so that it can run elsewhere, if its remaining time
 	// exceeds evictFactor times its estimate.
 	evictFactor = 1.5
+	// restartCost is the time from the stop of a straggler to the start of its task
+	// elsewhere: the stop takes effect, the end is reported, the start is ordered.
+	restartCost = 60 * time.Millisecond
 )
 
 // slowdown returns the ratio of a run's duration, projected from its speed so
@@ -67,6 +70,12 @@
 	return h.state == stateRunning && now.Sub(h.progressAt) > limit
 }
 
+// paysToRestart reports whether the task would end sooner if the run was stopped and started
+// again at a target of usual speed.
+func (h *heldRun) paysToRestart(now time.Time) bool {
+	return h.remaining(now) > restartCost+time.Duration(evictFactor*float64(h.estimate))
+}
+
 // checkProgress closes a target whose runs are slow or stalled, and stops the
 // runs that would end sooner at another target.
 func (c *Core) checkProgress(now time.Time) {
@@ -88,6 +97,11 @@
 		slow = append(slow, h)
 		c.judgeSpeed(now, h, speedSlow)
 	}
+	for _, h := range slow {
+		if h.stopIfSlow && h.paysToRestart(now) {
+			c.evict(now, h)
+		}
+	}
 	if c.health.closedReason != wire.ClosedStalled {
 		return
 	}
--- a/process/runner/start.go
+++ b/process/runner/start.go
@@ -26,7 +26,7 @@
 		c.queueReport(now, s, wire.RunReport{Run: run, RefusalReason: reason}, 0)
 		return
 	}
-	h := &heldRun{run: run, entry: s.entry, demand: order.Demand, durable: order.Durable, startedAt: now,
+	h := &heldRun{run: run, entry: s.entry, demand: order.Demand, durable: order.Durable, startedAt: now, stopIfSlow: task.StopIfSlow,
 		estimate: time.Duration(order.EstimateMS) * time.Millisecond}
 	c.runs[run] = h
 	s.runs++
