--- a/process/dispatch/counters.go
+++ b/process/dispatch/counters.go
@@ -23,6 +23,10 @@
 	refusedFull  atomic.Uint64
 	refusedOther atomic.Uint64
 	runsLost     atomic.Uint64
+	// stragglers counts the runs that agents stopped because they were slow, and
+	// restartsPaid those of the tasks started again that took the usual time.
+	stragglers   atomic.Uint64
+	restartsPaid atomic.Uint64
 }
 
 func (c *counters) countResult(result Result) {
@@ -69,6 +73,10 @@
 	RefusedOther uint64 `json:"refused_otherwise"`
 	// RunsLost counts the runs that were lost or whose lease lapsed.
 	RunsLost uint64 `json:"runs_lost"`
+	// Stragglers counts the runs that agents stopped because they were slow, RestartsPaid
+	// the tasks of such runs that took the usual time when they were started again.
+	Stragglers   uint64 `json:"stragglers"`
+	RestartsPaid uint64 `json:"restarts_paid"`
 }
 
 // Counts returns the numbers of events since the process started.
@@ -76,5 +84,6 @@
 	n := &c.counters
 	return Counts{Submitted: n.submitted.Load(), Completed: n.completed.Load(), Failed: n.failed.Load(), NotRun: n.notRun.Load(),
 		GaveUp: n.gaveUp.Load(), CallersLeft: n.callersLeft.Load(), RunsOrdered: n.runsOrdered.Load(), RefusedFull: n.refusedFull.Load(),
-		RefusedOther: n.refusedOther.Load(), RunsLost: n.runsLost.Load()}
+		RefusedOther: n.refusedOther.Load(), RunsLost: n.runsLost.Load(),
+		Stragglers: n.stragglers.Load(), RestartsPaid: n.restartsPaid.Load()}
 }
--- a/process/dispatch/durations.go
+++ b/process/dispatch/durations.go
@@ -71,14 +71,19 @@
 }
 
 // noteRestart learns from the end of a run whether it paid to restart its task.
-func (p *pool) noteRestart(now time.Time, r *run, report wire.RunReport) {
+func (c *Core) noteRestart(now time.Time, p *pool, r *run, report wire.RunReport) {
 	t := r.task
 	switch {
 	case report.End == batch.EndStopped && !r.stopRequested:
 		t.restarted = true
+		c.counters.stragglers.Add(1)
 	case report.End == batch.EndDone && t.restarted:
 		usual := p.speeds.Class(t.job.Queue).Usual(t.job.Job.Steps[t.step].Estimate)
-		p.restarts.Record(now, time.Duration(report.RanMS)*time.Millisecond < stragglerFactor*usual)
+		paid := time.Duration(report.RanMS)*time.Millisecond < stragglerFactor*usual
+		if paid {
+			c.counters.restartsPaid.Add(1)
+		}
+		p.restarts.Record(now, paid)
 	}
 }
 
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -32,7 +32,7 @@
 		if report.End == batch.EndDone {
 			p.recordDuration(now, r, time.Duration(report.RanMS)*time.Millisecond)
 		}
-		p.noteRestart(now, r, report)
+		c.noteRestart(now, p, r, report)
 		r.crash = crashKindOf(report)
 		c.addDurableEnd(now, p, r, report.EndUnrecorded)
 		c.runEnded(now, p, r, report.End)
--- a/process/observe/names.go
+++ b/process/observe/names.go
@@ -84,6 +84,11 @@
 	RunsTurnedBack = "runs_turned_back"
 	// RunsLost counts runs that were lost because their target or agent ended.
 	RunsLost = "runs_lost"
+	// Stragglers counts runs that agents stopped because they were slow.
+	Stragglers = "stragglers"
+	// RestartsPaid counts tasks of such runs that took the usual time when they were
+	// started again.
+	RestartsPaid = "restarts_paid"
 	// RunsStarted counts runs that an agent sent to its target.
 	RunsStarted = "runs_started"
 	// RunsEnded counts runs that ended at an agent, by TagOutcome.
--- a/process/placement/estimate.go
+++ b/process/placement/estimate.go
@@ -47,3 +47,12 @@
 
 // clip bounds the magnitude of a value.
 func clip(value, limit float64) float64 { return max(-limit, min(value, limit)) }
+
+// exp returns the exponential, for small arguments by a series with an error below 0.0004:
+// it is computed for each target at each placement.
+func exp(x float64) float64 {
+	if x > -0.3 && x < 0.3 {
+		return 1 + x*(1+x/2*(1+x/3))
+	}
+	return math.Exp(x)
+}
--- a/process/placement/model.go
+++ b/process/placement/model.go
@@ -238,7 +238,7 @@
 // Ratio returns the expected duration of a task at a target relative to that at a usual one.
 // load is the share of the target that is in use, the task included.
 func (m *Model) Ratio(now time.Time, c *Class, t *Target, load float64) float64 {
-	return m.Slowness(now, t) * math.Exp(t.deviation(c)+m.contention.at(load))
+	return m.Slowness(now, t) * exp(t.deviation(c)+m.contention.at(load))
 }
 
 // Usual returns the expected duration of a task at a usual target without load. It is
