--- a/process/dispatch/assign.go
+++ b/process/dispatch/assign.go
@@ -147,7 +147,7 @@
 func (c *Core) order(now time.Time, p *pool, g group, t *target, out *orderBatch) {
 	j, state, step := g.job, &g.job.steps[g.step], g.job.Job.Steps[g.step]
 	start := wire.StartOrder{Job: j.Job.ID, Target: t.state.Target, Spec: j.Job.Spec, Step: g.step, Demand: step.Demand,
-		Durable: j.durableState != nil, EstimateMS: step.Estimate.Milliseconds(), SlackMS: g.slack(now).Milliseconds()}
+		Durable: j.durableState != nil, EstimateMS: p.usualDuration(g).Milliseconds(), SlackMS: g.slack(now).Milliseconds()}
 	room := t.expectedFree()
 	for len(state.ready) > 0 && step.Demand.FitsIn(room) && state.allowsRunOn(step, t) {
 		if len(start.Tasks) > 0 && t.state.Probing {
@@ -156,19 +156,19 @@
 		next := state.ready[0]
 		state.ready = state.ready[1:]
 		next.lastNumber++
-		r := &run{task: next, target: t, number: next.lastNumber, orderedAt: now, demand: step.Demand}
+		r := &run{task: next, target: t, number: next.lastNumber, orderedAt: now, demand: step.Demand, load: t.loadWith(step.Demand)}
 		next.liveRun = r
 		t.runs[r.id()] = r
 		p.addToNodeCount(r, 1)
 		j.runsStarted++
-		start.Tasks = append(start.Tasks, wire.StartTask{Index: next.index, RunNumber: next.lastNumber})
+		start.Tasks = append(start.Tasks, wire.StartTask{Index: next.index, RunNumber: next.lastNumber, StopIfSlow: p.mayRestart(next)})
 		t.inFlight = append(t.inFlight, inFlightOrder{t.lastSequence + 1, step.Demand})
 		room = room.Sub(step.Demand)
 	}
 	c.counters.runsOrdered.Add(uint64(len(start.Tasks)))
 	c.env.Record(decision.Decision{Step: "place", Job: j.Job.ID, Peer: t.node, Outcome: "ordered", Age: now.Sub(t.lastReceived),
 		Version: t.state.Revision, Routine: true, Inputs: []decision.Input{{Name: "job_step", Value: int64(g.step)},
-			{Name: "tasks", Value: int64(len(start.Tasks))}, {Name: "free_millicpu", Value: int64(t.reportedFree.MilliCPU)}, {Name: "slack_ms", Value: j.latestStart(g.step).Sub(now).Milliseconds()}}})
+			{Name: "tasks", Value: int64(len(start.Tasks))}, {Name: "free_millicpu", Value: int64(t.reportedFree.MilliCPU)}, {Name: "expected_ms", Value: p.expectedDuration(g, t).Milliseconds()}, {Name: "slack_ms", Value: j.latestStart(g.step).Sub(now).Milliseconds()}}})
 	if out.orders[t] == nil {
 		out.orders[t] = &wire.Orders{}
 		out.targets = append(out.targets, t)
@@ -228,14 +228,19 @@
 	// costRandom bounds a random cost that spreads the orders of entries with
 	// the same information over several targets.
 	costRandom = 0.3
+	// costStale is for a target whose last report has the age staleAfter or more: the room
+	// there may have been taken by another entry. A newer report costs in proportion.
+	costStale  = 0.5
+	staleAfter = 100 * time.Millisecond
 )
 
 // cost returns the cost of placing a task of a group on a target.
 func (c *Core) cost(p *pool, g group, t *target) float64 {
-	cost := p.durations.slowness(t.node) + costRandom*p.random.Float64()
+	cost := p.expectedRatio(g, t) + costRandom*p.random.Float64()
 	if t.state.Probing {
 		cost += costProbing
 	}
+	cost += costStale * min(1, float64(p.lastPass.Sub(t.lastReceived))/float64(staleAfter))
 	if t.zone != c.zone {
 		cost += costOtherZone
 	}
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -86,6 +86,8 @@
 	done    bool
 	// liveRun is the run that may be alive, or nil.
 	liveRun *run
+	// restarted is set once an agent has stopped a run of the task because it was slow.
+	restarted bool
 	// avoidedNodes are the nodes where the target refused or did not complete a
 	// run of the task.
 	avoidedNodes []string
@@ -102,6 +104,8 @@
 	// crash is what is known of a crash of the target once the run has ended.
 	crash  crashKind
 	demand batch.Resources
+	// load is the share of the target that was in use when the run was ordered.
+	load float64
 }
 
 func (t *task) id() batch.Task {
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -30,8 +30,9 @@
 		c.runRefused(now, p, r, report.RefusalReason)
 	case report.End != "":
 		if report.End == batch.EndDone {
-			p.durations.record(r.task, t.node, time.Duration(report.RanMS)*time.Millisecond)
+			p.recordDuration(now, r, time.Duration(report.RanMS)*time.Millisecond)
 		}
+		c.noteRestart(now, p, r, report)
 		r.crash = crashKindOf(report)
 		c.addDurableEnd(now, p, r, report.EndUnrecorded)
 		c.runEnded(now, p, r, report.End)
--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -163,6 +163,10 @@
 	// confirmed.
 	progressPercent int
 	progressAt      time.Time
+	// stopIfSlow is wire.StartTask.StopIfSlow.
+	stopIfSlow bool
+	// speed is how the run has counted for the speed of the target.
+	speed runSpeed
 	// missingAnswers counts the successive answers of the target that lack the
 	// confirmed run, fencedStarts the starts that were refused for a low fencing
 	// token.
@@ -341,7 +345,7 @@
 		c.lastService = c.target.service
 	}
 	return wire.TargetState{Target: c.target.id, Service: c.lastService, Capacity: c.target.capacity, Labels: c.target.labels,
-		Closed: c.closedReason(), Probing: c.health.probing, Revision: c.revision}
+		Closed: c.closedReason(), Probing: c.health.probing, Revision: c.revision, StartTime: c.target.startTime}
 }
 
 // closedReason returns why the target takes no new runs, or an empty reason if
--- a/process/runner/start.go
+++ b/process/runner/start.go
@@ -26,7 +26,7 @@
 		c.queueReport(now, s, wire.RunReport{Run: run, RefusalReason: reason}, 0)
 		return
 	}
-	h := &heldRun{run: run, entry: s.entry, demand: order.Demand, durable: order.Durable, startedAt: now,
+	h := &heldRun{run: run, entry: s.entry, demand: order.Demand, durable: order.Durable, startedAt: now, stopIfSlow: task.StopIfSlow,
 		estimate: time.Duration(order.EstimateMS) * time.Millisecond}
 	c.runs[run] = h
 	s.runs++
@@ -295,8 +295,9 @@
 		Routine: end == batch.EndDone, Inputs: []decision.Input{{Name: "ran_ms", Value: report.RanMS}}})
 	switch end {
 	case batch.EndDone:
-		slow := h.estimate > 0 && ran > time.Duration(slowFactor*float64(h.estimate))
-		c.updateHealth(now, func() { c.health.runDone(now, slow) })
+		speed := speedOf(ran, h.estimate)
+		c.judgeSpeed(now, h, speed)
+		c.updateHealth(now, func() { c.health.runDone(now, speed == speedSlow) })
 	case batch.EndFailed:
 		c.updateHealth(now, func() { c.health.runFailed(now, h.run.Task.Job) })
 	}
