sessions: an agent resumes an ended session on its connection

Cause: an agent whose session with runs had expired, because the entry was slow, closed its connection at the next message of the entry and dialled it again, also while its runs were still being stopped. The entry, short of processor time, accepted a connection, sent the list of entries and read an enrolment each time.

Change: once no run of the entry is alive at the agent, it enrolls again on the same connection, at the next message of the entry. Messages that the entry sent before it handled the enrolment echo a lower clock value and are dropped, as those on a closed connection were; so that the values differ, a clock value sent to an entry never goes back. An entry of an earlier version closes the connection on such an enrolment, and the agent dials it, as before.

--- a/process/dispatch/clusteragent_test.go
+++ b/process/dispatch/clusteragent_test.go
@@ -27,11 +27,6 @@
 		l.toEntry = append(l.toEntry, delivery{a.c.now.Add(linkDelay), m})
 	}
 }
-func (a *agentEnv) Disconnect(entry wire.Incarnation) {
-	if l := a.find(entry); l != nil {
-		a.c.after(0, func() { a.c.closeLink(l) })
-	}
-}
 
 // call makes a call to the executor. A share of the calls gets no answer and is
 // carried out late.
--- a/process/node/agent.go
+++ b/process/node/agent.go
@@ -132,15 +132,6 @@
 	}
 }
 
-func (e *agentEnv) Disconnect(entry wire.Incarnation) {
-	e.mu.Lock()
-	link := e.entries[entry]
-	e.mu.Unlock()
-	if link != nil {
-		link.conn.Close()
-	}
-}
-
 func (e *agentEnv) Start(c runner.StartCall) {
 	go func() {
 		answer := e.options.Target.Start(e.ctx, c)
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -247,6 +247,7 @@
 	errStopping         = errors.New("stopping")
 	errNoAgents         = errors.New("no agent connected")
 	errAgentReconnected = errors.New("the agent has a new connection")
+	errSessionResumed   = errors.New("the agent opens a new session on its connection")
 )
 
 // Ready returns nil if the load balancer may send new connections to this entry,
--- a/process/node/entrylinks.go
+++ b/process/node/entrylinks.go
@@ -98,7 +98,8 @@
 }
 
 // handleEnroll registers the connection of an agent. A second connection of the same
-// agent replaces the first. An enrolment on an earlier connection than the last one of the
+// agent replaces the first; an agent enrolls again on the same connection after its session
+// has ended. An enrolment on an earlier connection than the last one of the
 // instance was delayed in this process: it lists neither the runs that were ordered since nor
 // those of the agent that has replaced its sender, which would count as lost.
 func (e *Entry) handleEnroll(l *processLink, m *wire.Enroll) {
@@ -110,16 +111,20 @@
 		return
 	}
 	e.enrolledLinks[m.Node] = l.number
+	cause := errAgentReconnected
+	if l.agent == m.Agent {
+		cause = errSessionResumed
+	}
 	l.agent = m.Agent
 	// No order may be sent on the new connection before the core has compared the
 	// runs that the agent reports with those that were ordered: a run ordered in
 	// between would be missing in the report, count as lost and be started twice.
-	e.Core.HandleDisconnect(m.Agent, errAgentReconnected)
+	e.Core.HandleDisconnect(m.Agent, cause)
 	e.mu.Lock()
 	previous := e.agents[m.Agent]
 	e.agents[m.Agent] = l
 	e.mu.Unlock()
-	if previous != nil {
+	if previous != nil && previous != l {
 		previous.conn.Close()
 	}
 	e.Core.HandleEnroll(m)
--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -215,7 +215,7 @@
 	defer c.mu.Unlock()
 	now := c.env.Now()
 	s := c.sessions[entry]
-	if s == nil || !s.connected {
+	if s == nil || !s.connected || orders.ClockEcho < s.resumedClock {
 		return
 	}
 	c.endSessionIfExpired(now, s)
@@ -246,9 +246,7 @@
 		c.sendReport(now, s, false)
 	}
 	c.flush(now)
-	if s.ended {
-		c.env.Disconnect(entry)
-	}
+	c.resumeEnded(now, s)
 }
 
 // later returns the later of two times.
--- a/process/runner/core_test.go
+++ b/process/runner/core_test.go
@@ -36,7 +36,6 @@
 func (h *harness) Now() time.Time                          { return h.now }
 func (h *harness) Record(decision.Decision)                {}
 func (h *harness) Send(_ wire.Incarnation, m wire.Message) { h.sent = append(h.sent, m) }
-func (h *harness) Disconnect(wire.Incarnation)             {}
 func (h *harness) Start(c runner.StartCall)                { h.starts = append(h.starts, c) }
 func (h *harness) Stop(c runner.StopCall)                  { h.stops = append(h.stops, c) }
 func (h *harness) RequestHold()                            { h.polls++ }
--- a/process/runner/env.go
+++ b/process/runner/env.go
@@ -25,8 +25,6 @@
 	Now() time.Time
 	// Send queues a message to an entry; it is lost if there is no connection.
 	Send(entry wire.Incarnation, m wire.Message)
-	// Disconnect ends the connection to an entry.
-	Disconnect(entry wire.Incarnation)
 	// Start asks the target to start a run and later calls Core.HandleStartAnswer.
 	Start(call StartCall)
 	// Stop asks the target to stop a run and later calls Core.HandleStopAnswer.
--- a/process/runner/session.go
+++ b/process/runner/session.go
@@ -28,6 +28,10 @@
 	// the current connection.
 	handledSequence uint64
 	lastSentAt      time.Time
+	// lastClock is the highest clock value sent to the entry. resumedClock is that of the
+	// enrolment that has resumed the session on its connection, or zero: messages with an
+	// earlier echo were sent before the entry had handled it.
+	lastClock, resumedClock int64
 	// pendingReports have not been sent yet. recentReports are repeated when the
 	// entry reconnects.
 	pendingReports []wire.RunReport
@@ -58,17 +62,53 @@
 	now := c.env.Now()
 	s := c.sessions[entry]
 	if s == nil || (s.ended && !c.holdsRunsOf(entry)) {
-		fresh := &session{entry: entry, expiresAt: now.Add(wire.SessionTTL), idleRenew: wire.SessionRenewInterval}
-		if s != nil {
-			fresh.recentReports = s.recentReports
-		}
-		s = fresh
-		c.sessions[entry] = s
+		s = c.openSession(now, entry)
 	}
+	s.resumedClock = 0
+	c.enroll(now, s)
+}
+
+// openSession replaces the session of an entry by a new one.
+func (c *Core) openSession(now time.Time, entry wire.Incarnation) *session {
+	fresh := &session{entry: entry, expiresAt: now.Add(wire.SessionTTL), idleRenew: wire.SessionRenewInterval}
+	if s := c.sessions[entry]; s != nil {
+		fresh.recentReports, fresh.lastClock = s.recentReports, s.lastClock
+	}
+	c.sessions[entry] = fresh
+	return fresh
+}
+
+// resumeEnded opens a new session on the connection of one that has ended, once no run of
+// the entry is alive here. An entry that was slow is not dialled again for it, which would
+// cost it more processor time. An entry of a version that expects enrolments only on new
+// connections closes this one.
+func (c *Core) resumeEnded(now time.Time, s *session) {
+	if !s.ended || c.holdsRunsOf(s.entry) {
+		return
+	}
+	fresh := c.openSession(now, s.entry)
+	fresh.lastClock++
+	c.enroll(now, fresh)
+	fresh.resumedClock = fresh.lastClock
+	c.env.Record(decision.Decision{Step: "session_end", Peer: s.entry.String(), Outcome: "enrolled_again",
+		Age: now.Sub(s.expiresAt) + wire.SessionTTL})
+}
+
+// nextClock returns the clock value of a message to the entry, which is never lower than
+// the one before.
+func (s *session) nextClock(now time.Time) int64 {
+	s.lastClock = max(s.lastClock, now.UnixMicro())
+	return s.lastClock
+}
+
+// enroll enrolls the agent with the entry of a session, with all that the entry has to know
+// of the runs here.
+func (c *Core) enroll(now time.Time, s *session) {
+	entry := s.entry
 	s.connected, s.handledSequence, s.waiting = true, 0, false
 	s.pendingReports, s.reportAt, s.lastSentAt, s.sentRevision = c.keptCrashReports(now), now, now, c.revision
 	enroll := &wire.Enroll{Agent: c.options.Agent, Node: c.options.Node, Zone: c.options.Zone,
-		Clock: now.UnixMicro(), Target: c.targetState(), Free: c.free()}
+		Clock: s.nextClock(now), Target: c.targetState(), Free: c.free()}
 	for _, recent := range s.recentReports {
 		enroll.HeldRuns = append(enroll.HeldRuns, recent.report)
 	}
@@ -158,7 +198,7 @@
 // sendReport sends an entry its pending reports, the free capacity and the
 // target state if it has changed.
 func (c *Core) sendReport(now time.Time, s *session, invitation bool) {
-	m := &wire.AgentReport{Clock: now.UnixMicro(), HandledSequence: s.handledSequence, Free: c.free(), Runs: s.pendingReports, Invitation: invitation}
+	m := &wire.AgentReport{Clock: s.nextClock(now), HandledSequence: s.handledSequence, Free: c.free(), Runs: s.pendingReports, Invitation: invitation}
 	if s.sentRevision != c.revision {
 		target := c.targetState()
 		m.Target, s.sentRevision = &target, c.revision
--- a/process/runonce/agent_test.go
+++ b/process/runonce/agent_test.go
@@ -284,16 +284,6 @@
 	a.world.oracle.note(fmt.Sprintf("agent-%d", a.index), d)
 }
 func (a *agentEnv) Send(entry wire.Incarnation, m wire.Message) { a.world.send(entry, a.id, true, m) }
-func (a *agentEnv) Disconnect(entry wire.Incarnation) {
-	a.world.after(0, func() {
-		for _, l := range a.world.links {
-			if a.world.entries[l.entry].id == entry && a.world.agents[l.agent].id == a.id {
-				a.world.closeLink(l)
-			}
-		}
-	})
-}
-
 func (a *agentEnv) Start(call runner.StartCall) {
 	(*agentLife)(a).call(startCalls, func(t *target, late bool) runner.Answer {
 		c := call
