--- a/process/node/configcopies.go
+++ b/process/node/configcopies.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"context"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -57,6 +58,11 @@
 		if table == nil || !e.hasLowestName() {
 			return
 		}
+		if slices.Min(saved[:]) >= table.Version {
+			// To pack the configuration allocates a megabyte.
+			condition.Set(nil)
+			return
+		}
 		data, err := packConfig(table.Config)
 		for n := range saved {
 			if err != nil || saved[n] >= table.Version {
