platform: no more threads than the process has cores

Cause: the Go runtime uses every processor of the machine. In a process with 0.2 of a core, a fifth of the processor time went into threads that look for work and wake each other.

Change: limits.cpuShare times limits.vcpus of the settings, rounded up, is the number of threads that run Go code, for entries and agents, unless GOMAXPROCS is set in the environment. Nothing changes without these settings. The counter of the responses with an HTTP status is looked up without allocating.

--- a/cmd/azurerouter/platform.go
+++ b/cmd/azurerouter/platform.go
@@ -2,8 +2,10 @@
 
 import (
 	"io"
+	"math"
 	"net/http"
 	"os"
+	"runtime"
 	"runtime/debug"
 	"time"
 
@@ -44,8 +46,22 @@
 	metricsAddr string
 }
 
-// startPlatform reads the settings of the platform, sets the memory limit and the
-// garbage collection percentage, and opens the log.
+// goMaxProcs is the environment variable with the number of threads that run Go code.
+const goMaxProcs = "GOMAXPROCS"
+
+// limitThreads lets no more threads run Go code than the process has cores, unless the
+// environment says how many. By default the runtime uses every processor of the machine:
+// threads without work then look for some and wake each other, at the cost of the share.
+// Nothing changes if the number of cores is not known.
+func limitThreads(cores float64) {
+	if cores <= 0 || os.Getenv(goMaxProcs) != "" {
+		return
+	}
+	runtime.GOMAXPROCS(min(int(math.Ceil(cores)), runtime.GOMAXPROCS(0)))
+}
+
+// startPlatform reads the settings of the platform, sets the memory limit, the garbage
+// collection percentage and the number of threads, and opens the log.
 func startPlatform(metrics string, gcPercent int, stdout io.Writer) (*platformProcess, error) {
 	path := os.Getenv(platform.SettingsVariable)
 	if path == "" {
@@ -57,6 +73,7 @@
 	}
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryLimit)))
 	debug.SetGCPercent(gcPercent)
+	limitThreads(settings.Cores)
 	log := observe.NewNonBlockingWriter(stdout, logQueueLines)
 	observer := observe.New(settings.Node, log)
 	log.CountDroppedIn(observer.Metrics.Counter(observe.LogLinesDropped))
--- a/process/node/metrics.go
+++ b/process/node/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,6 +46,9 @@
 	logUnread       *observe.Condition
 	routingVersion  tally.Gauge
 	totals          map[string]*cumulativeCounter
+	// responses holds the tally.Counter of each HTTP status, because a lookup by tags
+	// allocates memory for each response.
+	responses sync.Map
 }
 
 func newEntryMetrics(o *observe.Observer, e *Entry) *entryMetrics {
@@ -56,10 +60,20 @@
 
 // countResponse counts a response to a caller and records its duration.
 func (m *entryMetrics) countResponse(status int, took time.Duration) {
-	m.scope.Tagged(map[string]string{observe.TagStatus: strconv.Itoa(status)}).Counter(observe.CallerResponses).Inc(1)
+	m.responseCounter(status).Inc(1)
 	m.responseTime.RecordDuration(took)
 }
 
+// responseCounter returns the counter of the responses with an HTTP status.
+func (m *entryMetrics) responseCounter(status int) tally.Counter {
+	if counter, known := m.responses.Load(status); known {
+		return counter.(tally.Counter)
+	}
+	counter := m.scope.Tagged(map[string]string{observe.TagStatus: strconv.Itoa(status)}).Counter(observe.CallerResponses)
+	m.responses.Store(status, counter)
+	return counter
+}
+
 // report updates the metrics until the context ends.
 func (m *entryMetrics) report(ctx context.Context) error {
 	return runEvery(ctx, reportInterval, func() {
