entry: reject submissions at the door while processor time is short

Cause: an entry with more requests than its share of a core suffices for fell behind with everything at once. Admission counted the room of targets only, and after reading and decoding the body; sessions were not renewed in time, runs were stopped and started again.

Change: package overload judges every 100 ms how late the passes of the process are and how much of its share it uses, and limits the rate of admitted requests while it is short. The limit rises while passes are on time and ends once it rejects nothing. Requests above it get 503 with reason overloaded and Retry-After before their body is read, except for jobs that may be known. The entry is not ready for new connections while that lasts. The condition overloaded, the counter submissions_shed and a log line with the inputs tell of it.

--- a/cmd/azurerouter/platform.go
+++ b/cmd/azurerouter/platform.go
@@ -115,7 +115,7 @@
 	defer p.close()
 	store := platform.NewStore(p.settings.StoreAddr)
 	options := node.EntryOptions{Node: p.settings.Node, Zone: p.settings.Zone, PeerAddr: p.settings.PeerAddr,
-		AdvertiseAddr: flags.advertiseAddr, Seeds: p.settings.SeedPeers, Grace: p.settings.Grace,
+		AdvertiseAddr: flags.advertiseAddr, Seeds: p.settings.SeedPeers, Grace: p.settings.Grace, Cores: p.settings.Cores,
 		CallerAddr: p.settings.CallerAddr, ReadyAddr: p.settings.ReadyAddr, ControlAddr: p.settings.ControlAddr, MetricsAddr: p.metricsAddr,
 		CallerHandler: p.callers, ReadinessHandler: platform.ReadyHandler, Config: store, Directory: store, Copies: store, Jobs: store}
 	e := node.NewEntry(options, p.observer, p.decisions)
--- a/process/dispatch/slowentry_test.go
+++ b/process/dispatch/slowentry_test.go
@@ -58,3 +58,23 @@
 		}
 	}
 }
+
+// Guards against a rejection unread, which says that nothing runs, of a job that waits here
+// from an earlier submission or has been answered.
+func TestSubmittedJobsAreKnown(t *testing.T) {
+	c := newCluster(t, 9, 1, equalRooms(1, 4000))
+	c.run(500 * time.Millisecond)
+	first, second := c.submission("q", 1, 300*time.Millisecond, 4000, 0), c.submission("q", 1, 300*time.Millisecond, 4000, 0)
+	core := c.entries[0].core
+	if core.KnowsJob(first.Job.ID) {
+		t.Error("a job is known before its submission")
+	}
+	c.call(first, 0)
+	c.call(second, 0)
+	for range 20 {
+		if !core.KnowsJob(first.Job.ID) || !core.KnowsJob(second.Job.ID) {
+			t.Fatal("a submitted job is not known")
+		}
+		c.run(100 * time.Millisecond)
+	}
+}
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -69,6 +69,8 @@
 	Seeds []string
 	// Grace is the time from the signal to shut down to the kill.
 	Grace time.Duration
+	// Cores is the processor time that the process gets, in cores, or 0 if it is not known.
+	Cores float64
 	// CallerAddr is where the entry listens for callers, ReadyAddr for the
 	// readiness checks of the load balancer.
 	CallerAddr string
@@ -103,6 +105,7 @@
 	stopping atomic.Bool
 	metrics  *entryMetrics
 	ticks    *tickMonitor
+	shedder  *loadShedder
 	started  time.Time
 	// configured is closed when the first configuration is in force.
 	configured chan struct{}
@@ -139,6 +142,8 @@
 		Peers: e.keeperPeers, Now: clock.Now, UnixTime: time.Now}, observedLog{options.Jobs, observer.Condition("store_jobs")}, e.Core, decisions)
 	e.metrics = newEntryMetrics(observer, e)
 	e.ticks = newTickMonitor(observer)
+	e.shedder = newLoadShedder(options.Cores, observer, decisions)
+	e.ticks.observe = e.shedder.observe
 	e.dialer = newDialer(options.Node, options.AdvertiseAddr, options.Seeds, observer.Log, e.dialEntry)
 	return e
 }
@@ -177,8 +182,9 @@
 // ShouldCloseConnections reports whether callers should connect to another entry,
 // because this one is stopping or cannot serve them at present. The load balancer
 // sends new connections to other entries, but open ones stay until this entry
-// closes them.
-func (e *Entry) ShouldCloseConnections() bool { return e.Ready() != nil }
+// closes them. An entry that lacks processor time keeps them: where its zone has no other
+// entry, the callers would come back with new ones, which cost more.
+func (e *Entry) ShouldCloseConnections() bool { return e.serves() != nil }
 
 // CountResponse counts a response to a caller in the metrics, with its HTTP status
 // and the time that it took.
@@ -253,6 +259,17 @@
 // Ready returns nil if the load balancer may send new connections to this entry,
 // otherwise the reason why not.
 func (e *Entry) Ready() error {
+	if err := e.serves(); err != nil {
+		return err
+	}
+	if e.shedder.guard.Lasting(clock.Now()) {
+		return errOverloaded
+	}
+	return nil
+}
+
+// serves returns nil if this entry can serve callers at all, otherwise the reason why not.
+func (e *Entry) serves() error {
 	switch {
 	case e.stopping.Load():
 		return errStopping
--- a/process/node/ticks.go
+++ b/process/node/ticks.go
@@ -22,6 +22,8 @@
 type tickMonitor struct {
 	delay     tally.Gauge
 	condition *observe.Condition
+	// observe, if set, is called with the time and the delay of each pass.
+	observe func(now time.Time, delay time.Duration)
 	// longest is the longest delay since the last report, in nanoseconds.
 	longest atomic.Int64
 }
@@ -42,7 +44,11 @@
 			return nil
 		case <-timer.C:
 		}
-		t.noteDelay(clock.Now().Sub(due))
+		now := clock.Now()
+		t.noteDelay(now.Sub(due))
+		if t.observe != nil {
+			t.observe(now, now.Sub(due))
+		}
 		tick()
 		interval = idleTickInterval
 		if busy() {
--- a/process/observe/names.go
+++ b/process/observe/names.go
@@ -108,6 +108,9 @@
 	// TickLateSeconds is the longest delay of a periodic pass of the process within
 	// the last second, in seconds.
 	TickLateSeconds = "tick_late_seconds"
+	// SubmissionsShed counts submissions that were rejected because the entry lacks
+	// processor time.
+	SubmissionsShed = "submissions_shed"
 	// RoutingVersion is the version of the routing configuration in force.
 	RoutingVersion = "routing_version"
 
--- /dev/null
+++ b/process/overload/overload.go
@@ -0,0 +1,267 @@
+// Package overload decides whether a process has the processor time for another request.
+// It reads no clock and no counter of the system: the caller passes measurements to it.
+//
+// The load that it addresses is a lasting one above what the process can carry, of which
+// it serves the part that it can. It limits the rate of admitted requests: the limit falls
+// while the passes of the process are late and rises while they are not, so that it is
+// tested all the time, and it ends once it rejects nothing.
+package overload
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Parameters of the decision.
+const (
+	// window is the shortest time over which measurements are judged. It is shorter than
+	// the pause between two renewals of a session.
+	window = 100 * time.Millisecond
+	// lateAtFullUse is the mean delay of the passes above which a process that uses its
+	// share counts as short, lateOtherwise that of any other process. The latter is
+	// higher because a machine with other work delays passes for short times.
+	lateAtFullUse = 15 * time.Millisecond
+	lateOtherwise = 50 * time.Millisecond
+	// fullUse is the part of its share that a process uses when it is short of it.
+	// Measured use stays below the share because processes are held to it in slices.
+	fullUse = 0.85
+	// windowsOtherwise is the number of successive late windows after which a process that
+	// does not use its share counts as short. A process that was paused is late once.
+	windowsOtherwise = 3
+	// firstCut and laterCut times the admitted rate is the limit after a late window. The
+	// first one is lower, because the work admitted before is still to be done, and is
+	// also used while passes are later than severeDelay: sessions are not renewed in time.
+	firstCut    = 0.5
+	laterCut    = 0.8
+	severeDelay = 150 * time.Millisecond
+	// costWeight is the weight of a window in the mean processor time of a request, which
+	// windows with a use of at least costUse count for: in others most of it is spent on
+	// sessions.
+	costWeight = 0.1
+	costUse    = 0.3
+	// growth times the limit is the limit after a window that was not late. A limit that
+	// was wrong reaches 500 requests per second from minRate within 5 s.
+	growth = 1.1
+	// minRate is the lowest limit, in requests per second.
+	minRate = 5.0
+	// endAfter is the time without a late window and without a rejection after which the
+	// limit ends.
+	endAfter = time.Second
+	// lastingAfter is the time after which a shortage counts as lasting, relievedAfter the
+	// time after its end in which it still does. A load balancer that checks once a second
+	// takes a process out of rotation after two failed checks.
+	lastingAfter  = 1500 * time.Millisecond
+	relievedAfter = 3 * time.Second
+)
+
+// Sample is a measurement, taken with each pass of the process.
+type Sample struct {
+	Now time.Time
+	// Used is the processor time that the process has used since its start.
+	Used time.Duration
+	// Delay is how late the pass is.
+	Delay time.Duration
+}
+
+// Verdict is the state of the decision with its inputs.
+type Verdict struct {
+	// Limited is set while requests above Limit, in requests per second, are rejected.
+	Limited bool
+	Limit   float64
+	// MeanDelay is the mean delay of the passes, Use the used part of the share, or 0 if
+	// the share is not known, and Admitted the admitted requests per second, each over
+	// the last window.
+	MeanDelay time.Duration
+	Use       float64
+	Admitted  float64
+	// Rejected counts the rejections since the limit began.
+	Rejected uint64
+}
+
+// Guard holds the decision of one process. It is safe for concurrent use.
+type Guard struct {
+	cores float64
+	// limited is set while there is a limit, so that Admit takes no lock otherwise.
+	limited  atomic.Bool
+	admitted atomic.Uint64
+
+	mu sync.Mutex
+	// The fields up to admittedBefore describe the current window.
+	start          Sample
+	passes         int
+	late           time.Duration
+	admittedBefore uint64
+	lateWindows    int
+	// cost is the mean processor time of an admitted request, as part of a second of the
+	// share, or 0 while it is not known.
+	cost float64
+
+	verdict Verdict
+	// tokens are the requests that may be admitted at once, as of tokensAt.
+	tokens   float64
+	tokensAt time.Time
+	// since is when the limit began, quietSince when the last late window or rejection
+	// was, and endedAt when the last limit ended that had lasted.
+	since, quietSince, endedAt time.Time
+}
+
+// NewGuard returns a guard of a process that has the given number of cores, or 0 if that
+// is not known.
+func NewGuard(cores float64) *Guard { return &Guard{cores: cores} }
+
+// Observe takes a measurement into account. It returns the verdict, and whether a limit
+// has begun or ended with it.
+func (g *Guard) Observe(s Sample) (v Verdict, changed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.start.Now.IsZero() {
+		g.startWindow(s)
+		return g.verdict, false
+	}
+	g.passes++
+	g.late += max(s.Delay, 0)
+	if s.Now.Sub(g.start.Now) < window {
+		return g.verdict, false
+	}
+	before := g.verdict.Limited
+	short := g.judgeWindow(s)
+	g.adjust(s.Now, short)
+	g.startWindow(s)
+	return g.verdict, g.verdict.Limited != before
+}
+
+func (g *Guard) startWindow(s Sample) {
+	g.start, g.passes, g.late, g.admittedBefore = s, 0, 0, g.admitted.Load()
+}
+
+// judgeWindow sets the inputs of the verdict and reports whether the process is short of
+// processor time.
+func (g *Guard) judgeWindow(s Sample) bool {
+	elapsed := s.Now.Sub(g.start.Now).Seconds()
+	g.verdict.MeanDelay = g.late / time.Duration(g.passes)
+	g.verdict.Admitted = float64(g.admitted.Load()-g.admittedBefore) / elapsed
+	g.verdict.Use = 0
+	if g.cores > 0 {
+		g.verdict.Use = (s.Used - g.start.Used).Seconds() / elapsed / g.cores
+	}
+	if g.verdict.MeanDelay < lateOtherwise {
+		g.lateWindows = 0
+	} else {
+		g.lateWindows++
+	}
+	g.learnCost()
+	if g.verdict.Use >= fullUse {
+		return g.verdict.MeanDelay >= lateAtFullUse
+	}
+	return g.lateWindows >= windowsOtherwise
+}
+
+// learnCost takes the last window into account in the mean processor time of a request,
+// unless the process was short of it.
+func (g *Guard) learnCost() {
+	v := &g.verdict
+	if v.Use < costUse || v.Use >= fullUse || v.Limited || v.Admitted < minRate {
+		return
+	}
+	cost := v.Use / v.Admitted
+	if g.cost > 0 {
+		cost = (1-costWeight)*g.cost + costWeight*cost
+	}
+	g.cost = cost
+}
+
+// firstLimit returns the limit with which the rejections begin.
+func (g *Guard) firstLimit() float64 {
+	limit := firstCut * g.verdict.Admitted
+	if g.cost > 0 {
+		limit = min(limit, firstCut/g.cost)
+	}
+	return max(minRate, limit)
+}
+
+// nextLimit returns the limit after a late window with a limit.
+func (g *Guard) nextLimit() float64 {
+	cut := laterCut
+	if g.verdict.MeanDelay > severeDelay {
+		cut = firstCut
+	}
+	return max(minRate, cut*min(g.verdict.Limit, max(g.verdict.Admitted, minRate)))
+}
+
+// adjust sets the limit after a window. A process that admits no more than the lowest limit
+// is late for another reason than its requests.
+func (g *Guard) adjust(now time.Time, short bool) {
+	v := &g.verdict
+	switch {
+	case short && !v.Limited && v.Admitted > minRate:
+		v.Limited, v.Limit, v.Rejected = true, g.firstLimit(), 0
+		g.since, g.quietSince, g.tokens, g.tokensAt = now, now, 0, now
+		g.limited.Store(true)
+	case short && v.Limited:
+		v.Limit = g.nextLimit()
+		g.quietSince = now
+	case v.Limited && now.Sub(g.quietSince) >= endAfter:
+		if g.lasts(now) {
+			g.endedAt = now
+		}
+		v.Limited = false
+		g.limited.Store(false)
+	case v.Limited:
+		v.Limit *= growth
+	}
+}
+
+// Limited reports whether there is a limit.
+func (g *Guard) Limited() bool { return g.limited.Load() }
+
+// Count counts a request that is admitted in any case.
+func (g *Guard) Count() { g.admitted.Add(1) }
+
+// Admit reports whether the process can carry another request, and counts it if so.
+func (g *Guard) Admit(now time.Time) bool {
+	if !g.Limited() {
+		g.Count()
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.verdict.Limited && !g.takeToken(now) {
+		g.verdict.Rejected++
+		g.quietSince = now
+		return false
+	}
+	g.Count()
+	return true
+}
+
+// takeToken takes one of the requests that the limit allows up to now, of which those of
+// one window may come at once.
+func (g *Guard) takeToken(now time.Time) bool {
+	most := max(1, g.verdict.Limit*window.Seconds())
+	g.tokens = min(most, g.tokens+g.verdict.Limit*max(now.Sub(g.tokensAt), 0).Seconds())
+	g.tokensAt = now
+	if g.tokens < 1 {
+		return false
+	}
+	g.tokens--
+	return true
+}
+
+// Lasting reports whether the process has been short of processor time for so long, or was
+// until so recently, that it should get no new connections.
+func (g *Guard) Lasting(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.verdict.Limited {
+		return g.lasts(now)
+	}
+	return !g.endedAt.IsZero() && now.Sub(g.endedAt) < relievedAfter
+}
+
+// lasts reports whether the present limit counts as lasting. One that begins soon after the
+// end of another goes on with it.
+func (g *Guard) lasts(now time.Time) bool {
+	resumed := !g.endedAt.IsZero() && g.since.Sub(g.endedAt) < relievedAfter
+	return resumed || now.Sub(g.since) >= lastingAfter
+}
