overload: a window at full use is no shortage

Cause: a process that needs less than its share uses it up in single slices of 100 ms, if it is held to it in such slices, and its passes are late once for it. The entry would have rejected requests that it could carry.

Change: passes have to be late at full use for 190 ms. Package dispatch renews the sessions of all services before it looks at the jobs of any.

Measured: the new case of TestProcessThatIsNotShortRejectsNothing.

--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -335,15 +335,22 @@
 }
 
 // Tick renews sessions, detects lost agents, ends jobs that are too late and
-// assigns waiting tasks. It has to be called every few milliseconds.
+// assigns waiting tasks. It has to be called every few milliseconds. The sessions of all
+// services come first: they end if a process without processor time renews them late.
 func (c *Core) Tick() {
 	c.pauses.recordActivity(c.env.Now())
 	c.pauses.recordTick(c.env.Now())
-	for _, p := range c.allPools() {
+	pools := c.allPools()
+	for _, p := range pools {
 		p.mu.Lock()
 		now := c.env.Now()
 		c.checkOwnership(now, p)
 		c.checkTargets(now, p)
+		p.mu.Unlock()
+	}
+	for _, p := range pools {
+		p.mu.Lock()
+		now := c.env.Now()
 		c.checkJobs(now, p)
 		c.assign(now, p)
 		p.mu.Unlock()
--- a/process/overload/overload.go
+++ b/process/overload/overload.go
@@ -26,8 +26,12 @@
 	// fullUse is the part of its share that a process uses when it is short of it.
 	// Measured use stays below the share because processes are held to it in slices.
 	fullUse = 0.85
-	// windowsOtherwise is the number of successive late windows after which a process that
-	// does not use its share counts as short. A process that was paused is late once.
+	// shortAtFullUse is the time of successive late windows after which a process that uses
+	// its share counts as short. One that needs less than its share uses it up in single
+	// slices of 100 ms and is late once for it.
+	shortAtFullUse = 190 * time.Millisecond
+	// windowsOtherwise is the number of successive late windows after which any other process
+	// counts as short. A process that was paused is late once.
 	windowsOtherwise = 3
 	// firstCut and laterCut times the admitted rate is the limit after a late window. The
 	// first one is lower, because the work admitted before is still to be done, and is
@@ -92,7 +96,10 @@
 	passes         int
 	late           time.Duration
 	admittedBefore uint64
-	lateWindows    int
+	// lateWindows counts the successive late windows, fullFor is the time of those with full
+	// use.
+	lateWindows int
+	fullFor     time.Duration
 	// cost is the mean processor time of an admitted request, as part of a second of the
 	// share, or 0 while it is not known.
 	cost float64
@@ -145,16 +152,21 @@
 	if g.cores > 0 {
 		g.verdict.Use = (s.Used - g.start.Used).Seconds() / elapsed / g.cores
 	}
+	g.learnCost()
 	if g.verdict.MeanDelay < lateOtherwise {
 		g.lateWindows = 0
 	} else {
 		g.lateWindows++
 	}
-	g.learnCost()
-	if g.verdict.Use >= fullUse {
-		return g.verdict.MeanDelay >= lateAtFullUse
+	if g.verdict.MeanDelay < lateAtFullUse || g.verdict.Use < fullUse {
+		g.fullFor = 0
+	} else {
+		g.fullFor += s.Now.Sub(g.start.Now)
+	}
+	if g.verdict.Limited && g.fullFor > 0 {
+		return true
 	}
-	return g.lateWindows >= windowsOtherwise
+	return g.fullFor >= shortAtFullUse || g.lateWindows >= windowsOtherwise
 }
 
 // learnCost takes the last window into account in the mean processor time of a request,
--- a/process/overload/overload_test.go
+++ b/process/overload/overload_test.go
@@ -102,6 +102,7 @@
 		"paused once":            {0.192, 0.5, func(n int) time.Duration { return time.Duration(n/100%2) * 0 }, 300},
 		"delayed by other work":  {0.192, 0.5, func(n int) time.Duration { return time.Duration(n%4) * 20 * time.Millisecond }, 300},
 		"share unknown, delayed": {0, 0, func(n int) time.Duration { return time.Duration(n%2) * 60 * time.Millisecond }, 300},
+		"slices used up":         {0.192, 1, func(n int) time.Duration { return time.Duration(n%14/13) * 90 * time.Millisecond }, 300},
 		"late without requests":  {0.192, 1, func(int) time.Duration { return 200 * time.Millisecond }, 2},
 	} {
 		g := NewGuard(test.cores)
