--- a/connection/wire/codec_test.go
+++ b/connection/wire/codec_test.go
@@ -51,7 +51,7 @@
 		&Enroll{Agent: 1, Node: "agent-1", Zone: "zone-a", Clock: 9, Target: target, Free: room,
 			HeldRuns: []RunReport{{Run: run, End: batch.EndDone, RanMS: 50}}},
 		&Orders{Sequence: 1, ClockEcho: 9, Stops: []batch.Run{run}, Waiting: &Waiting{SlackMS: -1, Smallest: room}, Starts: []StartOrder{{Job: "j", Spec: "s", Step: 1,
-			Occurrence: 2, Demand: room, EstimateMS: 60, SlackMS: -5, Tasks: []StartTask{{Index: 3, RunNumber: 1}}}}},
+			Occurrence: 2, Demand: room, EstimateMS: 60, SlackMS: -5, Tasks: []StartTask{{Index: 3, RunNumber: 1, StopIfSlow: true}}}}},
 		&AgentReport{Clock: 9, HandledSequence: 1, Free: room, Runs: []RunReport{{Run: run, RefusalReason: RefusedFull}}, Target: &target, Invitation: true},
 		&JobCall{Number: 1, Action: SubmitDurable, ID: "j", Submission: &batch.Submission{Job: batch.Job{ID: "j", Spec: "s", Durable: true,
 			Unsupported: "u", Steps: []batch.Step{{Tasks: 2, Demand: room, Estimate: 60, DependsOn: []int{0}, Label: "a", MaxPerTarget: 1, Unsupported: "u"}}},
