batch, platform: decode the rack of a step's data and the remote factor

A step's dataRack was accepted and ignored. It is now part of batch.Step and, as an optional field, of the records of durable jobs. The remote factor comes from bounds.remoteFactor. dispatch prefers targets of the rack and decides whether to wait for one (process/locality); a step without a rack is placed as before, with the same random draws.

--- a/cmd/azurerouter/check_platform.go
+++ b/cmd/azurerouter/check_platform.go
@@ -19,7 +19,7 @@
 		{"instance", s.Node}, {"availability zone", s.Zone}, {"callers", s.CallerAddr}, {"readiness", s.ReadyAddr},
 		{"control", s.ControlAddr}, {"links", s.PeerAddr}, {"seeds", fmt.Sprint(s.SeedPeers)}, {"store", s.StoreAddr},
 		{"machines", s.MachinesAddr}, {"target", s.TargetAddr}, {"grace", s.Grace.String()},
-		{"memory", fmt.Sprintf("%d MiB", s.MemoryLimit>>20)},
+		{"remote factor", fmt.Sprint(s.RemoteFactor)}, {"memory", fmt.Sprintf("%d MiB", s.MemoryLimit>>20)},
 	}
 	for _, v := range values {
 		if v.value != "" {
--- a/cmd/azurerouter/platform.go
+++ b/cmd/azurerouter/platform.go
@@ -100,7 +100,7 @@
 	options := node.EntryOptions{Node: p.settings.Node, Zone: p.settings.Zone, PeerAddr: p.settings.PeerAddr,
 		AdvertiseAddr: flags.advertiseAddr, Seeds: p.settings.SeedPeers, Grace: p.settings.Grace,
 		CallerAddr: p.settings.CallerAddr, ReadyAddr: p.settings.ReadyAddr, ControlAddr: p.settings.ControlAddr, MetricsAddr: p.metricsAddr,
-		CallerHandler: p.callers, ReadinessHandler: platform.ReadyHandler, Config: store, Directory: store, Copies: store, Jobs: store}
+		CallerHandler: p.callers, ReadinessHandler: platform.ReadyHandler, Config: store, Directory: store, Copies: store, Jobs: store, RemoteFactor: p.settings.RemoteFactor}
 	e := node.NewEntry(options, p.observer, p.decisions)
 	return runDaemon("entry", stderr, p.signalHooks(), e.AddTo)
 }
--- a/process/dispatch/assign.go
+++ b/process/dispatch/assign.go
@@ -61,16 +61,18 @@
 	}
 	out := orderBatch{orders: make(map[*target]*wire.Orders)}
 	var left []group
-	unplaced, mayStart := 0, c.mayStartDurable(now)
-	for queue.Len() > 0 && unplaced < maxUnplacedGroups {
+	waits := localityPass{expected: make(map[*target]batch.Resources)}
+	without, mayStart := 0, c.mayStartDurable(now)
+	for queue.Len() > 0 && without < maxUnplacedGroups {
 		g := queue.next()
 		if !g.waits() || g.job.onHold(now, mayStart) {
 			continue
 		}
-		if c.place(now, p, g, &out) {
-			unplaced = 0
-		} else {
-			unplaced++
+		switch c.place(now, p, g, &waits, &out) {
+		case placed:
+			without = 0
+		case unplaced:
+			without++
 		}
 		if g.waits() {
 			g.rank = g.job.rank(now.UnixNano(), g.state())
@@ -88,7 +90,7 @@
 		c.endJob(now, p, j, unfinishedResult(j, ReasonCallerLeft))
 	}
 	if waiting != nil {
-		c.announceWaiting(now, p, waiting, unplaced)
+		c.announceWaiting(now, p, waiting, without)
 	}
 }
 
@@ -121,24 +123,44 @@
 	c.send(now, p, t, &wire.Orders{Waiting: waiting})
 }
 
-// place assigns as many tasks of a group as there is room for. It reports whether
-// it assigned any. A job whose callers have left is added to the abandoned ones instead.
-func (c *Core) place(now time.Time, p *pool, g group, out *orderBatch) bool {
-	state := &g.job.steps[g.step]
-	placed := false
+// placement is the outcome of placing a group.
+type placement int
+
+const (
+	// unplaced: there is no room for any of its tasks.
+	unplaced placement = iota
+	// placed: at least one task was assigned.
+	placed
+	// delayed: no task was assigned, because the group waits for a local target although
+	// there is room elsewhere.
+	delayed
+)
+
+// place assigns as many tasks of a group as there is room for, and not those that wait for
+// a local target. A job whose callers have left is added to the abandoned ones instead.
+func (c *Core) place(now time.Time, p *pool, g group, waits *localityPass, out *orderBatch) placement {
+	state, outcome := g.state(), unplaced
 	for len(state.ready) > 0 {
-		t := c.chooseTarget(now, p, g)
-		if t == nil {
+		chosen := c.choose(now, p, g, waits)
+		if chosen.target != nil && outcome == unplaced && g.job.callersHaveLeft() {
+			out.abandoned = append(out.abandoned, g.job)
 			return placed
 		}
-		if !placed && g.job.callersHaveLeft() {
-			out.abandoned = append(out.abandoned, g.job)
-			return true
+		if chosen.delay.Wait {
+			c.delay(now, p, g, chosen, waits)
+			if outcome == unplaced {
+				outcome = delayed
+			}
+			return outcome
 		}
-		c.order(now, p, g, t, out)
-		placed = true
+		c.endDelay(now, p, g, chosen)
+		if chosen.target == nil {
+			return outcome
+		}
+		c.order(now, p, g, chosen.target, out)
+		outcome = placed
 	}
-	return placed
+	return outcome
 }
 
 // order adds start orders for as many tasks of the group as the target has room
@@ -149,7 +171,7 @@
 	start := wire.StartOrder{Job: j.Job.ID, Target: t.state.Target, Spec: j.Job.Spec, Step: g.step, Demand: step.Demand,
 		Durable: j.durableState != nil, EstimateMS: step.Estimate.Milliseconds(), SlackMS: g.slack(now).Milliseconds()}
 	room := t.expectedFree()
-	for len(state.ready) > 0 && step.Demand.FitsIn(room) && state.allowsRunOn(step, t) {
+	for len(state.ready) > 0 && step.Demand.FitsIn(room) && state.allowsTasksOn(step, t, 1) {
 		if len(start.Tasks) > 0 && t.state.Probing {
 			break
 		}
@@ -176,35 +198,9 @@
 	out.orders[t].Starts = append(out.orders[t].Starts, start)
 }
 
-// allowsRunOn reports whether MaxPerTarget permits another run on the target.
-func (s *stepState) allowsRunOn(step batch.Step, t *target) bool {
-	return step.MaxPerTarget == 0 || s.runsPerNode[t.node] < step.MaxPerTarget
-}
-
-// chooseTarget returns the target of least cost that has room for the next task of
-// a group, or nil if there is none.
-func (c *Core) chooseTarget(now time.Time, p *pool, g group) *target {
-	step, state := g.job.Job.Steps[g.step], &g.job.steps[g.step]
-	avoid := state.ready[0].avoidedNodes
-	var best *target
-	var bestCost float64
-	for _, t := range p.targetList {
-		if !c.acceptsOrders(now, t) || !step.Demand.FitsIn(t.state.Capacity) || !state.allowsRunOn(step, t) || !t.hasLabel(step.Label) {
-			continue
-		}
-		fits := step.Demand.FitsIn(t.expectedFree())
-		if !fits || (t.state.Probing && len(t.inFlight) > 0) {
-			continue
-		}
-		cost := c.cost(p, g, t)
-		if slices.Contains(avoid, t.node) {
-			cost += costAvoided
-		}
-		if best == nil || cost < bestCost {
-			best, bestCost = t, cost
-		}
-	}
-	return best
+// allowsTasksOn reports whether MaxPerTarget permits a number of further runs on the target.
+func (s *stepState) allowsTasksOn(step batch.Step, t *target, tasks int) bool {
+	return step.MaxPerTarget == 0 || s.runsPerNode[t.node]+tasks <= step.MaxPerTarget
 }
 
 func (t *target) hasLabel(label string) bool {
--- a/process/dispatch/cluster_test.go
+++ b/process/dispatch/cluster_test.go
@@ -44,7 +44,7 @@
 
 // cluster runs entries, agents and executors in virtual time.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	now     time.Time
 	random  *rand.Rand
 	entries []*entryNode
@@ -68,6 +68,8 @@
 	logKnown time.Duration
 	// overlaps counts the errors that checkOverlap has reported.
 	overlaps int
+	// options are those of new entry processes.
+	options []dispatch.Option
 	// entryCount is the number of entries that every entry takes into account.
 	entryCount int
 	// sent counts the messages between processes, sentBytes their encoded size.
@@ -104,6 +106,7 @@
 	zone     string
 	core     *runner.Core
 	executor *executor.Executor
+	labels   []string
 	sequence uint64
 	// pendingHolds are the hold calls that wait at the executor.
 	pendingHolds []pendingHold
@@ -135,7 +138,7 @@
 	m  wire.Message
 }
 
-func newCluster(t *testing.T, seed uint64, entries int, rooms []batch.Resources) *cluster {
+func newCluster(t testing.TB, seed uint64, entries int, rooms []batch.Resources) *cluster {
 	c := &cluster{t: t, now: time.UnixMilli(1_000_000), random: rand.New(rand.NewPCG(seed, 1)), work: make(map[batch.Task]executor.Work),
 		ownership: endlessOwnership, logKnown: endlessOwnership}
 	for i := range entries {
@@ -159,7 +162,7 @@
 
 func (c *cluster) startEntry(e *entryNode) {
 	e.node = node{alive: true, id: wire.Incarnation(c.random.Uint64())}
-	e.core = dispatch.New((*entryEnv)(e), e.id, e.zone, c.random.Uint64())
+	e.core = dispatch.New((*entryEnv)(e), e.id, e.zone, c.random.Uint64(), c.options...)
 	e.core.SetEntryCount(c.entryCount)
 	e.core.OwnDurableUntil(c.now.Add(c.ownership))
 	e.core.StartDurableUntil(c.now.Add(c.logKnown))
@@ -194,7 +197,7 @@
 // report sends a report of the target to its agent.
 func (a *agentNode) report() {
 	a.sequence++
-	a.core.HandleTargetReport(runner.TargetReport{Target: a.executor.ID, Service: serviceName, StartTime: a.executor.StartedAtMS, Sequence: a.sequence, Capacity: a.executor.Capacity})
+	a.core.HandleTargetReport(runner.TargetReport{Target: a.executor.ID, Service: serviceName, StartTime: a.executor.StartedAtMS, Sequence: a.sequence, Capacity: a.executor.Capacity, Labels: a.labels})
 }
 
 func (c *cluster) after(d time.Duration, do func()) {
--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -10,6 +10,7 @@
 
 	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/decision"
+	"github.com/azurerouter/azurerouter/process/locality"
 	"github.com/azurerouter/azurerouter/request/batch"
 	"github.com/azurerouter/azurerouter/version/evacuation"
 )
@@ -31,6 +32,9 @@
 	self   wire.Incarnation
 	zone   string
 	seed   uint64
+	// remoteFactor is how many times as long a task takes outside the rack of its data.
+	remoteFactor   float64
+	localityPolicy locality.Policy
 
 	poolsMu sync.RWMutex
 	pools   map[string]*pool
@@ -108,10 +112,16 @@
 	mayHaveRun bool
 }
 
+// Option configures a Core.
+type Option func(*Core)
+
 // New returns the state of a new entry incarnation in an availability zone. seed
 // seeds the random choice between targets of similar cost.
-func New(env Env, self wire.Incarnation, zone string, seed uint64) *Core {
-	c := &Core{env: env, self: self, zone: zone, seed: seed, pools: make(map[string]*pool), poolByAgent: make(map[wire.Incarnation]*pool)}
+func New(env Env, self wire.Incarnation, zone string, seed uint64, options ...Option) *Core {
+	c := &Core{env: env, self: self, zone: zone, seed: seed, remoteFactor: 1, pools: make(map[string]*pool), poolByAgent: make(map[wire.Incarnation]*pool)}
+	for _, option := range options {
+		option(c)
+	}
 	c.pauses.start(env.Now())
 	return c
 }
--- a/process/dispatch/counters.go
+++ b/process/dispatch/counters.go
@@ -23,6 +23,10 @@
 	refusedFull  atomic.Uint64
 	refusedOther atomic.Uint64
 	runsLost     atomic.Uint64
+	// localWaits counts the steps that waited for a target in the rack of their data,
+	// localWaitsMet the waits after which a task went there.
+	localWaits    atomic.Uint64
+	localWaitsMet atomic.Uint64
 }
 
 func (c *counters) countResult(result Result) {
@@ -69,6 +73,10 @@
 	RefusedOther uint64 `json:"refused_otherwise"`
 	// RunsLost counts the runs that were lost or whose lease lapsed.
 	RunsLost uint64 `json:"runs_lost"`
+	// LocalWaits counts the steps that waited for a target in the rack of their data,
+	// LocalWaitsMet the waits after which a task went there.
+	LocalWaits    uint64 `json:"local_waits"`
+	LocalWaitsMet uint64 `json:"local_waits_met"`
 }
 
 // Counts returns the numbers of events since the process started.
@@ -76,5 +84,6 @@
 	n := &c.counters
 	return Counts{Submitted: n.submitted.Load(), Completed: n.completed.Load(), Failed: n.failed.Load(), NotRun: n.notRun.Load(),
 		GaveUp: n.gaveUp.Load(), CallersLeft: n.callersLeft.Load(), RunsOrdered: n.runsOrdered.Load(), RefusedFull: n.refusedFull.Load(),
-		RefusedOther: n.refusedOther.Load(), RunsLost: n.runsLost.Load()}
+		RefusedOther: n.refusedOther.Load(), RunsLost: n.runsLost.Load(),
+		LocalWaits: n.localWaits.Load(), LocalWaitsMet: n.localWaitsMet.Load()}
 }
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -70,6 +70,9 @@
 	queued bool
 	// runsPerNode counts the live runs by node, for steps with MaxPerTarget.
 	runsPerNode map[string]int
+	// localWaitSince is when the step first waited for a local target, or zero.
+	// localWaitUntil is the end of its present wait, or zero.
+	localWaitSince, localWaitUntil time.Time
 }
 
 // task is one task of an active job.
--- a/process/dispatch/queue.go
+++ b/process/dispatch/queue.go
@@ -195,21 +195,26 @@
 func (c *Core) describeWaiting(now time.Time, p *pool) *wire.Waiting {
 	queue := c.waitingQueue(now, p)
 	if p.waitingAt.IsZero() || queue.Len() == 0 {
-		p.waiting, p.waitingAt = describeGroups(now, queue.head()), now
+		p.waiting, p.waitingAt = describeGroups(now, queue.head(now)), now
 	}
 	return p.waiting
 }
 
 // head returns the groups that a pass tries to place if there is no room for any. Smaller
 // tasks behind them do not start, so that agents need not invite the entry for them.
-func (q *groupQueue) head() []group {
-	var head []group
+func (q *groupQueue) head(now time.Time) []group {
+	var head, awaitLocal []group
 	for q.Len() > 0 && len(head) < maxUnplacedGroups {
-		if g := q.next(); g.waits() {
+		switch g := q.next(); {
+		case !g.waits():
+		case g.awaitsLocal(now):
+			awaitLocal = append(awaitLocal, g)
+		default:
 			head = append(head, g)
 		}
 	}
 	q.restore(head)
+	q.restore(awaitLocal)
 	return head
 }
 
@@ -227,7 +232,7 @@
 	var first group
 	nanos := now.UnixNano()
 	for _, g := range groups {
-		if !g.waits() {
+		if !g.waits() || g.awaitsLocal(now) {
 			continue
 		}
 		g.rank = g.job.rank(nanos, g.state())
@@ -242,7 +247,7 @@
 	w := &wire.Waiting{SlackMS: first.slack(now).Milliseconds(), Smallest: largest}
 	for i := range groups {
 		g := &groups[i]
-		if demand := g.demand(); demand.FitsIn(largest) && compareDemands(demand, w.Smallest) < 0 && g.waits() {
+		if demand := g.demand(); demand.FitsIn(largest) && compareDemands(demand, w.Smallest) < 0 && g.waits() && !g.awaitsLocal(now) {
 			w.Smallest = demand
 		}
 	}
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -87,6 +87,8 @@
 	Copies           CopyStore
 	// Jobs is the log of durable jobs.
 	Jobs keeper.Log
+	// RemoteFactor is how many times as long a task takes outside the rack of its data.
+	RemoteFactor float64
 }
 
 // Entry runs a dispatch.Core as a process.
@@ -134,7 +136,7 @@
 		agents:        make(map[wire.Incarnation]*processLink),
 		peers:         make(map[*processLink]bool),
 	}
-	e.Core = dispatch.New((*entryEnv)(e), e.incarnation, options.Zone, uint64(time.Now().UnixNano()))
+	e.Core = dispatch.New((*entryEnv)(e), e.incarnation, options.Zone, uint64(time.Now().UnixNano()), dispatch.WithRemoteFactor(options.RemoteFactor))
 	e.keeper = keeper.New(keeper.Options{Node: options.Node, Owner: ledger.Owner(e.incarnation.String()), IsFirstByName: e.hasLowestName,
 		Peers: e.keeperPeers, Now: clock.Now, UnixTime: time.Now}, observedLog{options.Jobs, observer.Condition("store_jobs")}, e.Core, decisions)
 	e.metrics = newEntryMetrics(observer, e)
--- a/request/batch/batch.go
+++ b/request/batch/batch.go
@@ -65,6 +65,9 @@
 	DependsOn []int `cbor:"After"`
 	// Label is a label that the target must have, or empty.
 	Label string
+	// DataRack is the rack that holds the data of the step, or empty. Targets of the rack
+	// have it among their labels. Records and messages without it are of earlier versions.
+	DataRack string `cbor:",omitempty"`
 	// MaxPerTarget bounds the tasks of the step that run on one target at the
 	// same time; 0 means no bound.
 	MaxPerTarget int
