dispatch: delay scheduling for steps that name the rack of their data; explain-placement

Cause: a step's tasks started on any rack, where they take remoteFactor times as long and use that much more capacity. Change: process/locality decides between a start elsewhere now and a wait for the rack; a waiting step holds no capacity and does not end a pass. azurerouter explain-placement asks a running entry where a job would go; dispatch.Core.Explain shares the code of the placement and copies its random source.

--- a/cmd/azurerouter/main.go
+++ b/cmd/azurerouter/main.go
@@ -29,6 +29,7 @@
 	{"dump", "print the state of one process", runDump},
 	{"keys", "write keys and certificates for a deployment", runKeys},
 	{"explain", "explain from logs why a job ended as it did", runExplain},
+	{"explain-placement", "explain where the tasks of a job would go now", runExplainPlacement},
 	{"load", "send a bounded load and print response times", runLoad},
 	{"bench", "compare policies in virtual time", runBench},
 	{"bench claims", "measure group commit in the log in virtual time", runBenchClaims},
@@ -71,6 +72,6 @@
 func usage(w io.Writer) {
 	fmt.Fprintln(w, "usage: azurerouter COMMAND [flags]; azurerouter COMMAND -h prints the flags of a command")
 	for _, c := range commands {
-		fmt.Fprintf(w, "  %-16s %s\n", c.name, c.summary)
+		fmt.Fprintf(w, "  %-18s %s\n", c.name, c.summary)
 	}
 }
--- a/cmd/azurerouter/platform.go
+++ b/cmd/azurerouter/platform.go
@@ -100,7 +100,7 @@
 	options := node.EntryOptions{Node: p.settings.Node, Zone: p.settings.Zone, PeerAddr: p.settings.PeerAddr,
 		AdvertiseAddr: flags.advertiseAddr, Seeds: p.settings.SeedPeers, Grace: p.settings.Grace,
 		CallerAddr: p.settings.CallerAddr, ReadyAddr: p.settings.ReadyAddr, ControlAddr: p.settings.ControlAddr, MetricsAddr: p.metricsAddr,
-		CallerHandler: p.callers, ReadinessHandler: platform.ReadyHandler, Config: store, Directory: store, Copies: store, Jobs: store, RemoteFactor: p.settings.RemoteFactor}
+		CallerHandler: p.callers, ReadinessHandler: platform.ReadyHandler, ExplainHandler: p.explain, Config: store, Directory: store, Copies: store, Jobs: store, RemoteFactor: p.settings.RemoteFactor}
 	e := node.NewEntry(options, p.observer, p.decisions)
 	return runDaemon("entry", stderr, p.signalHooks(), e.AddTo)
 }
@@ -109,6 +109,10 @@
 	return platform.NewCallerHandler(e, p.settings.ResendAfter)
 }
 
+func (p *platformProcess) explain(e *node.Entry) http.Handler {
+	return &platform.ExplainHandler{Table: e.RoutingTable, Explain: e.Core.Explain}
+}
+
 func runPlatformAgent(metrics string, stdout, stderr io.Writer) int {
 	p, err := startPlatform(metrics, agentGCPercent, stdout)
 	if err != nil {
--- a/process/dispatch/assign.go
+++ b/process/dispatch/assign.go
@@ -61,14 +61,14 @@
 	}
 	out := orderBatch{orders: make(map[*target]*wire.Orders)}
 	var left []group
-	waits := localityPass{expected: make(map[*target]batch.Resources)}
+	waits := newLocalityPass()
 	without, mayStart := 0, c.mayStartDurable(now)
 	for queue.Len() > 0 && without < maxUnplacedGroups {
 		g := queue.next()
 		if !g.waits() || g.job.onHold(now, mayStart) {
 			continue
 		}
-		switch c.place(now, p, g, &waits, &out) {
+		switch c.place(now, p, g, waits, &out) {
 		case placed:
 			without = 0
 		case unplaced:
@@ -146,7 +146,8 @@
 			out.abandoned = append(out.abandoned, g.job)
 			return placed
 		}
-		if chosen.delay.Wait {
+		tasks := chosen.tasksNow(g)
+		if tasks == 0 {
 			c.delay(now, p, g, chosen, waits)
 			if outcome == unplaced {
 				outcome = delayed
@@ -157,24 +158,20 @@
 		if chosen.target == nil {
 			return outcome
 		}
-		c.order(now, p, g, chosen.target, out)
+		c.order(now, p, g, chosen.target, tasks, out)
 		outcome = placed
 	}
 	return outcome
 }
 
 // order adds start orders for as many tasks of the group as the target has room
-// for. With few targets for each job, fewer messages are sent and fewer jobs are
+// for, up to limit. With few targets for each job, fewer messages are sent and fewer jobs are
 // affected when a target fails.
-func (c *Core) order(now time.Time, p *pool, g group, t *target, out *orderBatch) {
+func (c *Core) order(now time.Time, p *pool, g group, t *target, limit int, out *orderBatch) {
 	j, state, step := g.job, &g.job.steps[g.step], g.job.Job.Steps[g.step]
 	start := wire.StartOrder{Job: j.Job.ID, Target: t.state.Target, Spec: j.Job.Spec, Step: g.step, Demand: step.Demand,
 		Durable: j.durableState != nil, EstimateMS: step.Estimate.Milliseconds(), SlackMS: g.slack(now).Milliseconds()}
-	room := t.expectedFree()
-	for len(state.ready) > 0 && step.Demand.FitsIn(room) && state.allowsTasksOn(step, t, 1) {
-		if len(start.Tasks) > 0 && t.state.Probing {
-			break
-		}
+	for range c.tasksThatFit(g, t, limit) {
 		next := state.ready[0]
 		state.ready = state.ready[1:]
 		next.lastNumber++
@@ -185,7 +182,6 @@
 		j.runsStarted++
 		start.Tasks = append(start.Tasks, wire.StartTask{Index: next.index, RunNumber: next.lastNumber})
 		t.inFlight = append(t.inFlight, inFlightOrder{t.lastSequence + 1, step.Demand})
-		room = room.Sub(step.Demand)
 	}
 	c.counters.runsOrdered.Add(uint64(len(start.Tasks)))
 	c.env.Record(decision.Decision{Step: "place", Job: j.Job.ID, Peer: t.node, Outcome: "ordered", Age: now.Sub(t.lastReceived),
@@ -198,6 +194,20 @@
 	out.orders[t].Starts = append(out.orders[t].Starts, start)
 }
 
+// tasksThatFit returns how many of the group's next tasks, up to limit, can go to a target
+// that has room for one. A target that is being probed gets one.
+func (c *Core) tasksThatFit(g group, t *target, limit int) int {
+	step, room, tasks := g.job.Job.Steps[g.step], t.expectedFree(), 0
+	for tasks < limit && step.Demand.FitsIn(room) && g.state().allowsTasksOn(step, t, tasks+1) {
+		tasks++
+		if t.state.Probing {
+			break
+		}
+		room = room.Sub(step.Demand)
+	}
+	return tasks
+}
+
 // allowsTasksOn reports whether MaxPerTarget permits a number of further runs on the target.
 func (s *stepState) allowsTasksOn(step batch.Step, t *target, tasks int) bool {
 	return step.MaxPerTarget == 0 || s.runsPerNode[t.node]+tasks <= step.MaxPerTarget
--- a/process/dispatch/cluster_test.go
+++ b/process/dispatch/cluster_test.go
@@ -97,6 +97,8 @@
 	zone string
 	// suspensions are the outcomes of the decisions on the ownership of durable jobs.
 	suspensions []string
+	// recorded counts the decisions that the entry has recorded.
+	recorded int
 }
 
 type agentNode struct {
@@ -218,6 +220,7 @@
 
 func (e *entryEnv) Now() time.Time { return e.c.now }
 func (e *entryEnv) Record(d decision.Decision) {
+	e.recorded++
 	if d.Step == "durable" {
 		e.suspensions = append(e.suspensions, d.Outcome)
 	}
--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -61,7 +61,9 @@
 type pool struct {
 	service string
 	mu      sync.Mutex
+	// random draws from source.
 	random  *rand.Rand
+	source  *rand.PCG
 	targets map[wire.Incarnation]*target
 	// targetList holds the targets in the order in which they were added.
 	targetList []*target
@@ -139,17 +141,22 @@
 	if p := c.pools[service]; p != nil {
 		return p
 	}
-	p = &pool{
+	p = newPool(service, rand.NewPCG(c.seed, uint64(len(c.pools))))
+	c.pools[service] = p
+	return p
+}
+
+func newPool(service string, source *rand.PCG) *pool {
+	return &pool{
 		service:         service,
-		random:          rand.New(rand.NewPCG(c.seed, uint64(len(c.pools)))),
+		random:          rand.New(source),
+		source:          source,
 		targets:         make(map[wire.Incarnation]*target),
 		jobs:            make(map[batch.ID]*activeJob),
 		durable:         make(map[batch.ID]*activeJob),
 		retainedAnswers: make(map[batch.ID]retainedAnswer),
 		resubmissions:   make(resubmissionShares),
 	}
-	c.pools[service] = p
-	return p
 }
 
 func (c *Core) allPools() []*pool {
--- a/process/dispatch/localcapacity.go
+++ b/process/dispatch/localcapacity.go
@@ -9,18 +9,12 @@
 	"github.com/azurerouter/azurerouter/request/batch"
 )
 
-// localCapacity is the capacity in the rack of a step's data for all tasks that the step has
-// left, as far as the runs of this entry free it. Runs of other entries may end earlier, and
-// other entries may take what becomes free; the agents decide between entries.
-type localCapacity struct {
-	// known is false if the runs of this entry do not free enough.
-	known bool
-	// free is when the last of the tasks can start, at the target last.
+// localSlot is capacity for one task in the rack of its data.
+type localSlot struct {
+	target *target
+	// free is when the task can start there.
 	free locality.Estimate
-	last *target
-	// tasks are the numbers of the tasks by target.
-	tasks map[*target]int
-	// duration is the longest expected duration at these targets.
+	// duration is the expected duration of the task there.
 	duration locality.Estimate
 }
 
@@ -50,51 +44,39 @@
 	return ends
 }
 
-// nextLocalCapacity returns when the rack of the group's data is expected to have capacity
-// for all tasks that the group has left, besides what groups earlier in the pass wait for.
-func (c *Core) nextLocalCapacity(now time.Time, p *pool, g group, pass *localityPass) localCapacity {
-	step := g.job.Job.Steps[g.step]
-	free := make(map[*target]batch.Resources)
+// localSlots returns the capacity in the rack of the group's data for the tasks that the
+// group has left, the first to become free at the front, besides what groups earlier in the
+// pass wait for. It is that which the runs of this entry free. Those of other entries may
+// end earlier, and other entries may take what becomes free: the agents share it between
+// entries, so that the share of this entry is about what its own runs free.
+func (c *Core) localSlots(now time.Time, p *pool, g group, pass *localityPass) []localSlot {
+	step, left := g.job.Job.Steps[g.step], len(g.state().ready)
+	free, tasks, latest := make(map[*target]batch.Resources), make(map[*target]int), make(map[*target]locality.Estimate)
+	var slots []localSlot
+	fill := func(t *target, at locality.Estimate) {
+		for len(slots) < left && g.demand().FitsIn(free[t]) && g.state().allowsTasksOn(step, t, tasks[t]+1) {
+			free[t] = free[t].Sub(g.demand())
+			tasks[t]++
+			slots = append(slots, localSlot{t, at, c.durationAt(p, g, t)})
+		}
+	}
 	var ends []ending
-	var local []*target
-	for _, t := range p.targetList {
-		if !t.isLocal(step) || !c.mayBecomeFree(now, g, t) {
+	for _, t := range pass.localTargets(p, step) {
+		if !c.mayBecomeFree(now, g, t) {
 			continue
 		}
-		local = append(local, t)
 		free[t] = t.expectedFree().Sub(pass.expected[t])
+		fill(t, locality.Estimate{})
 		ends = append(ends, c.endings(now, p, t)...)
 	}
 	slices.SortStableFunc(ends, ending.compare)
-	found := localCapacity{tasks: make(map[*target]int)}
-	left := len(g.state().ready)
-	fill := func(t *target) {
-		for left > 0 && g.demand().FitsIn(free[t]) && g.state().allowsTasksOn(step, t, found.tasks[t]+1) {
-			free[t] = free[t].Sub(g.demand())
-			found.tasks[t]++
-			found.last = t
-			left--
-		}
-	}
-	for _, t := range local {
-		fill(t)
-	}
-	for i := 0; left > 0 && i < len(ends); i++ {
+	for i := 0; len(slots) < left && i < len(ends); i++ {
 		end := ends[i]
 		free[end.target] = free[end.target].Add(end.demand)
-		found.free = laterEnd(found.free, end.left)
-		fill(end.target)
-	}
-	if left > 0 || found.last == nil {
-		return localCapacity{}
-	}
-	found.known = true
-	for t := range found.tasks {
-		if duration := c.durationAt(p, g, t); duration.Expected > found.duration.Expected {
-			found.duration = duration
-		}
+		latest[end.target] = laterEnd(latest[end.target], end.left)
+		fill(end.target, latest[end.target])
 	}
-	return found
+	return slots
 }
 
 // laterEnd returns the estimate of the last of two ends, of which the second is not expected
@@ -125,7 +107,3 @@
 	}
 	return locality.Estimate{}, false
 }
-
-func multiply(demand batch.Resources, count int) batch.Resources {
-	return batch.Resources{MilliCPU: demand.MilliCPU * count, MemoryMiB: demand.MemoryMiB * count, GPUs: demand.GPUs * count}
-}
--- a/process/dispatch/locality.go
+++ b/process/dispatch/locality.go
@@ -74,36 +74,99 @@
 	// groups wait for the same.
 	expected map[*target]batch.Resources
 	delayed  int
+	// local holds the targets of the racks that have been looked up.
+	local map[string][]*target
 }
 
-// choice is where the next task of a group goes: to a target, or nowhere for now.
+// localTargets returns the targets in the rack of a step's data.
+func (w *localityPass) localTargets(p *pool, step batch.Step) []*target {
+	if local, known := w.local[step.DataRack]; known {
+		return local
+	}
+	var local []*target
+	for _, t := range p.targetList {
+		if t.isLocal(step) {
+			local = append(local, t)
+		}
+	}
+	w.local[step.DataRack] = local
+	return local
+}
+
+func newLocalityPass() *localityPass {
+	return &localityPass{expected: make(map[*target]batch.Resources), local: make(map[string][]*target)}
+}
+
+// add counts the wait of a group.
+func (w *localityPass) add(g group, chosen choice) {
+	w.delayed++
+	for _, slot := range chosen.slots {
+		w.expected[slot.target] = w.expected[slot.target].Add(g.demand())
+	}
+}
+
+// choice is where the next tasks of a group go: to a target, or nowhere for now.
 type choice struct {
 	target *target
-	// delay is the decision whether to wait for a local target. It is zero if the step
-	// names no rack, the target is local, or there is no target.
+	// delay is the decision whether the tasks wait for a local target. It is zero if the
+	// step names no rack, the target is local, or no target has room. target is nil if the
+	// group goes on waiting as decided before.
 	delay locality.Decision
-	// local is the local capacity that the decision is about.
-	local localCapacity
+	// slots is the local capacity for which tasks of the group wait, and the rest of them
+	// does not. Without a wait it is the first local capacity to become free, if any.
+	slots []localSlot
 }
 
-// choose returns where the next task of a group goes. It changes nothing but the random
-// source of the pool.
+// tasksNow returns how many tasks of the group do not wait.
+func (ch *choice) tasksNow(g group) int {
+	if ch.delay.Wait {
+		return len(g.state().ready) - len(ch.slots)
+	}
+	return len(g.state().ready)
+}
+
+// choose returns where the next tasks of a group go. It changes nothing but the random
+// source of the pool. Each task is weighed by the local capacity that becomes free for it:
+// if only some of the tasks get there in time, the others do not wait.
 func (c *Core) choose(now time.Time, p *pool, g group, pass *localityPass) choice {
+	if kept, ok := c.keepWaiting(now, p, g, pass); ok {
+		return kept
+	}
 	t := c.chooseTarget(now, p, g)
 	if t == nil || t.isLocal(g.job.Job.Steps[g.step]) {
 		return choice{target: t}
 	}
-	local := c.nextLocalCapacity(now, p, g, pass)
-	in := locality.Input{Local: local.duration, Remote: c.durationAt(p, g, t), LocalFree: local.free, Known: local.known, Waited: g.state().waitedForLocal(now)}
+	in := locality.Input{Remote: c.durationAt(p, g, t), Waited: g.state().waitedForLocal(now)}
 	in.Objective, in.Deadline = g.job.timeLeft(now, g.step)
 	// The wait ends with a pass, which follows a tick.
-	in.Objective -= tickAllowance + p.passPause()
-	in.Deadline -= tickAllowance + p.passPause()
-	d := locality.Decide(c.localityPolicy, in)
-	if d.Wait && pass.delayed >= maxDelayedGroups {
-		d = locality.Decision{Reason: locality.NoLocal}
+	late := tickAllowance + p.passPause()
+	in.Objective, in.Deadline, in.LatestStart = in.Objective-late, in.Deadline-late, g.job.latestStart(g.step).Sub(now)-late
+	slots := c.localSlots(now, p, g, pass)
+	first := locality.Decide(c.localityPolicy, in)
+	for n := len(slots); n > 0; n-- {
+		in.Local, in.LocalFree, in.Known = slots[n-1].duration, slots[n-1].free, true
+		first = locality.Decide(c.localityPolicy, in)
+		if first.Wait && pass.delayed < maxDelayedGroups {
+			return choice{target: t, delay: first, slots: slots[:n]}
+		}
 	}
-	return choice{target: t, delay: d, local: local}
+	first.Wait, first.For = false, 0
+	return choice{target: t, delay: first, slots: slots[:min(1, len(slots))]}
+}
+
+// keepWaiting returns the wait of a group if nothing has changed that calls for another
+// decision: its time has not come, no local target has room, and all of its tasks are still
+// expected to get room in time. It looks only at the rack of the data, because a pass that
+// compared all targets for each waiting group would take more processor time than there is.
+func (c *Core) keepWaiting(now time.Time, p *pool, g group, pass *localityPass) (choice, bool) {
+	if !g.awaitsLocal(now) || pass.delayed >= maxDelayedGroups {
+		return choice{}, false
+	}
+	slots, left := c.localSlots(now, p, g, pass), g.state().localWaitUntil.Sub(now)
+	if len(slots) < len(g.state().ready) || slots[0].free.Expected == 0 || slots[len(slots)-1].free.Expected > left {
+		return choice{}, false
+	}
+	return choice{delay: locality.Decision{Wait: true, For: left, Reason: locality.Gain}, slots: slots}, true
 }
 
 // timeLeft returns the time from now within which a step must end for the job to meet its
@@ -131,13 +194,11 @@
 // entry in vain.
 func (g *group) awaitsLocal(now time.Time) bool { return now.Before(g.state().localWaitUntil) }
 
-// delay makes a group wait for a local target. It holds no capacity.
+// delay makes the tasks of a group that are left wait for a local target. They hold no
+// capacity.
 func (c *Core) delay(now time.Time, p *pool, g group, chosen choice, pass *localityPass) {
 	state := g.state()
-	pass.delayed++
-	for t, tasks := range chosen.local.tasks {
-		pass.expected[t] = pass.expected[t].Add(multiply(g.demand(), tasks))
-	}
+	pass.add(g, chosen)
 	state.localWaitUntil = now.Add(chosen.delay.For)
 	if !state.localWaitSince.IsZero() {
 		return
@@ -167,13 +228,17 @@
 
 func (c *Core) recordLocality(now time.Time, p *pool, g group, chosen choice, outcome string) {
 	objective, _ := g.job.timeLeft(now, g.step)
-	peer := chosen.target.node
-	if outcome == "waits" {
-		peer = chosen.local.last.node
+	peer, free := chosen.target.node, locality.Estimate{}
+	if len(chosen.slots) > 0 {
+		last := chosen.slots[len(chosen.slots)-1]
+		free = last.free
+		if chosen.delay.Wait {
+			peer = last.target.node
+		}
 	}
 	c.env.Record(decision.Decision{Step: "locality", Job: g.job.Job.ID, Peer: peer, Outcome: outcome, Reason: string(chosen.delay.Reason),
 		Age: g.state().waitedForLocal(now), Routine: true, Inputs: []decision.Input{{Name: "job_step", Value: int64(g.step)},
-			{Name: "tasks", Value: int64(len(g.state().ready))}, {Name: "local_free_ms", Value: chosen.local.free.Expected.Milliseconds()},
-			{Name: "error_ms", Value: chosen.local.free.Error.Milliseconds()}, {Name: "remote_ms", Value: c.durationAt(p, g, chosen.target).Expected.Milliseconds()},
+			{Name: "tasks", Value: int64(len(g.state().ready))}, {Name: "local_free_ms", Value: free.Expected.Milliseconds()},
+			{Name: "error_ms", Value: free.Error.Milliseconds()}, {Name: "remote_ms", Value: c.durationAt(p, g, chosen.target).Expected.Milliseconds()},
 			{Name: "wait_ms", Value: chosen.delay.For.Milliseconds()}, {Name: "objective_ms", Value: objective.Milliseconds()}}})
 }
--- a/process/locality/locality.go
+++ b/process/locality/locality.go
@@ -19,11 +19,12 @@
 
 // Values of Policy.
 const (
-	// ByGain waits while the expected end at the local target, and the error of the time
-	// at which it becomes free, are before the expected end elsewhere.
+	// ByGain waits while the expected end at the local target is before the expected end
+	// elsewhere.
 	ByGain Policy = iota
-	// ByExpectedGain does not count the error. It is for comparison.
-	ByExpectedGain
+	// ByCertainGain subtracts the error of the time at which the local target becomes free
+	// from the gain. It is for comparison.
+	ByCertainGain
 	// Never starts tasks at once. It is for comparison.
 	Never
 	// Fixed waits for FixedWait, whatever the gain. It is for comparison.
@@ -48,6 +49,9 @@
 	// objective, Deadline the time left until its result is of no more use to the caller.
 	// Either may be negative.
 	Objective, Deadline time.Duration
+	// LatestStart is the time within which a task must start. Jobs that have not started by
+	// then are rejected under load.
+	LatestStart time.Duration
 }
 
 // Reason is why a task waits or does not wait.
@@ -57,7 +61,7 @@
 const (
 	// Gain: the task ends earlier at the local target, in spite of the wait.
 	Gain Reason = "ends_earlier"
-	// NoGain: the task ends earlier elsewhere, or as early within the error.
+	// NoGain: the task ends earlier elsewhere, or as early.
 	NoGain Reason = "no_gain"
 	// NoLocal: no local target is expected to have capacity.
 	NoLocal Reason = "no_local_target"
@@ -96,28 +100,40 @@
 	free := in.LocalFree.Expected
 	switch p {
 	case Fixed:
-		limit, free = FixedWait-in.Waited, min(free, FixedWait-in.Waited)
-	case ByExpectedGain:
-		if free >= saved {
-			return Decision{Reason: NoGain}
-		}
-	default:
-		if in.LocalFree.latest() >= saved {
-			return Decision{Reason: NoGain}
-		}
+		limit = FixedWait - in.Waited
+	case ByCertainGain:
+		free = in.LocalFree.latest()
 	}
-	if left := timeToWait(in.Objective, in.Local.Expected, in.Remote.Expected); left < limit {
+	if p != Fixed && free >= saved {
+		return Decision{Reason: NoGain}
+	}
+	if left := timeWithinObjective(in); left < limit {
 		limit, reason = left, Objective
 	}
+	if in.LatestStart < limit {
+		limit, reason = in.LatestStart, Objective
+	}
 	if left := timeToWait(in.Deadline, in.Local.latest(), in.Remote.latest()); left < limit {
 		limit, reason = left, Deadline
 	}
-	if limit <= 0 || free > limit {
+	if limit <= 0 || in.LocalFree.Expected > limit && p != Fixed {
 		return Decision{Reason: reason}
 	}
 	return Decision{Wait: true, For: limit, Reason: Gain}
 }
 
+// timeWithinObjective returns how long a task may wait without the objective being missed. A
+// wait uses up time that makes up for the error of the estimates. If the objective is met
+// elsewhere at the latest duration too, the wait leaves time for that one; otherwise it uses
+// half of what the expected duration leaves.
+func timeWithinObjective(in Input) time.Duration {
+	left := timeToWait(in.Objective, in.Local.Expected, in.Remote.Expected)
+	if in.Remote.Expected <= in.Objective {
+		return max(in.Objective-in.Remote.latest(), left/2)
+	}
+	return left
+}
+
 // timeToWait returns how long a task may wait to end within the time left: at a remote
 // target after the wait, or, if it can't do so even without a wait, at a local one.
 func timeToWait(left, local, remote time.Duration) time.Duration {
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -82,9 +82,12 @@
 	// readiness checks.
 	CallerHandler    func(e *Entry) http.Handler
 	ReadinessHandler func(ready func() error) http.Handler
-	Config           ConfigSource
-	Directory        Directory
-	Copies           CopyStore
+	// ExplainHandler, if set, returns the handler of the admin server that explains where
+	// the tasks of a job would go.
+	ExplainHandler func(e *Entry) http.Handler
+	Config         ConfigSource
+	Directory      Directory
+	Copies         CopyStore
 	// Jobs is the log of durable jobs.
 	Jobs keeper.Log
 	// RemoteFactor is how many times as long a task takes outside the rack of its data.
@@ -298,11 +301,21 @@
 		addServer(g, "control", e.options.ControlAddr, http.NotFoundHandler())
 	}
 	if e.options.MetricsAddr != "" {
-		g.Add(observe.AdminOnPrivateNetwork(e.options.MetricsAddr, e.observer, func() any { return e.Dump() }, e.Ready))
+		g.Add(observe.AdminOnPrivateNetwork(e.options.MetricsAddr, e.observer, func() any { return e.Dump() }, e.Ready, e.adminRoutes()...))
 	}
 	return nil
 }
 
+// explainPattern is the route of the admin server to EntryOptions.ExplainHandler.
+const explainPattern = "POST /explain-placement"
+
+func (e *Entry) adminRoutes() []observe.Route {
+	if e.options.ExplainHandler == nil {
+		return nil
+	}
+	return []observe.Route{{Pattern: explainPattern, Handler: e.options.ExplainHandler(e)}}
+}
+
 func (e *Entry) followConfig(ctx context.Context) error {
 	condition := e.observer.Condition("store_config")
 	e.options.Config.FollowConfig(ctx, func(c routing.Config) { e.applyConfig(c, "store") }, e.applyEvacuation, func(err error) {
--- a/process/node/metrics.go
+++ b/process/node/metrics.go
@@ -106,6 +106,8 @@
 	m.add(observe.RunsTurnedBack, observe.TagReason, "full", n.RefusedFull)
 	m.add(observe.RunsTurnedBack, observe.TagReason, "other", n.RefusedOther)
 	m.add(observe.RunsLost, "", "", n.RunsLost)
+	m.add(observe.LocalWaits, observe.TagOutcome, "begun", n.LocalWaits)
+	m.add(observe.LocalWaits, observe.TagOutcome, "met", n.LocalWaitsMet)
 }
 
 // add reports a total of the entry, see reportTotal.
--- a/process/observe/admin.go
+++ b/process/observe/admin.go
@@ -27,10 +27,18 @@
 	return a.execute, a.interrupt
 }
 
+// Route is a further handler of an admin server. One request to it is handled at a time, and
+// only those from a loopback or private address are.
+type Route struct {
+	// Pattern is that of http.ServeMux.
+	Pattern string
+	Handler http.Handler
+}
+
 // AdminOnPrivateNetwork returns the same actor as Admin for an address in a private
-// network, where only the platform and the operators can reach it.
-func AdminOnPrivateNetwork(addr string, observer *Observer, dump func() any, ready func() error) (execute func() error, interrupt func(error)) {
-	a := newAdmin(addr, observer, dump, ready)
+// network, where only the platform and the operators can reach it, with further routes.
+func AdminOnPrivateNetwork(addr string, observer *Observer, dump func() any, ready func() error, routes ...Route) (execute func() error, interrupt func(error)) {
+	a := newAdmin(addr, observer, dump, ready, routes...)
 	a.private = true
 	return a.execute, a.interrupt
 }
@@ -49,7 +57,7 @@
 	boundAddr chan string
 }
 
-func newAdmin(addr string, observer *Observer, dump func() any, ready func() error) *admin {
+func newAdmin(addr string, observer *Observer, dump func() any, ready func() error, routes ...Route) *admin {
 	a := &admin{
 		addr:      addr,
 		observer:  observer,
@@ -59,19 +67,48 @@
 		stop:      make(chan struct{}),
 		boundAddr: make(chan string, 1),
 	}
-	a.server = &http.Server{Handler: a.routes(), ReadTimeout: adminReadTimeout, WriteTimeout: adminWriteTimeout}
+	a.server = &http.Server{Handler: a.handler(routes), ReadTimeout: adminReadTimeout, WriteTimeout: adminWriteTimeout}
 	return a
 }
 
-func (a *admin) routes() http.Handler {
+func (a *admin) handler(routes []Route) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", a.observer.reporter)
 	mux.HandleFunc("GET /dump", a.serveDump)
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /ready", a.serveReady)
+	for _, route := range routes {
+		mux.Handle(route.Pattern, forOperators(route.Handler))
+	}
 	return mux
 }
 
+// forOperators returns a handler that rejects requests from public addresses and, so that
+// operators do not take the processor time of callers, those during another request.
+func forOperators(h http.Handler) http.Handler {
+	running := make(chan struct{}, 1)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !isPrivate(r.RemoteAddr) {
+			http.Error(w, "only from a loopback or private address", http.StatusForbidden)
+			return
+		}
+		select {
+		case running <- struct{}{}:
+			defer func() { <-running }()
+			h.ServeHTTP(w, r)
+		default:
+			http.Error(w, "another request is being handled", http.StatusServiceUnavailable)
+		}
+	})
+}
+
+// isPrivate reports whether an address is a loopback address or one of a private network.
+func isPrivate(addr string) bool {
+	host, _, err := net.SplitHostPort(addr)
+	ip := net.ParseIP(host)
+	return err == nil && ip != nil && (ip.IsLoopback() || ip.IsPrivate())
+}
+
 func (a *admin) execute() error {
 	if err := checkLoopback(a.addr); err != nil && !a.private {
 		return err
--- a/process/observe/names.go
+++ b/process/observe/names.go
@@ -82,6 +82,9 @@
 	RunsOrdered = "runs_ordered"
 	// RunsTurnedBack counts runs that agents refused, by TagReason.
 	RunsTurnedBack = "runs_turned_back"
+	// LocalWaits counts the steps that waited for a target in the rack of their data, or
+	// the waits after which a task went there.
+	LocalWaits = "local_waits"
 	// RunsLost counts runs that were lost because their target or agent ended.
 	RunsLost = "runs_lost"
 	// RunsStarted counts runs that an agent sent to its target.
