--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -10,6 +10,7 @@
 
 	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/decision"
+	"github.com/azurerouter/azurerouter/process/locality"
 	"github.com/azurerouter/azurerouter/process/placement"
 	"github.com/azurerouter/azurerouter/request/batch"
 	"github.com/azurerouter/azurerouter/version/evacuation"
@@ -32,6 +33,9 @@
 	self   wire.Incarnation
 	zone   string
 	seed   uint64
+	// remoteFactor is how many times as long a task takes outside the rack of its data.
+	remoteFactor   float64
+	localityPolicy locality.Policy
 
 	poolsMu sync.RWMutex
 	pools   map[string]*pool
@@ -60,8 +64,10 @@
 	mu      sync.Mutex
 	// capacityEnforced is set if the targets refuse runs that exceed their free capacity.
 	capacityEnforced bool
-	random           *rand.Rand
-	targets          map[wire.Incarnation]*target
+	// random draws from source.
+	random  *rand.Rand
+	source  *rand.PCG
+	targets map[wire.Incarnation]*target
 	// targetList holds the targets in the order in which they were added.
 	targetList []*target
 	// lastReceived is when an agent last sent a message, lastProbe when agents were
@@ -114,10 +120,16 @@
 	mayHaveRun bool
 }
 
+// Option configures a Core.
+type Option func(*Core)
+
 // New returns the state of a new entry incarnation in an availability zone. seed
 // seeds the random choice between targets of similar cost.
-func New(env Env, self wire.Incarnation, zone string, seed uint64) *Core {
-	c := &Core{env: env, self: self, zone: zone, seed: seed, pools: make(map[string]*pool), poolByAgent: make(map[wire.Incarnation]*pool)}
+func New(env Env, self wire.Incarnation, zone string, seed uint64, options ...Option) *Core {
+	c := &Core{env: env, self: self, zone: zone, seed: seed, remoteFactor: 1, pools: make(map[string]*pool), poolByAgent: make(map[wire.Incarnation]*pool)}
+	for _, option := range options {
+		option(c)
+	}
 	c.pauses.start(env.Now())
 	return c
 }
@@ -135,17 +147,22 @@
 	if p := c.pools[service]; p != nil {
 		return p
 	}
-	p = &pool{
+	p = newPool(service, rand.NewPCG(c.seed, uint64(len(c.pools))))
+	c.pools[service] = p
+	return p
+}
+
+func newPool(service string, source *rand.PCG) *pool {
+	return &pool{
 		service:         service,
-		random:          rand.New(rand.NewPCG(c.seed, uint64(len(c.pools)))),
+		random:          rand.New(source),
+		source:          source,
 		targets:         make(map[wire.Incarnation]*target),
 		jobs:            make(map[batch.ID]*activeJob),
 		durable:         make(map[batch.ID]*activeJob),
 		retainedAnswers: make(map[batch.ID]retainedAnswer),
 		resubmissions:   make(resubmissionShares),
 	}
-	c.pools[service] = p
-	return p
 }
 
 func (c *Core) allPools() []*pool {
--- a/process/dispatch/counters.go
+++ b/process/dispatch/counters.go
@@ -27,6 +27,10 @@
 	// restartsPaid those of the tasks started again that took the usual time.
 	stragglers   atomic.Uint64
 	restartsPaid atomic.Uint64
+	// localWaits counts the steps that waited for a target in the rack of their data,
+	// localWaitsMet the waits after which a task went there.
+	localWaits    atomic.Uint64
+	localWaitsMet atomic.Uint64
 }
 
 func (c *counters) countResult(result Result) {
@@ -77,6 +81,10 @@
 	// the tasks of such runs that took the usual time when they were started again.
 	Stragglers   uint64 `json:"stragglers"`
 	RestartsPaid uint64 `json:"restarts_paid"`
+	// LocalWaits counts the steps that waited for a target in the rack of their data,
+	// LocalWaitsMet the waits after which a task went there.
+	LocalWaits    uint64 `json:"local_waits"`
+	LocalWaitsMet uint64 `json:"local_waits_met"`
 }
 
 // Counts returns the numbers of events since the process started.
@@ -85,5 +93,6 @@
 	return Counts{Submitted: n.submitted.Load(), Completed: n.completed.Load(), Failed: n.failed.Load(), NotRun: n.notRun.Load(),
 		GaveUp: n.gaveUp.Load(), CallersLeft: n.callersLeft.Load(), RunsOrdered: n.runsOrdered.Load(), RefusedFull: n.refusedFull.Load(),
 		RefusedOther: n.refusedOther.Load(), RunsLost: n.runsLost.Load(),
-		Stragglers: n.stragglers.Load(), RestartsPaid: n.restartsPaid.Load()}
+		Stragglers: n.stragglers.Load(), RestartsPaid: n.restartsPaid.Load(),
+		LocalWaits: n.localWaits.Load(), LocalWaitsMet: n.localWaitsMet.Load()}
 }
--- a/process/dispatch/durations.go
+++ b/process/dispatch/durations.go
@@ -10,7 +10,7 @@
 )
 
 // expectedDuration returns the expected duration of a task of the group at the target,
-// counted from its order. It is zero if the caller gave no estimate.
+// counted from its order, if the target is in the rack of the group's data. It is zero if the caller gave no estimate.
 func (p *pool) expectedDuration(g group, t *target) time.Duration {
 	usual := p.speeds.Class(g.job.Queue).Usual(g.job.Job.Steps[g.step].Estimate)
 	return time.Duration(float64(usual) * p.expectedRatio(g, t))
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -30,7 +30,7 @@
 		c.runRefused(now, p, r, report.RefusalReason)
 	case report.End != "":
 		if report.End == batch.EndDone {
-			p.recordDuration(now, r, time.Duration(report.RanMS)*time.Millisecond)
+			p.recordDuration(now, r, c.localDuration(r, time.Duration(report.RanMS)*time.Millisecond))
 		}
 		c.noteRestart(now, p, r, report)
 		r.crash = crashKindOf(report)
--- a/process/node/metrics.go
+++ b/process/node/metrics.go
@@ -125,6 +125,8 @@
 	m.add(observe.RunsLost, "", "", n.RunsLost)
 	m.add(observe.Stragglers, "", "", n.Stragglers)
 	m.add(observe.RestartsPaid, "", "", n.RestartsPaid)
+	m.add(observe.LocalWaits, observe.TagOutcome, "begun", n.LocalWaits)
+	m.add(observe.LocalWaits, observe.TagOutcome, "met", n.LocalWaitsMet)
 }
 
 // add reports a total of the entry, see reportTotal.
