node: dial entries that start within 40 ms, and wait for the configuration as long as callers do

After a restart of all processes agents found an entry late: a dial to a machine without power hung for its time-out of 200 ms, followed by a pause of 50 ms, in step on all agents. A dial makes another attempt beside the first one every 40 ms, pauses count from the start of the dial and are random between half and all of 40 ms, and an entry that sees another one start tells its agents (EntryMembers.Started, optional), so that those that dial at long intervals dial at once, spread over 25 ms.

An entry without a configuration answered its callers with 503 500 ms after its start.

TestPausesBetweenDialsAreShortAndDiffer, TestEntryIsDialledWhenItsStartIsTold.

--- a/connection/stream/stream.go
+++ b/connection/stream/stream.go
@@ -30,6 +30,10 @@
 	// dialTimeout is shorter than the second after which TCP resends a lost SYN
 	// packet: a new attempt reaches a machine that has just come back sooner.
 	dialTimeout = 200 * time.Millisecond
+	// dialAttemptInterval is the time after which a dial without an answer makes another
+	// attempt beside it. The SYN packets to a machine that is starting are lost, so that it is
+	// reached this long after its start at the latest.
+	dialAttemptInterval = 40 * time.Millisecond
 	// writeTimeout bounds one write to the peer.
 	writeTimeout = 2 * time.Second
 	// acceptRetryDelay is the pause after a transient error of Accept.
@@ -65,8 +69,7 @@
 // Dial connects to addr. newHandler is called with the new connection before
 // anything is read from it. The error contains addr.
 func Dial(ctx context.Context, addr string, newHandler func(*Conn) Handler) (*Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	tcp, err := dialer.DialContext(ctx, "tcp", addr)
+	tcp, err := dialTCP(ctx, addr)
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial %s", addr)
 	}
--- a/connection/wire/codec_test.go
+++ b/connection/wire/codec_test.go
@@ -43,7 +43,7 @@
 		&Config{Offset: 3, Files: []ConfigFile{{Name: "a.json", Version: 3, Content: []byte("{}")}}},
 		&Quota{Shares: []QuotaShare{{Team: "shop", Demand: 10.5, Loan: 2}}, Seq: 7, EchoSeq: 6},
 		&EntryHello{Entry: 3, Name: "entry-1", Zone: "zone-a", Entries: members},
-		&EntryMembers{Entries: members},
+		&EntryMembers{Entries: members, Started: []string{"10.0.0.1:7720"}},
 		&RoutingUpdate{Config: routing.Config{Version: 4, Queues: []routing.Queue{{Name: "q", Host: "h", PathPrefix: "/q/",
 			Service: "card", Priority: 1, MaxAttempts: 3, LatencyFactor: 1.5, TargetLatency: 60, Timeout: 1500, RequiresTicket: true}},
 			Services: []routing.Service{{Name: "card", EnforcesCapacity: true}}, Limits: routing.Limits{HeaderBytes: 1, BodyBytes: 2,
--- a/connection/wire/run.go
+++ b/connection/wire/run.go
@@ -63,6 +63,9 @@
 	PauseMS int64 `cbor:"2,keyasint,omitempty"`
 	// Evacuation is the same as EntryHello.Evacuation. It is set after a change.
 	Evacuation *evacuation.State `cbor:"3,keyasint,omitempty"`
+	// Started has the addresses of entries that the sender has seen start, for processes
+	// that have lost their connection to the entry before it was restarted.
+	Started []string `cbor:"4,keyasint,omitempty"`
 }
 
 // RoutingUpdate sends a version of the routing configuration to another entry.
--- a/process/node/agent.go
+++ b/process/node/agent.go
@@ -194,6 +194,7 @@
 		l.agent.handleHello(l, m)
 	case *wire.EntryMembers:
 		l.agent.dialer.add(m.Entries)
+		l.agent.dialer.noteStarted(m.Started)
 		l.agent.handleEvacuation(m.Evacuation)
 	case *wire.Orders:
 		l.conn.SetMessagePause(m.IdleRenewInterval())
--- a/process/node/dialer.go
+++ b/process/node/dialer.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"sync"
@@ -20,14 +21,19 @@
 
 // Intervals and timeouts of the connections to entries.
 const (
-	// fastRedialPause is the pause between two dials of an entry within
-	// fastRedialPeriod after it was last reached. It is short because after a
-	// restart of all processes callers are refused until the agents have connected
-	// to the entries.
-	fastRedialPause  = 50 * time.Millisecond
+	// fastRedialPause is the longest time from the start of a dial to the next one within
+	// fastRedialPeriod after the entry was last reached. It is short because after a
+	// restart of all processes callers wait until the agents have connected to the entries.
+	fastRedialPause  = 40 * time.Millisecond
 	fastRedialPeriod = 3 * time.Second
-	// slowRedialPause is the pause between two dials after that period.
+	// slowRedialPause is the longest pause between two dials after that period.
 	slowRedialPause = 250 * time.Millisecond
+	// minPauseShare is the shortest pause as a share of the longest one. Pauses are random,
+	// so that the processes do not all dial an entry at once when it starts.
+	minPauseShare = 0.5
+	// startedSpread is the time within which processes dial an entry after they have been
+	// told that it has started.
+	startedSpread = 25 * time.Millisecond
 	// forgetAfter is the time since an entry was last reached after which it is no
 	// longer dialled, unless it is a seed.
 	forgetAfter = time.Minute
@@ -55,6 +61,9 @@
 	known map[string]wire.EntryMember
 	// unreachable holds the addresses whose last dial failed.
 	unreachable map[string]bool
+	// started has a channel for each known address that receives a value when another
+	// process tells that the entry has started.
+	started map[string]chan struct{}
 	// changed is closed and replaced when the selection may have changed.
 	changed chan struct{}
 	// seeds holds the addresses that are dialled for as long as the process runs.
@@ -67,7 +76,7 @@
 
 func newDialer(selfName, selfAddr string, seeds []string, log zerolog.Logger, connect func(context.Context, string) bool) *dialer {
 	d := &dialer{selfName: selfName, selfAddr: selfAddr, connect: connect, log: log, known: make(map[string]wire.EntryMember),
-		unreachable: make(map[string]bool), changed: make(chan struct{}), seeds: make(map[string]bool)}
+		unreachable: make(map[string]bool), started: make(map[string]chan struct{}), changed: make(chan struct{}), seeds: make(map[string]bool)}
 	for _, seed := range seeds {
 		d.seeds[seed] = true
 	}
@@ -107,8 +116,10 @@
 		}
 		added = true
 		d.known[m.Addr] = m
+		started := make(chan struct{}, 1)
+		d.started[m.Addr] = started
 		d.redialers.Add(1)
-		go d.redial(d.ctx, m.Addr)
+		go d.redial(d.ctx, m.Addr, started)
 	}
 	if added {
 		d.noteChange()
@@ -116,6 +127,22 @@
 	return added
 }
 
+// noteStarted dials the entries at the addresses soon, because they have started. It has
+// no effect for entries that are not known or are connected.
+func (d *dialer) noteStarted(addrs []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, addr := range addrs {
+		if !d.unreachable[addr] {
+			continue
+		}
+		select {
+		case d.started[addr] <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // isAddress reports whether a connection to an address is possible: it has a host and a
 // port in range.
 func isAddress(addr string) bool {
@@ -196,7 +223,7 @@
 // redial keeps dialling an entry until the context ends, or until an entry that is
 // not a seed has not been reached for forgetAfter. Meanwhile it logs the first of
 // several failures in a row.
-func (d *dialer) redial(ctx context.Context, addr string) {
+func (d *dialer) redial(ctx context.Context, addr string, started <-chan struct{}) {
 	defer d.redialers.Done()
 	lastReached := time.Now()
 	unreachable := false
@@ -206,8 +233,10 @@
 			lastReached = time.Now()
 			continue
 		}
+		dialledAt := time.Now()
 		if d.connect(ctx, addr) {
 			lastReached, unreachable = time.Now(), false
+			dialledAt = lastReached
 		} else {
 			if !unreachable {
 				d.log.Info().Str("step", "dial").Str("peer", addr).Msg("entry unreachable")
@@ -221,18 +250,21 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(redialPause(time.Since(lastReached))):
+		case <-started:
+			pause(ctx, time.Duration(rand.Int64N(int64(startedSpread))))
+		case <-time.After(redialPause(time.Since(lastReached), time.Since(dialledAt), rand.Float64())):
 		}
 	}
 }
 
-// redialPause returns the pause before the next dial of an entry, by the time since
-// it was last reached.
-func redialPause(sinceReached time.Duration) time.Duration {
+// redialPause returns the pause before the next dial of an entry, by the time since it was
+// last reached and the time since the last dial began. random is in [0, 1).
+func redialPause(sinceReached, sinceDial time.Duration, random float64) time.Duration {
+	share := minPauseShare + (1-minPauseShare)*random
 	if sinceReached < fastRedialPeriod {
-		return fastRedialPause
+		return max(time.Duration(share*float64(fastRedialPause))-sinceDial, 0)
 	}
-	return slowRedialPause
+	return time.Duration(share * float64(slowRedialPause))
 }
 
 func (d *dialer) isSeed(addr string) bool {
@@ -246,6 +278,7 @@
 	defer d.mu.Unlock()
 	delete(d.known, addr)
 	delete(d.unreachable, addr)
+	delete(d.started, addr)
 }
 
 // dialAndWait dials an address and returns after the connection has ended. The
--- a/process/node/dialer_test.go
+++ b/process/node/dialer_test.go
@@ -128,3 +128,45 @@
 		t.Errorf("members %+v, expected %+v", members, good)
 	}
 }
+
+// Guards against processes that dial an entry in step after it has started, and against
+// pauses that leave it without connections for longer than 50 ms.
+func TestPausesBetweenDialsAreShortAndDiffer(t *testing.T) {
+	for _, test := range []struct {
+		sinceReached, sinceDial time.Duration
+		random                  float64
+		want                    time.Duration
+	}{
+		{0, 0, 0, 20 * time.Millisecond},
+		{time.Second, 5 * time.Millisecond, 0.5, 25 * time.Millisecond},
+		{time.Second, 200 * time.Millisecond, 0.9, 0},
+		{4 * time.Second, 0, 0, 125 * time.Millisecond},
+		{4 * time.Second, 200 * time.Millisecond, 1, 250 * time.Millisecond},
+	} {
+		if got := redialPause(test.sinceReached, test.sinceDial, test.random); got != test.want {
+			t.Errorf("%+v: pause %v", test, got)
+		}
+	}
+}
+
+// Guards against an entry that is reached late because nobody uses the word of another
+// process that it has started.
+func TestEntryIsDialledWhenItsStartIsTold(t *testing.T) {
+	entries := entriesOf(1)
+	network := &fakeNetwork{open: make(map[string]bool), down: map[string]bool{entries[0].Addr: true}, wake: make(chan struct{}, 10000)}
+	d := newDialer("agent-1", "", nil, zerolog.Nop(), network.connect)
+	network.dials = d
+	d.ctx = t.Context()
+	d.known[entries[0].Addr] = entries[0]
+	d.started[entries[0].Addr] = make(chan struct{}, 1)
+	d.noteStarted([]string{entries[0].Addr, "10.9.9.9:1"})
+	if len(d.started[entries[0].Addr]) != 0 {
+		t.Error("an entry that was not found unreachable is dialled again")
+	}
+	d.setReachable(entries[0].Addr, false)
+	d.noteStarted([]string{entries[0].Addr, "10.9.9.9:1"})
+	d.noteStarted([]string{entries[0].Addr})
+	if len(d.started[entries[0].Addr]) != 1 {
+		t.Error("an unreachable entry is not dialled after its start was told")
+	}
+}
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -42,9 +42,6 @@
 	heartbeatInterval       = time.Second
 	entriesPerHeartbeat     = 20
 	heartbeatsPerMemberList = 10
-	// firstConfigTimeout is how long after the start of the process callers wait
-	// for the first configuration. The store answers within a few milliseconds.
-	firstConfigTimeout = 500 * time.Millisecond
 )
 
 // ConfigSource is where the operator publishes the routing configuration.
@@ -120,6 +117,8 @@
 	// agents holds the connections to agents, peers those to other entries.
 	agents map[wire.Incarnation]*processLink
 	peers  map[*processLink]bool
+	// peerIncarnations holds the last incarnation of each other entry, by its name.
+	peerIncarnations map[string]wire.Incarnation
 	// heartbeatTicks counts the calls of sendHeartbeats.
 	heartbeatTicks uint64
 }
@@ -133,6 +132,8 @@
 		enrolledLinks: make(map[string]uint64),
 		agents:        make(map[wire.Incarnation]*processLink),
 		peers:         make(map[*processLink]bool),
+
+		peerIncarnations: make(map[string]wire.Incarnation),
 	}
 	e.Core = dispatch.New((*entryEnv)(e), e.incarnation, options.Zone, uint64(time.Now().UnixNano()))
 	e.keeper = keeper.New(keeper.Options{Node: options.Node, Owner: ledger.Owner(e.incarnation.String()), IsFirstByName: e.hasLowestName,
@@ -159,14 +160,12 @@
 func (e *Entry) Dump() Dump { return Dump{Dump: e.Core.Dump(), Durable: e.keeper.Dump()} }
 
 // AwaitRoutingTable returns the routing configuration in force. If there is none
-// yet, it waits for the first one until the context ends or firstConfigTimeout has
-// passed since the start of the process. It returns nil if there is still none.
+// yet, it waits for the first one until the context ends. It returns nil if there is
+// still none.
 func (e *Entry) AwaitRoutingTable(ctx context.Context) *routing.Table {
 	if table := e.RoutingTable(); table != nil {
 		return table
 	}
-	ctx, cancel := context.WithDeadline(ctx, e.started.Add(firstConfigTimeout))
-	defer cancel()
 	select {
 	case <-ctx.Done():
 	case <-e.configured:
@@ -312,10 +311,21 @@
 
 func (e *Entry) followMembers(ctx context.Context) error {
 	condition := e.observer.Condition("store_members")
-	e.options.Directory.FollowMembers(ctx, e.addMembers, condition.Set)
+	e.options.Directory.FollowMembers(ctx, e.handleAnnounced, condition.Set)
 	return nil
 }
 
+// handleAnnounced handles entries that have announced themselves, which each does when it
+// starts.
+func (e *Entry) handleAnnounced(members []wire.EntryMember) {
+	e.addMembers(members)
+	addrs := make([]string, len(members))
+	for i, m := range members {
+		addrs[i] = m.Addr
+	}
+	e.dialer.noteStarted(addrs)
+}
+
 // announce adds this entry to the directory. It retries every second until it
 // succeeds once.
 func (e *Entry) announce(ctx context.Context) error {
--- a/process/node/entrylinks.go
+++ b/process/node/entrylinks.go
@@ -87,6 +87,7 @@
 	case *wire.EntryMembers:
 		l.conn.SetMessagePause(time.Duration(m.PauseMS) * time.Millisecond)
 		l.entry.addMembers(m.Entries)
+		l.entry.dialer.noteStarted(m.Started)
 		l.entry.handleEvacuation(m.Evacuation)
 	case *wire.JobCall:
 		l.serveJobCall(m)
@@ -131,9 +132,14 @@
 	l.conn.SetMessagePause(time.Duration(m.PauseMS) * time.Millisecond)
 	e.mu.Lock()
 	e.peers[l], l.name = true, m.Name
+	started := e.peerIncarnations[m.Name] != m.Entry
+	e.peerIncarnations[m.Name] = m.Entry
 	e.mu.Unlock()
 	e.observer.Log.Info().Str("step", "entry").Str("peer", m.Name).Str("outcome", "connected").Msg("connected to entry")
 	e.addMembers(m.Entries)
+	if started {
+		e.announceStarted(m)
+	}
 	e.handleEvacuation(m.Evacuation)
 	if table := e.RoutingTable(); table != nil {
 		l.send(&wire.RoutingUpdate{Config: table.Config})
@@ -154,6 +160,26 @@
 	}
 }
 
+// announceStarted tells the connected agents and entries that another entry has started,
+// so that those that have lost it dial it at once. An entry that has itself just started
+// does not: after a restart of all processes everyone dials all entries at short intervals
+// anyway, and the messages would grow with the product of entries and agents.
+func (e *Entry) announceStarted(hello *wire.EntryHello) {
+	if time.Since(e.started) < fastRedialPeriod {
+		return
+	}
+	var addrs []string
+	for _, m := range hello.Entries {
+		if m.Name == hello.Name {
+			addrs = append(addrs, m.Addr)
+		}
+	}
+	update := &wire.EntryMembers{PauseMS: heartbeatPause(len(e.members())).Milliseconds(), Started: addrs}
+	for _, l := range e.links() {
+		l.send(update)
+	}
+}
+
 // links returns the connections to agents and other entries.
 func (e *Entry) links() []*processLink {
 	e.mu.Lock()
