dispatch, platform: let requests wait for the first agent as long as their deadline allows

After a restart of all processes requests were rejected although their callers waited long enough: with no_targets from 1 s after the start of the entry until the first agent enrolled, with deadline after three times the objective, and with 'no configuration yet' 500 ms after the start. A service without agents is still rejected at once later.

--- a/process/dispatch/admit.go
+++ b/process/dispatch/admit.go
@@ -34,7 +34,7 @@
 		return Result{Code: NotRun, Reason: ReasonUnsupported, RetryAfter: defaultRetryAfter}, false
 	}
 	if !p.hasAgentContact(now) {
-		if c.pauses.recentlyStarted(now) {
+		if c.pauses.recentlyStarted(now) || c.awaitsFirstAgent(now, p) {
 			return Result{}, true
 		}
 		return Result{Code: NotRun, Reason: ReasonNoTargets, RetryAfter: defaultRetryAfter}, false
@@ -55,6 +55,11 @@
 	return Result{}, true
 }
 
+// awaitsFirstAgent reports whether the first agent of a service is still expected.
+func (c *Core) awaitsFirstAgent(now time.Time, p *pool) bool {
+	return !p.enrolled && now.Sub(c.pauses.startedAt) <= firstAgentWait
+}
+
 // hasRoomFor reports whether a target had room for a task of the step when it was
 // last heard of.
 func (c *Core) hasRoomFor(now time.Time, p *pool, step batch.Step) bool {
@@ -137,7 +142,7 @@
 	if len(jobs) == 0 {
 		return
 	}
-	isolated := !p.hasAgentContact(now) && !c.pauses.recentlyStarted(now)
+	isolated := p.enrolled && !p.hasAgentContact(now) && !c.pauses.recentlyStarted(now)
 	overloaded := c.anyTargetUsable(now, p) && p.hasTimelyTasks(now)
 	for _, j := range jobs {
 		switch {
@@ -148,7 +153,7 @@
 		case !j.hasReadyTasks():
 		case now.Add(time.Duration(requiredWorkShare * float64(j.estimatedRemaining()))).After(j.expiresAt):
 			c.endJob(now, p, j, unfinishedResult(j, ReasonDeadline))
-		case overloaded && j.runsStarted == 0 && j.latestStart(0).Before(now):
+		case overloaded && !j.awaitedAgent && j.runsStarted == 0 && j.latestStart(0).Before(now):
 			c.endJob(now, p, j, unfinishedResult(j, ReasonOverloaded))
 		}
 	}
--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -67,6 +67,8 @@
 	lastProbe    time.Time
 	// jobs holds the active jobs, durable ones included.
 	jobs map[batch.ID]*activeJob
+	// enrolled is set once an agent of the service has enrolled.
+	enrolled bool
 	// durable holds the durable jobs until ForgetDurable is called: an ended job
 	// stays until its end is recorded.
 	durable map[batch.ID]*activeJob
@@ -177,6 +179,9 @@
 			return func() {}
 		}
 		j = newActiveJob(now, s)
+		if !p.enrolled {
+			j.awaitFirstAgent()
+		}
 		p.jobs[s.Job.ID] = j
 		c.enqueue(now, p, j)
 		c.env.Record(decision.Decision{Step: "accept", Job: s.Job.ID, Outcome: "accepted", Peer: s.Queue, Version: s.Version,
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -25,6 +25,8 @@
 	durableState *durableState
 	// runsStarted counts the runs that were ordered and not refused.
 	runsStarted int
+	// awaitedAgent is set for a job that was admitted before the first agent enrolled.
+	awaitedAgent bool
 	// heldUntil is the time until which no task of the job is ordered.
 	heldUntil time.Time
 	ended     bool
@@ -134,6 +136,12 @@
 	return j
 }
 
+// awaitFirstAgent lets a job that was admitted before the first agent enrolled wait as long
+// as its caller does: it can't have been in time, and the targets have no other work yet.
+func (j *activeJob) awaitFirstAgent() {
+	j.awaitedAgent, j.expiresAt = true, j.callersLeaveAt
+}
+
 // abandoned reports whether no caller waits for the job any more. A durable job runs
 // without callers.
 func (j *activeJob) abandoned(now time.Time) bool {
--- a/process/dispatch/pause.go
+++ b/process/dispatch/pause.go
@@ -12,6 +12,11 @@
 	// which it admits jobs without contact with an agent. Agents find an entry
 	// within this time.
 	startupGrace = time.Second
+	// firstAgentWait is the time after a start of the process during which it admits the jobs
+	// of a service of which no agent has enrolled yet. After a restart of all processes an
+	// agent enrolls within this time: it starts, its target answers, and the leases of the
+	// runs of an earlier agent end (at most 1.1 s).
+	firstAgentWait = 5 * time.Second
 	// minPause is the time without activity above which the process is taken to
 	// have been paused.
 	minPause = 500 * time.Millisecond
@@ -32,7 +37,9 @@
 // What it received before a pause is no evidence of the present state of the
 // targets. It is safe for concurrent use.
 type pauseDetector struct {
-	// lastActive is when activity was last recorded. All three fields are in
+	// startedAt is when the process started.
+	startedAt time.Time
+	// lastActive is when activity was last recorded. All three integers are in
 	// nanoseconds of Unix time.
 	lastActive atomic.Int64
 	// runningSince is when the process started or last resumed.
@@ -47,7 +54,7 @@
 func (d *pauseDetector) start(now time.Time) {
 	d.lastActive.Store(now.UnixNano())
 	d.runningSince.Store(now.UnixNano())
-	d.lastTick = now
+	d.lastTick, d.startedAt = now, now
 }
 
 // recordTick records a call of Tick.
--- a/process/dispatch/recovery_test.go
+++ b/process/dispatch/recovery_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/azurerouter/azurerouter/process/dispatch"
 )
 
 // outageDuration is how long all instances have no power in these tests.
@@ -83,3 +85,44 @@
 		}
 	}
 }
+
+// Guards against requests that are rejected, or given up after a fixed time, because the
+// first agent enrolls late after a restart of all processes although their callers wait
+// long enough.
+func TestJobsWaitForTheFirstAgentAsLongAsTheirCallers(t *testing.T) {
+	for _, enrolledAfter := range []time.Duration{900 * time.Millisecond, 2300 * time.Millisecond} {
+		c := newCluster(t, 42, 1, equalRooms(2, 16000))
+		for _, l := range c.links {
+			l.cut = true
+		}
+		c.run(enrolledAfter - 900*time.Millisecond)
+		var callers []*caller
+		for range 8 {
+			s := c.submission("check", 4, 60*time.Millisecond, 1000, 0)
+			s.CallerTimeout = 1500 * time.Millisecond
+			callers = append(callers, c.call(s, 0))
+			c.run(100 * time.Millisecond)
+		}
+		c.run(100 * time.Millisecond)
+		for _, l := range c.links {
+			l.cut = false
+		}
+		c.run(time.Second)
+		for i, k := range callers {
+			if k.result == nil || k.result.Code != dispatch.Completed || k.took > k.submission.CallerTimeout {
+				t.Errorf("agents after %v, job %d: result %+v after %v, expected %s", enrolledAfter, i, k.result, k.took, dispatch.Completed)
+			}
+		}
+	}
+}
+
+// Guards against callers of a service without targets who wait for an answer long after the
+// start of the entry.
+func TestJobsWithoutTargetsAreRejectedAtOnceLater(t *testing.T) {
+	c := newCluster(t, 43, 1, nil)
+	c.run(6 * time.Second)
+	k := c.call(c.submission("check", 1, 60*time.Millisecond, 1000, 0), 0)
+	if k.result == nil || k.result.Reason != dispatch.ReasonNoTargets {
+		t.Errorf("result %+v, expected %s", k.result, dispatch.ReasonNoTargets)
+	}
+}
--- a/process/dispatch/target.go
+++ b/process/dispatch/target.go
@@ -82,7 +82,7 @@
 	}
 	t.node, t.zone = m.Node, m.Zone
 	t.connected, t.lastReceived, t.lastClock = true, now, m.Clock
-	p.lastReceived = now
+	p.lastReceived, p.enrolled = now, true
 	t.state, t.reportedFree, t.inFlight, t.lastSequence, t.waitingAnnounced = m.Target, m.Free, nil, 0, false
 	c.env.Record(decision.Decision{Step: "agent", Peer: m.Node, Outcome: "enrolled", Reason: string(m.Target.Closed),
 		Version: m.Target.Revision, Inputs: []decision.Input{{Name: "runs", Value: int64(len(t.runs))}, {Name: "free_millicpu", Value: int64(m.Free.MilliCPU)}}})
