runner: do not tell other entries of the room of an invitation

An agent whose run ends reports the free capacity to the entry of the run and invites the entry with the most urgent waiting tasks to the same capacity. Both ordered a task for it and one was refused as full.

TestRoomOfAnInvitationIsNotToldToOthers.

--- a/process/runner/room_test.go
+++ b/process/runner/room_test.go
@@ -29,3 +29,37 @@
 		t.Errorf("refused for %q, want %q", report.RefusalReason, wire.RefusedFull)
 	}
 }
+
+// Guards against two entries that order a task for the same room, because one was invited to
+// use it and the other is told that it is free.
+func TestRoomOfAnInvitationIsNotToldToOthers(t *testing.T) {
+	const other = entryID + 1
+	h := newHarness(t)
+	h.core.Connected(other)
+	run := h.sendStartOrder(0)
+	h.answerLastStart(runner.VerdictDone)
+	demand := h.targetCapacity()
+	h.core.HandleMessage(other, &wire.Orders{Sequence: 1, ClockEcho: h.now.UnixMicro(), Waiting: &wire.Waiting{Smallest: demand}})
+	h.sent = nil
+	h.completeHold(1, nil, h.endRows(run, batch.EndDone))
+	invitations, reports := 0, 0
+	for _, m := range h.sent {
+		report, ok := m.(*wire.AgentReport)
+		switch {
+		case !ok:
+		case report.Invitation:
+			invitations++
+			if report.Free != demand {
+				t.Errorf("invited to %+v, want %+v", report.Free, demand)
+			}
+		case len(report.Runs) > 0:
+			reports++
+			if report.Free.MilliCPU != 0 {
+				t.Errorf("the entry that was not invited is told of %+v", report.Free)
+			}
+		}
+	}
+	if invitations != 1 || reports != 1 {
+		t.Errorf("%d invitations and %d reports of the end, want one each", invitations, reports)
+	}
+}
--- a/process/runner/session.go
+++ b/process/runner/session.go
@@ -158,7 +158,7 @@
 // sendReport sends an entry its pending reports, the free capacity and the
 // target state if it has changed.
 func (c *Core) sendReport(now time.Time, s *session, invitation bool) {
-	m := &wire.AgentReport{Clock: now.UnixMicro(), HandledSequence: s.handledSequence, Free: c.free(), Runs: s.pendingReports, Invitation: invitation}
+	m := &wire.AgentReport{Clock: now.UnixMicro(), HandledSequence: s.handledSequence, Free: c.freeFor(now, s), Runs: s.pendingReports, Invitation: invitation}
 	if s.sentRevision != c.revision {
 		target := c.targetState()
 		m.Target, s.sentRevision = &target, c.revision
@@ -167,6 +167,17 @@
 	c.env.Send(s.entry, m)
 }
 
+// freeFor returns the free capacity for an entry, without the room of the smallest task of
+// another entry that was invited to use it. Both would order a task for the same room.
+func (c *Core) freeFor(now time.Time, s *session) batch.Resources {
+	free := c.free()
+	invited := c.sessions[c.invitedEntry]
+	if invited == nil || invited == s || !now.Before(c.reservedUntil) {
+		return free
+	}
+	return free.Sub(invited.smallestDemand)
+}
+
 // forgetReports forgets the reports on runs that the entry has settled.
 func (s *session) forgetReports(settled []batch.Run) {
 	if len(settled) == 0 {
