dispatch: keep a margin of the slack, so that useful work does not fall in an overload

In an overload jobs started at the last moment at which their estimate allowed it. Jobs count as late, and are given up in an overload, once less than 0.45 of their slack is left, and admission orders a new job by the same rule.

--- a/process/dispatch/admit.go
+++ b/process/dispatch/admit.go
@@ -45,7 +45,7 @@
 		}
 	}
 	slack := s.TimeLeft() - s.Job.CriticalPath()
-	adjustedStart := now.Add(slack + time.Duration(s.Priority)*priorityDelay).UnixNano()
+	adjustedStart := now.Add(slack - startMargin(slack) + time.Duration(s.Priority)*priorityDelay).UnixNano()
 	if c.hasRoomFor(now, p, s.Job.Steps[0]) {
 		return Result{}, true
 	}
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -33,6 +33,19 @@
 	// timeToEnd is the estimated time from the start of each step to the end of
 	// the job.
 	timeToEnd []time.Duration
+	// startMargin is the part of the job's slack that is kept for what can't be foreseen,
+	// see startMarginShare.
+	startMargin time.Duration
+}
+
+// startMarginShare of the slack of a job is not used to wait. Work lasts longer than
+// estimated and some placements are turned back by the agent, so that jobs that start at the
+// last moment end late: at twice the capacity, one job in eight that ran.
+const startMarginShare = 0.45
+
+// startMargin returns the margin of a job with the given slack, none if it is late.
+func startMargin(slack time.Duration) time.Duration {
+	return time.Duration(startMarginShare * float64(max(slack, 0)))
 }
 
 // waiter is a caller who waits for the result of a job.
@@ -128,6 +141,7 @@
 		}
 	}
 	j.estimateTimesToEnd()
+	j.startMargin = startMargin(s.TimeLeft() - s.Job.CriticalPath())
 	for step := range j.steps {
 		latest := j.latestStart(step)
 		j.steps[step].latestStart = latest.UnixNano()
@@ -168,8 +182,11 @@
 	}
 }
 
-// latestStart returns when a step must start for the job to meet its objective.
-func (j *activeJob) latestStart(step int) time.Time { return j.objectiveAt.Add(-j.timeToEnd[step]) }
+// latestStart returns when a step must start for the job to meet its objective with the
+// margin of startMarginShare.
+func (j *activeJob) latestStart(step int) time.Time {
+	return j.objectiveAt.Add(-j.timeToEnd[step] - j.startMargin)
+}
 
 // estimatedRemaining returns the estimated time from now to the end of the job if
 // all ready tasks start now.
--- a/process/dispatch/queue.go
+++ b/process/dispatch/queue.go
@@ -35,8 +35,10 @@
 
 // priorityDelay is added to the latest start of a task for each level of
 // priority below the highest. Within a rank, a task is served before one of the
-// next higher level only if its latest start is earlier by more than this.
-const priorityDelay = 100 * time.Millisecond
+// next higher level only if its latest start is earlier by more than this. The bound keeps
+// low priorities from starving. 100 ms lets tasks of low priority that have waited overtake
+// most of the shortest tasks in an overload, see docs/design/admission.md.
+const priorityDelay = 200 * time.Millisecond
 
 // Age up to which passes take the groups from the same collection of them, after which it
 // is made again. To collect them, all jobs are looked at. Groups that have become ready
