--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -40,7 +40,7 @@
 
 // startMarginShare of the slack of a job is not used to wait. Work lasts longer than
 // estimated and some placements are turned back by the agent, so that jobs that start at the
-// last moment end late: at twice the capacity, one job in eight that ran.
+// last moment end late: without a margin a seventh of the work done at twice the capacity.
 const startMarginShare = 0.45
 
 // startMargin returns the margin of a job with the given slack, none if it is late.
