--- a/connection/stream/attempts.go
+++ b/connection/stream/attempts.go
@@ -12,16 +12,25 @@
 	err error
 }
 
-// dialTCP connects to addr within dialTimeout. While an attempt gets no answer, it makes
-// another one at each dialAttemptInterval. The first answer decides, a refusal included.
+// dialTCP connects to addr within dialTimeout.
 func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	dialer := net.Dialer{KeepAlive: -1}
+	return race(ctx, func(ctx context.Context) attempt {
+		tcp, err := dialer.DialContext(ctx, "tcp", addr)
+		return attempt{tcp, err}
+	})
+}
+
+// race makes attempts within dialTimeout: while there is no answer, another one at each
+// dialAttemptInterval. The first answer decides, a refusal included.
+func race(ctx context.Context, connect func(context.Context) attempt) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	results := make(chan attempt)
 	pending := 0
 	start := func() {
 		pending++
-		go func() { results <- connect(ctx, addr) }()
+		go func() { results <- connect(ctx) }()
 	}
 	start()
 	ticker := time.NewTicker(dialAttemptInterval)
@@ -38,12 +47,6 @@
 	}
 }
 
-func connect(ctx context.Context, addr string) attempt {
-	dialer := net.Dialer{KeepAlive: -1}
-	tcp, err := dialer.DialContext(ctx, "tcp", addr)
-	return attempt{tcp, err}
-}
-
 // closeAttempts closes the connections of attempts that succeed after another one has.
 func closeAttempts(results <-chan attempt, pending int) {
 	for range pending {
