intake: bound what clients of a process can make it hold

Change: package connection/intake, used by both front ends and by the listeners for readiness, control, reports, operators and other processes: a budget of bytes charged as they arrive and as they are decoded, a bound on connections for each listener, limits on heads. maxHeaderBytes, headerTimeoutMs and idleTimeoutMs of the published configuration are in force; limits.maxFds is read; the setting instance_memory_mb is new. Metrics intake_*, condition clients_bounded.

--- a/cmd/azurerouter/daemons.go
+++ b/cmd/azurerouter/daemons.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -29,6 +30,9 @@
 	if err != nil {
 		return fail(stderr, "entry", err)
 	}
+	if s.InstanceMemoryMB > 0 {
+		debug.SetMemoryLimit(int64(settings.MemoryLimitShare * float64(s.InstanceMemory())))
+	}
 	observer := observe.New(s.Name, stderr)
 	defer observer.Close()
 	d, err := entry.NewDaemon(s, observer)
--- a/cmd/azurerouter/platform.go
+++ b/cmd/azurerouter/platform.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 
+	"github.com/azurerouter/azurerouter/connection/intake"
 	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/platform"
 	"github.com/azurerouter/azurerouter/process/node"
@@ -100,11 +101,16 @@
 	options := node.EntryOptions{Node: p.settings.Node, Zone: p.settings.Zone, PeerAddr: p.settings.PeerAddr,
 		AdvertiseAddr: flags.advertiseAddr, Seeds: p.settings.SeedPeers, Grace: p.settings.Grace,
 		CallerAddr: p.settings.CallerAddr, ReadyAddr: p.settings.ReadyAddr, ControlAddr: p.settings.ControlAddr, MetricsAddr: p.metricsAddr,
-		CallerHandler: p.callers, ReadinessHandler: platform.ReadyHandler, Config: store, Directory: store, Copies: store, Jobs: store}
+		CallerHandler: p.callers, ReadinessHandler: platform.ReadyHandler, Config: store, Directory: store, Copies: store, Jobs: store, Limits: p.limits()}
 	e := node.NewEntry(options, p.observer, p.decisions)
 	return runDaemon("entry", stderr, p.signalHooks(), e.AddTo)
 }
 
+// limits returns the bounds for the clients of the process.
+func (p *platformProcess) limits() intake.Limits {
+	return intake.DeriveLimits(p.settings.MemoryLimit, p.settings.MaxDescriptors)
+}
+
 func (p *platformProcess) callers(e *node.Entry) http.Handler {
 	return platform.NewCallerHandler(e, p.settings.ResendAfter)
 }
@@ -117,7 +123,7 @@
 	defer p.close()
 	options := node.AgentOptions{Node: p.settings.Node, Zone: p.settings.Zone, Seeds: p.settings.SeedPeers, Grace: p.settings.Grace,
 		ControlAddr: p.settings.ControlAddr, ControlHandler: func(c *runner.Core) http.Handler { return platform.ControlHandler(c) },
-		MetricsAddr: p.metricsAddr, Target: platform.NewTarget(p.settings.TargetAddr), Directory: platform.NewStore(p.settings.StoreAddr)}
+		MetricsAddr: p.metricsAddr, Target: platform.NewTarget(p.settings.TargetAddr), Directory: platform.NewStore(p.settings.StoreAddr), Limits: p.limits()}
 	if !p.settings.Bootstrap && p.settings.MachinesAddr != "" {
 		options.FindTarget = platform.NewTargetLookup(p.settings.TargetAddr, p.settings.MachinesAddr).Find
 	}
--- /dev/null
+++ b/connection/intake/body.go
@@ -0,0 +1,153 @@
+package intake
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrTooLarge is the error of a body that exceeds its limit.
+var ErrTooLarge = errors.New("http: request body too large")
+
+// firstBufferBytes is the first buffer of a body. Ordinary bodies fit into it.
+const firstBufferBytes = 4 << 10
+
+// RetryAfter is when a client may send a request again that was given up with ErrNoRoom. Slow
+// requests give way within this time.
+const RetryAfter = time.Second
+
+// Body is the whole body of a request. It takes a part of the budget until Close.
+type Body struct {
+	Data   []byte
+	charge *charge
+}
+
+// ReadBody reads the body of a request of at most limit bytes. The error is ErrTooLarge, ErrNoRoom,
+// or that of the connection. After an error the server closes the connection of w, which may be nil,
+// with the response, so that it does not wait for the rest of the body. A request that did not
+// come through a Listener takes no part of a budget.
+func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) (*Body, error) {
+	b, err := readBody(r, limit)
+	if err != nil && w != nil {
+		w.Header().Set("Connection", "close")
+	}
+	return b, err
+}
+
+func readBody(r *http.Request, limit int64) (*Body, error) {
+	if r.ContentLength > limit {
+		return nil, ErrTooLarge
+	}
+	b := &Body{}
+	conn := connOf(r.Context())
+	if conn != nil {
+		b.charge = conn.listener.intake.budget.open(time.Now(), conn.address, conn.interrupt)
+	}
+	if err := b.read(r, limit); err != nil {
+		evicted := b.charge != nil && b.charge.wasEvicted()
+		b.Close()
+		if evicted {
+			return nil, ErrNoRoom
+		}
+		return nil, err
+	}
+	if b.charge != nil && !b.charge.finish() {
+		b.Close()
+		return nil, ErrNoRoom
+	}
+	if conn != nil {
+		conn.setPhase(phaseBusy)
+	}
+	return b, nil
+}
+
+// read reads the body into Data. The buffer grows with the bytes that arrive.
+func (b *Body) read(r *http.Request, limit int64) error {
+	for {
+		if len(b.Data) == cap(b.Data) && int64(len(b.Data)) != r.ContentLength {
+			if err := b.enlarge(r.ContentLength, limit); err != nil {
+				return err
+			}
+		}
+		free := b.Data[len(b.Data):cap(b.Data)]
+		var end [1]byte
+		if len(free) == 0 {
+			// The body is as long as announced. Only its end is left to read.
+			free = end[:]
+		}
+		n, err := r.Body.Read(free)
+		b.Data = b.Data[:min(len(b.Data)+n, cap(b.Data))]
+		if b.charge != nil && n > 0 {
+			b.charge.note(n)
+		}
+		if int64(len(b.Data)) > limit {
+			return ErrTooLarge
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// enlarge doubles the buffer, up to the announced length or one byte more than the limit.
+func (b *Body) enlarge(announced, limit int64) error {
+	size := max(2*int64(cap(b.Data)), firstBufferBytes)
+	if announced > 0 {
+		size = min(size, announced)
+	}
+	size = min(size, limit+1)
+	if err := b.Charge(size); err != nil {
+		return err
+	}
+	data := make([]byte, len(b.Data), size)
+	copy(data, b.Data)
+	released := int64(cap(b.Data))
+	b.Data = data
+	b.Release(released)
+	return nil
+}
+
+// Charge takes n more bytes of the budget, for what is made from the body. It returns an error
+// marked ErrNoRoom if there is no room.
+func (b *Body) Charge(n int64) error {
+	if b.charge == nil {
+		return nil
+	}
+	return b.charge.grow(time.Now(), n)
+}
+
+// Release returns n bytes to the budget.
+func (b *Body) Release(n int64) {
+	if b.charge != nil && n > 0 {
+		b.charge.shrink(n)
+	}
+}
+
+// DecodeJSON decodes the body within the bounds, and charges what decoding allocates. The error is
+// ErrNoRoom if the budget has no room, ErrTooComplex, or that of package json. Afterwards only
+// the length of the text is charged, for what is kept of it.
+func (b *Body) DecodeJSON(bounds JSONBounds, into any) error {
+	cost, err := bounds.DecodeCost(b.Data)
+	if err != nil {
+		return err
+	}
+	if err := b.Charge(cost); err != nil {
+		return err
+	}
+	defer b.Release(cost)
+	return json.Unmarshal(b.Data, into)
+}
+
+// Close returns everything to the budget.
+func (b *Body) Close() {
+	if b.charge != nil {
+		b.charge.close()
+		b.charge = nil
+	}
+}
--- a/connection/stream/stream.go
+++ b/connection/stream/stream.go
@@ -105,6 +105,12 @@
 	return false
 }
 
+// limitedConn is a connection whose listener bounds what arrives before the first message.
+type limitedConn interface {
+	// Established ends these bounds.
+	Established()
+}
+
 func startConn(tcp net.Conn, newHandler func(*Conn) Handler) *Conn {
 	c := &Conn{tcp: tcp, outbox: outbox.New(maxQueuedBytes)}
 	c.SetMessagePause(0)
@@ -163,13 +169,16 @@
 
 func (c *Conn) readLoop(h Handler) {
 	reader := bufio.NewReaderSize(c.tcp, readBufferBytes)
-	for {
+	for first := true; ; first = false {
 		m, err := c.readMessage(reader)
 		if err != nil {
 			c.Close()
 			h.Closed(errors.Wrapf(err, "peer %s", c.RemoteAddr()))
 			return
 		}
+		if limited, ok := c.tcp.(limitedConn); ok && first {
+			limited.Established()
+		}
 		h.Received(m)
 	}
 }
--- a/process/entry/daemon.go
+++ b/process/entry/daemon.go
@@ -10,6 +10,7 @@
 	"github.com/oklog/run"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/azurerouter/azurerouter/connection/intake"
 	"github.com/azurerouter/azurerouter/connection/logclient"
 	"github.com/azurerouter/azurerouter/connection/peer"
 	"github.com/azurerouter/azurerouter/connection/wire"
@@ -32,7 +33,7 @@
 	readRetryDelay    = 100 * time.Millisecond
 	maxPageRecords    = 1000
 	drainPollInterval = 20 * time.Millisecond
-	httpReadTimeout   = 30 * time.Second
+	httpHeaderTimeout = 30 * time.Second
 	httpIdleTimeout   = 2 * time.Minute
 	maxHeaderBytes    = 16 << 10
 	fencedReason      = "fenced by an agent; the process has to start again"
@@ -50,6 +51,8 @@
 	core           *Core
 	self           wire.Incarnation
 	http           *http.Server
+	limits         intake.Limits
+	intake         *intake.Intake
 	logUnavailable *observe.Condition
 	// unreachable is active while an entry cannot be dialled.
 	unreachable *observe.Unreachable
@@ -86,8 +89,9 @@
 		members: membership.New(), config: config.NewState(),
 	}
 	d.core = NewCore((*daemonEnv)(d), d.self, 1, uint64(time.Now().UnixNano()))
-	d.http = &http.Server{Addr: s.HTTPAddr, Handler: d.api(), ReadTimeout: httpReadTimeout, IdleTimeout: httpIdleTimeout,
-		MaxHeaderBytes: maxHeaderBytes}
+	d.limits = s.IntakeLimits()
+	d.intake = intake.New(d.limits)
+	d.http = intake.NewServer(d.api(), nil)
 	return d, nil
 }
 
@@ -145,8 +149,11 @@
 // cut off the responses that are still being written, so serveHTTP waits until
 // drainOnSignal ends the process.
 func (d *Daemon) serveHTTP(ctx context.Context) error {
-	if err := d.http.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrapf(err, "serve callers on %s", d.settings.HTTPAddr)
+	options := intake.ListenerOptions{MaxConns: d.limits.Conns, Limits: func() intake.RequestLimits {
+		return intake.RequestLimits{HeaderBytes: maxHeaderBytes, HeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout}
+	}}
+	if err := d.intake.ListenAndServe(d.settings.HTTPAddr, options, d.http); err != nil {
+		return errors.Wrap(err, "callers")
 	}
 	<-ctx.Done()
 	return nil
--- a/process/entry/http.go
+++ b/process/entry/http.go
@@ -74,16 +74,12 @@
 func (a *API) submit(w http.ResponseWriter, r *http.Request, single bool) {
 	a.countSubmission(single)
 	startedAt := a.now()
-	if r.ContentLength > job.MaxBodyBytes {
-		a.refuse(w, refusal.New(refusal.TooLarge, "parse", "body exceeds %d bytes", job.MaxBodyBytes))
-		return
-	}
-	sub, err := job.Parse(r.Body, single, startedAt, a.core.ParseLimits())
-	if err != nil {
-		refused, _ := refusal.As(err)
+	sub, body, refused := a.readSubmission(w, r, single, startedAt)
+	if refused != nil {
 		a.refuse(w, refused)
 		return
 	}
+	defer releaseBody(r.Context(), sub, body)
 	replies := make(chan Reply, 1)
 	detach := a.core.Submit(sub, func(reply Reply) { replies <- reply })
 	a.awaitReply(w, r.Context(), sub.Hash, replies, detach, startedAt)
--- a/process/entry/metrics.go
+++ b/process/entry/metrics.go
@@ -18,7 +18,9 @@
 // reportMetrics updates the metrics that are derived from the state of Core.
 func (d *Daemon) reportMetrics(ctx context.Context) error {
 	last := metricsState{ejected: make(map[string]string)}
+	clients := d.observer.IntakeMonitor(d.intake)
 	for ctx.Err() == nil {
+		clients.Report()
 		last = d.updateMetrics(last)
 		sleep(ctx, metricsInterval)
 	}
--- a/process/node/actors.go
+++ b/process/node/actors.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
+
+	"github.com/azurerouter/azurerouter/connection/intake"
 )
 
 // Intervals and timeouts of every process.
@@ -23,8 +25,10 @@
 	// waitPollInterval is how often a process checks whether it may go on: a
 	// stopping process whether its work has ended, an agent whether it may enroll.
 	waitPollInterval = 10 * time.Millisecond
-	// headerTimeout limits the wait for the headers of a request.
-	headerTimeout = 3 * time.Second
+	// maxInternalHeaderBytes bounds the head of a request of the load balancer or a target.
+	maxInternalHeaderBytes = 16 << 10
+	// defaultDescriptors is the limit of file descriptors if the options name no limits.
+	defaultDescriptors = 4096
 )
 
 // runEvery calls f at an interval until the context ends.
@@ -41,13 +45,19 @@
 	}
 }
 
-// addServer adds an HTTP server to a run group.
-func addServer(g *run.Group, name, addr string, handler http.Handler) {
-	server := &http.Server{Addr: addr, Handler: handler, ReadHeaderTimeout: headerTimeout}
+// addServer adds an HTTP server with at most maxConns connections to a run group.
+func addServer(g *run.Group, in *intake.Intake, name, addr string, maxConns int, handler http.Handler) {
+	server := intake.NewServer(handler, nil)
+	limits := func() intake.RequestLimits { return intake.RequestLimits{HeaderBytes: maxInternalHeaderBytes} }
 	g.Add(func() error {
-		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
-			return errors.Wrapf(err, "serve %s on %s", name, addr)
-		}
-		return nil
+		return errors.Wrap(in.ListenAndServe(addr, intake.ListenerOptions{MaxConns: maxConns, Limits: limits}, server), name)
 	}, func(error) { server.Close() })
 }
+
+// limitsOrDefault returns the limits of the options, or default ones.
+func limitsOrDefault(limits intake.Limits) intake.Limits {
+	if limits == (intake.Limits{}) {
+		return intake.DeriveLimits(intake.DefaultMemory, defaultDescriptors)
+	}
+	return limits
+}
--- a/process/node/agent.go
+++ b/process/node/agent.go
@@ -8,6 +8,7 @@
 
 	"github.com/oklog/run"
 
+	"github.com/azurerouter/azurerouter/connection/intake"
 	"github.com/azurerouter/azurerouter/connection/stream"
 	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/clock"
@@ -67,8 +68,10 @@
 	ControlHandler func(*runner.Core) http.Handler
 	// MetricsAddr is where the admin server listens; empty to run none.
 	MetricsAddr string
-	Target      TargetClient
-	Directory   Directory
+	// Limits bounds what the clients of the process can take; zero selects defaults.
+	Limits    intake.Limits
+	Target    TargetClient
+	Directory Directory
 	// FindTarget looks up the report of the target in the platform. An agent that
 	// is restarted needs it, because its target may have sent its last report long
 	// before. If it is nil the agent waits for the next report.
@@ -273,8 +276,10 @@
 	actor(a.lookUpTarget)
 	actor(a.searchEntries)
 	actor(func(ctx context.Context) error { return a.leaveOnSignal(ctx, stop) })
-	actor(newAgentMetrics(a.observer, a.core, a.ticks).report)
-	addServer(g, "control", a.options.ControlAddr, a.options.ControlHandler(a.core))
+	limits := limitsOrDefault(a.options.Limits)
+	clients := intake.New(limits)
+	actor(newAgentMetrics(a.observer, a.core, a.ticks, clients).report)
+	addServer(g, clients, "control", a.options.ControlAddr, limits.Control, a.options.ControlHandler(a.core))
 	if a.options.MetricsAddr != "" {
 		g.Add(observe.AdminOnPrivateNetwork(a.options.MetricsAddr, a.observer, func() any { return a.core.Dump() }, func() error { return nil }))
 	}
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -13,6 +12,7 @@
 	"github.com/oklog/run"
 
 	"github.com/azurerouter/azurerouter/connection/caller"
+	"github.com/azurerouter/azurerouter/connection/intake"
 	"github.com/azurerouter/azurerouter/connection/stream"
 	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/clock"
@@ -31,8 +31,10 @@
 	// drainDelay is how long a stopping entry still accepts connections. The load
 	// balancer takes it out of rotation after two readiness checks, one per second.
 	drainDelay = 2500 * time.Millisecond
-	// callerIdleTimeout is when an idle connection of a caller is closed.
-	callerIdleTimeout = time.Minute
+	// maxFirstMessageBytes bounds the first message of another process, and firstMessageTimeout the
+	// time until it has arrived. The largest one is the enrolment of an agent with all its runs.
+	maxFirstMessageBytes = 4 << 20
+	firstMessageTimeout  = 10 * time.Second
 	// heartbeatInterval is the shortest interval between messages on each connection
 	// to another entry, so that none is idle. It grows by entriesPerHeartbeat, so that
 	// the messages of one entry do not increase with the number of entries. One in
@@ -87,6 +89,8 @@
 	Copies           CopyStore
 	// Jobs is the log of durable jobs.
 	Jobs keeper.Log
+	// Limits bounds what the clients of the process can take; zero selects defaults.
+	Limits intake.Limits
 }
 
 // Entry runs a dispatch.Core as a process.
@@ -103,6 +107,8 @@
 	stopping atomic.Bool
 	metrics  *entryMetrics
 	ticks    *tickMonitor
+	limits   intake.Limits
+	intake   *intake.Intake
 	started  time.Time
 	// configured is closed when the first configuration is in force.
 	configured chan struct{}
@@ -134,6 +140,8 @@
 		agents:        make(map[wire.Incarnation]*processLink),
 		peers:         make(map[*processLink]bool),
 	}
+	e.limits = limitsOrDefault(options.Limits)
+	e.intake = intake.New(e.limits)
 	e.Core = dispatch.New((*entryEnv)(e), e.incarnation, options.Zone, uint64(time.Now().UnixNano()))
 	e.keeper = keeper.New(keeper.Options{Node: options.Node, Owner: ledger.Owner(e.incarnation.String()), IsFirstByName: e.hasLowestName,
 		Peers: e.keeperPeers, Now: clock.Now, UnixTime: time.Now}, observedLog{options.Jobs, observer.Condition("store_jobs")}, e.Core, decisions)
@@ -267,10 +275,13 @@
 // first signal to shut down. It returns an error if it cannot listen on PeerAddr.
 func (e *Entry) AddTo(g *run.Group, stop <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(context.Background())
-	listener, err := net.Listen("tcp", e.options.PeerAddr)
+	listener, err := e.intake.Listen(e.options.PeerAddr, intake.ListenerOptions{MaxConns: e.limits.Links, Raw: true,
+		Limits: func() intake.RequestLimits {
+			return intake.RequestLimits{HeaderBytes: maxFirstMessageBytes, HeaderTimeout: firstMessageTimeout}
+		}})
 	if err != nil {
 		cancel()
-		return errors.Wrapf(err, "listen for processes on %s", e.options.PeerAddr)
+		return errors.Wrap(err, "listen for processes")
 	}
 	actor := func(f func(context.Context) error) {
 		g.Add(func() error { return f(ctx) }, func(error) { cancel() })
@@ -291,9 +302,9 @@
 		return stream.Serve(listener, func(c *stream.Conn) stream.Handler { return e.acceptLink(c) })
 	}, func(error) { listener.Close() })
 	e.serveCallers(g, ctx, stop)
-	addServer(g, "readiness", e.options.ReadyAddr, e.options.ReadinessHandler(e.Ready))
+	addServer(g, e.intake, "readiness", e.options.ReadyAddr, e.limits.Checks, e.options.ReadinessHandler(e.Ready))
 	if e.options.ControlAddr != "" {
-		addServer(g, "control", e.options.ControlAddr, http.NotFoundHandler())
+		addServer(g, e.intake, "control", e.options.ControlAddr, e.limits.Control, http.NotFoundHandler())
 	}
 	if e.options.MetricsAddr != "" {
 		g.Add(observe.AdminOnPrivateNetwork(e.options.MetricsAddr, e.observer, func() any { return e.Dump() }, e.Ready))
@@ -337,11 +348,11 @@
 
 // serveCallers serves callers until the process has drained.
 func (e *Entry) serveCallers(g *run.Group, ctx context.Context, stop <-chan struct{}) {
-	server := &http.Server{Addr: e.options.CallerAddr, Handler: e.options.CallerHandler(e), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
-		ConnContext: caller.WithConn}
+	server := intake.NewServer(e.options.CallerHandler(e), caller.WithConn)
+	options := intake.ListenerOptions{MaxConns: e.limits.Conns, Limits: e.callerLimits}
 	g.Add(func() error {
-		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
-			return errors.Wrapf(err, "serve callers on %s", e.options.CallerAddr)
+		if err := e.intake.ListenAndServe(e.options.CallerAddr, options, server); err != nil {
+			return errors.Wrap(err, "callers")
 		}
 		// Shutdown makes ListenAndServe return before the last responses are
 		// written; drainOnSignal ends the group after them.
@@ -351,6 +362,15 @@
 	g.Add(func() error { return e.drainOnSignal(ctx, server, stop) }, func(error) {})
 }
 
+// callerLimits returns the limits of the configuration in force for the requests of callers.
+func (e *Entry) callerLimits() intake.RequestLimits {
+	table := e.RoutingTable()
+	if table == nil {
+		return intake.RequestLimits{}
+	}
+	return intake.RequestLimits{HeaderBytes: table.Limits.HeaderBytes, HeaderTimeout: table.Limits.HeaderTimeout, IdleTimeout: table.Limits.IdleTimeout}
+}
+
 // drainOnSignal ends the process after the first signal to shut down, once every
 // request has been answered and no durable job runs here any more. Requests that
 // are still open when only the shutdownReserve remains of the grace period are
--- a/process/node/metrics.go
+++ b/process/node/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/azurerouter/azurerouter/connection/intake"
 	"github.com/azurerouter/azurerouter/process/dispatch"
 	"github.com/azurerouter/azurerouter/process/keeper"
 	"github.com/azurerouter/azurerouter/process/observe"
@@ -45,12 +46,14 @@
 	logUnread       *observe.Condition
 	routingVersion  tally.Gauge
 	totals          map[string]*cumulativeCounter
+	clients         *observe.IntakeMonitor
 }
 
 func newEntryMetrics(o *observe.Observer, e *Entry) *entryMetrics {
 	m := &entryMetrics{entry: e, scope: o.Metrics, responseTime: o.Metrics.Histogram(observe.ResponseSeconds, responseBuckets),
 		activeJobs: o.Metrics.Gauge(observe.JobsActive), durableJobs: o.Metrics.Gauge(observe.DurableJobsHere),
-		snapshotRecords: o.Metrics.Gauge(observe.DurableSnapshotRecords), logUnread: o.Condition("durable_log_unread"), routingVersion: o.Metrics.Gauge(observe.RoutingVersion), totals: make(map[string]*cumulativeCounter)}
+		snapshotRecords: o.Metrics.Gauge(observe.DurableSnapshotRecords), logUnread: o.Condition("durable_log_unread"), routingVersion: o.Metrics.Gauge(observe.RoutingVersion), totals: make(map[string]*cumulativeCounter),
+		clients: o.IntakeMonitor(e.intake)}
 	return m
 }
 
@@ -72,6 +75,7 @@
 		m.durableJobs.Update(float64(m.entry.keeper.OwnedJobs()))
 		m.reportCatchUp()
 		m.entry.ticks.report()
+		m.clients.Report()
 	})
 }
 
@@ -133,10 +137,11 @@
 	scope    tally.Scope
 	runsHeld tally.Gauge
 	totals   map[string]*cumulativeCounter
+	clients  *observe.IntakeMonitor
 }
 
-func newAgentMetrics(o *observe.Observer, core *runner.Core, ticks *tickMonitor) *agentMetrics {
-	return &agentMetrics{core: core, ticks: ticks, scope: o.Metrics, runsHeld: o.Metrics.Gauge(observe.RunsHeld), totals: make(map[string]*cumulativeCounter)}
+func newAgentMetrics(o *observe.Observer, core *runner.Core, ticks *tickMonitor, in *intake.Intake) *agentMetrics {
+	return &agentMetrics{core: core, ticks: ticks, clients: o.IntakeMonitor(in), scope: o.Metrics, runsHeld: o.Metrics.Gauge(observe.RunsHeld), totals: make(map[string]*cumulativeCounter)}
 }
 
 // report updates the metrics until the context ends.
@@ -152,5 +157,6 @@
 			reportTotal(m.scope, m.totals, observe.RunsTurnedBack, observe.TagReason, string(reason), count)
 		}
 		m.ticks.report()
+		m.clients.Report()
 	})
 }
--- a/process/observe/admin.go
+++ b/process/observe/admin.go
@@ -9,11 +9,18 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/azurerouter/azurerouter/connection/intake"
 )
 
 const (
 	adminReadTimeout  = 5 * time.Second
 	adminWriteTimeout = 10 * time.Second
+	// maxAdminConns bounds the connections of operators and of their collector of metrics, and
+	// adminHeaderBudget the memory of their headers.
+	maxAdminConns       = 16
+	maxAdminHeaderBytes = 16 << 10
+	adminHeaderBudget   = 1 << 20
 )
 
 // Admin returns an actor for run.Group that serves /metrics, /dump, /health and
@@ -59,7 +66,8 @@
 		stop:      make(chan struct{}),
 		boundAddr: make(chan string, 1),
 	}
-	a.server = &http.Server{Handler: a.routes(), ReadTimeout: adminReadTimeout, WriteTimeout: adminWriteTimeout}
+	a.server = intake.NewServer(a.routes(), nil)
+	a.server.ReadTimeout, a.server.WriteTimeout = adminReadTimeout, adminWriteTimeout
 	return a
 }
 
@@ -76,7 +84,8 @@
 	if err := checkLoopback(a.addr); err != nil && !a.private {
 		return err
 	}
-	listener, err := net.Listen("tcp", a.addr)
+	listener, err := intake.New(intake.Limits{Bytes: adminHeaderBudget}).Listen(a.addr, intake.ListenerOptions{MaxConns: maxAdminConns,
+		Limits: func() intake.RequestLimits { return intake.RequestLimits{HeaderBytes: maxAdminHeaderBytes} }})
 	if err != nil {
 		return errors.Wrap(err, "admin")
 	}
--- a/process/observe/names.go
+++ b/process/observe/names.go
@@ -111,6 +111,13 @@
 	// RoutingVersion is the version of the routing configuration in force.
 	RoutingVersion = "routing_version"
 
+	// IntakeBytes is the memory that unfinished requests take, in bytes, IntakeConnections the
+	// number of open connections that the bounds apply to.
+	IntakeBytes       = "intake_bytes"
+	IntakeConnections = "intake_connections"
+	// IntakeGivenUp counts requests and connections of clients that were given up, by TagReason.
+	IntakeGivenUp = "intake_given_up"
+
 	// ConfigFaults is the number of faults in the configuration in force.
 	ConfigFaults = "config_faults"
 )
--- a/process/settings/fields.go
+++ b/process/settings/fields.go
@@ -91,6 +91,8 @@
 		Doc: "Certificate of the process."},
 	{Path: "keys.key", Process: processBoth, Form: formFile, Required: true,
 		Doc: "Private key of the process."},
+	{Path: "instance_memory_mb", Process: ProcessEntry, Unit: "MB", Max: maxMemoryMB,
+		Doc: "Memory of the instance, from which the bounds for callers are derived; 0 takes it from GOMEMLIMIT, or 1,024 without that variable."},
 	{Path: "drain_timeout_ms", Process: processBoth, Unit: "milliseconds", Min: 1, Max: maxDrainTimeoutMS,
 		Doc: "Longest time that a graceful shutdown waits for running work."},
 }
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -42,6 +42,8 @@
 	Keys  peer.KeyFiles `json:"keys"`
 	// DrainTimeoutMS is the time limit of a graceful shutdown, in milliseconds.
 	DrainTimeoutMS int64 `json:"drain_timeout_ms"`
+	// InstanceMemoryMB is the memory of the instance, in MB, or zero if it is not set.
+	InstanceMemoryMB int64 `json:"instance_memory_mb"`
 }
 
 // Agent holds the settings of an agent process.
--- a/process/settings/settings_test.go
+++ b/process/settings/settings_test.go
@@ -79,9 +79,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	encoded, _ := json.Marshal(agent)
 	defaults := make(map[string]any)
-	json.Unmarshal(encoded, &defaults)
+	for _, settings := range []any{Entry{DrainTimeoutMS: DefaultDrainTimeoutMS}, agent} {
+		encoded, _ := json.Marshal(settings)
+		json.Unmarshal(encoded, &defaults)
+	}
 	var rows, want []string
 	for line := range strings.Lines(section) {
 		if strings.HasPrefix(line, "| ") && !strings.HasPrefix(line, "| field |") {
--- a/request/job/submission.go
+++ b/request/job/submission.go
@@ -119,11 +119,26 @@
 func Parse(r io.Reader, single bool, now time.Time, limits Limits) (*Submission, error) {
 	raw, err := io.ReadAll(io.LimitReader(r, MaxBodyBytes+1))
 	if err != nil {
-		return nil, refusal.New(refusal.BadRequest, stepParse, "body could not be read: %v", err)
+		return nil, RefuseUnread(err)
 	}
 	if len(raw) > MaxBodyBytes {
-		return nil, refusal.New(refusal.TooLarge, stepParse, "body exceeds %d bytes", MaxBodyBytes)
+		return nil, RefuseTooLarge()
 	}
+	return ParseBody(raw, single, now, limits)
+}
+
+// RefuseUnread returns the refusal of a body that could not be read.
+func RefuseUnread(err error) *refusal.Error {
+	return refusal.New(refusal.BadRequest, stepParse, "body could not be read: %v", err)
+}
+
+// RefuseTooLarge returns the refusal of a body over MaxBodyBytes.
+func RefuseTooLarge() *refusal.Error {
+	return refusal.New(refusal.TooLarge, stepParse, "body exceeds %d bytes", MaxBodyBytes)
+}
+
+// ParseBody validates a body like Parse. The submission refers to raw.
+func ParseBody(raw []byte, single bool, now time.Time, limits Limits) (*Submission, error) {
 	b, err := decodeBody(raw)
 	if err != nil {
 		return nil, err
