intake: take no shared lock for ordinary requests, leave memory to the kernel

The memory limit of the runtime, 0.8 of the instance, left less than the kernel may hold for 1,024 connections.

--- a/connection/intake/body.go
+++ b/connection/intake/body.go
@@ -19,10 +19,19 @@
 // requests give way within this time.
 const RetryAfter = time.Second
 
+// freeBodyBytes is what a body takes, with its decoding, without a charge. Ordinary requests stay
+// below it, so that they share no lock.
+const freeBodyBytes = 16 << 10
+
 // Body is the whole body of a request. It takes a part of the budget until Close.
 type Body struct {
-	Data   []byte
-	charge *charge
+	Data []byte
+	// conn is the connection of the request, or nil if nothing is charged.
+	conn *Conn
+	// charge is nil until the body has taken more than freeBodyBytes. uncharged is what it has
+	// taken until then.
+	charge    *charge
+	uncharged int64
 }
 
 // ReadBody reads the body of a request of at most limit bytes. The error is ErrTooLarge, ErrNoRoom,
@@ -41,11 +50,8 @@
 	if r.ContentLength > limit {
 		return nil, ErrTooLarge
 	}
-	b := &Body{}
 	conn := connOf(r.Context())
-	if conn != nil {
-		b.charge = conn.listener.intake.budget.open(time.Now(), conn.address, conn.interrupt)
-	}
+	b := &Body{conn: conn}
 	if err := b.read(r, limit); err != nil {
 		evicted := b.charge != nil && b.charge.wasEvicted()
 		b.Close()
@@ -116,16 +122,38 @@
 // Charge takes n more bytes of the budget, for what is made from the body. It returns an error
 // marked ErrNoRoom if there is no room.
 func (b *Body) Charge(n int64) error {
-	if b.charge == nil {
+	if b.conn == nil {
 		return nil
 	}
+	if b.charge == nil {
+		if b.uncharged+n <= freeBodyBytes {
+			b.uncharged += n
+			return nil
+		}
+		b.openCharge()
+		n += b.uncharged
+	}
 	return b.charge.grow(time.Now(), n)
 }
 
 // Release returns n bytes to the budget.
 func (b *Body) Release(n int64) {
-	if b.charge != nil && n > 0 {
+	switch {
+	case n == 0:
+	case b.charge != nil:
 		b.charge.shrink(n)
+	default:
+		b.uncharged -= n
+	}
+}
+
+// openCharge starts the charge of a body that is not small. Its time counts from the end of the
+// head.
+func (b *Body) openCharge() {
+	b.charge = b.conn.listener.intake.budget.open(b.conn.view().since, b.conn.address, b.conn.interrupt)
+	b.charge.note(len(b.Data))
+	if phase(b.conn.phase.Load()) == phaseBusy {
+		b.charge.finish()
 	}
 }
 
--- a/connection/intake/conn.go
+++ b/connection/intake/conn.go
@@ -38,6 +38,8 @@
 	phase    atomic.Int32
 	// since is when the phase began, in nanoseconds since the start of the process's clock.
 	since atomic.Int64
+	// writing is when the current write began, in the same unit, or zero.
+	writing atomic.Int64
 	// interrupted is set when every read has to fail.
 	interrupted atomic.Bool
 	closeOnce   sync.Once
@@ -216,15 +218,19 @@
 	return c.SetReadDeadline(t)
 }
 
-// Write writes to the connection, for HTTP within writeTimeout.
+// Write writes to the connection. The listener closes the connection if that takes longer than
+// writeTimeout; a deadline would cost a change of a timer for each response.
 func (c *Conn) Write(p []byte) (int, error) {
-	if c.listener.options.Raw {
-		return c.TCPConn.Write(p)
-	}
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
-	}
-	return c.TCPConn.Write(p)
+	c.writing.Store(int64(time.Since(clockStart)))
+	n, err := c.TCPConn.Write(p)
+	c.writing.Store(0)
+	return n, err
+}
+
+// writesSince returns when the current write began. It reports false if there is none.
+func (c *Conn) writesSince() (time.Time, bool) {
+	began := c.writing.Load()
+	return clockStart.Add(time.Duration(began)), began != 0
 }
 
 // Established tells that the other side has identified itself: the connection is no longer bound
--- a/connection/intake/conns.go
+++ b/connection/intake/conns.go
@@ -134,7 +134,11 @@
 	for _, c := range t.all() {
 		v := c.view()
 		waited := now.Sub(v.since)
+		began, writes := c.writesSince()
 		switch {
+		case writes && now.Sub(began) > writeTimeout:
+			t.countTimeout()
+			c.Close()
 		case v.phase == phaseIdle && waited > limits.IdleTimeout:
 			c.Close()
 		case v.phase == phaseHead && waited > limits.HeaderTimeout:
--- a/process/settings/intake.go
+++ b/process/settings/intake.go
@@ -11,8 +11,11 @@
 
 const (
 	// MemoryLimitShare is the share of the memory of an instance that is set as the soft limit of
-	// the Go runtime.
-	MemoryLimitShare = 0.8
+	// the Go runtime. The rest is for memory outside the heap and for bytes that the kernel holds
+	// for clients.
+	MemoryLimitShare = 0.7
+	// environmentShare is the share that GOMEMLIMIT is taken to be of the memory of an instance.
+	environmentShare = 0.8
 	// defaultDescriptors is the limit of file descriptors if the system does not tell it.
 	defaultDescriptors = 1024
 )
@@ -24,7 +27,7 @@
 		return e.InstanceMemoryMB << 20
 	}
 	if limit := debug.SetMemoryLimit(-1); limit != math.MaxInt64 {
-		return int64(float64(limit) / MemoryLimitShare)
+		return int64(float64(limit) / environmentShare)
 	}
 	return intake.DefaultMemory
 }
