intake: count only the head of a request as head, and its body as the same request

Cause: bytes of a body that came in the same read as the head were charged as head, three times their number, and a large body was then not alone in the budget and refused although nothing else was in flight. Change: counting ends with the head; the charge of a body knows that of its head. maxHeaderBytes is exact.

--- a/connection/intake/body.go
+++ b/connection/intake/body.go
@@ -151,6 +151,9 @@
 // head.
 func (b *Body) openCharge() {
 	b.charge = b.conn.listener.intake.budget.open(b.conn.view().since, b.conn.address, b.conn.interrupt)
+	b.conn.mu.Lock()
+	b.charge.head = b.conn.head
+	b.conn.mu.Unlock()
 	b.charge.note(len(b.Data))
 	if phase(b.conn.phase.Load()) == phaseBusy {
 		b.charge.finish()
--- a/connection/intake/budget.go
+++ b/connection/intake/budget.go
@@ -40,6 +40,8 @@
 	evict func()
 	usage
 	isEvicted bool
+	// head is the charge for the head of the same request, or nil.
+	head *charge
 }
 
 // usage is what the choice of requests to evict depends on.
@@ -69,11 +71,11 @@
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if c.held+n > b.total && b.used > c.held {
+	if c.held+n > b.total && !b.alone(c) {
 		b.refused++
 		return ErrNoRoom
 	}
-	for !c.isEvicted && b.used+n > b.total && b.used > c.held {
+	for !c.isEvicted && b.used+n > b.total && !b.alone(c) {
 		if b.used-b.leaving+n <= b.total {
 			b.changed.Wait()
 			continue
@@ -93,6 +95,15 @@
 	return nil
 }
 
+// alone reports whether nothing but the request is charged.
+func (b *budget) alone(c *charge) bool {
+	own := c.held
+	if c.head != nil {
+		own += c.head.held
+	}
+	return b.used == own
+}
+
 // victim returns the request that has to give way to c, or nil if c has to.
 func (b *budget) victim(now time.Time, c *charge, n int64) *charge {
 	others := make([]usage, 0, len(b.charges))
--- a/connection/intake/conn.go
+++ b/connection/intake/conn.go
@@ -101,17 +101,19 @@
 	return n, err
 }
 
-// admitHead counts and charges bytes of a head. The last read of a head may include bytes of the
-// body, at most one buffer of the reader.
+// admitHead counts and charges bytes of a head, without those of a body that come with it.
 func (c *Conn) admitHead(data []byte) error {
-	c.headBytes += len(data)
-	if c.headBytes > c.listener.headLimit()+readBufferBytes {
+	if c.listener.options.Raw {
+		c.headBytes += len(data)
+	} else {
+		c.countLines(data)
+	}
+	if c.headBytes > c.listener.headLimit() {
 		return errHeadTooLong
 	}
-	byteCost := rawByteCost
-	if !c.listener.options.Raw {
-		c.countLines(data)
-		byteCost = headByteCost
+	byteCost := headByteCost
+	if c.listener.options.Raw {
+		byteCost = rawByteCost
 	}
 	if c.headLines > maxHeaderLines {
 		return errHeadTooLong
@@ -125,14 +127,16 @@
 	return c.chargeHead(n, len(data))
 }
 
-// countLines counts the lines of a head up to the empty line that ends it.
+// countLines counts the bytes and lines of a head up to the empty line that ends it.
 func (c *Conn) countLines(data []byte) {
 	for !c.headEnded && len(data) > 0 {
 		i := bytes.IndexByte(data, '\n')
 		if i < 0 {
+			c.headBytes += len(data)
 			c.lineBytes += len(data)
 			return
 		}
+		c.headBytes += i + 1
 		c.lineBytes += i
 		c.headLines++
 		// The end of a line is a line feed, usually after a carriage return.
@@ -141,9 +145,6 @@
 	}
 }
 
-// readBufferBytes is the size of the buffer through which net/http reads a connection.
-const readBufferBytes = 4 << 10
-
 // chargeHead charges n bytes for a head of which some bytes have arrived. A head that has to give way
 // ends its connection.
 func (c *Conn) chargeHead(n int64, arrived int) error {
