--- a/cmd/azurerouter/platform.go
+++ b/cmd/azurerouter/platform.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 
+	"github.com/azurerouter/azurerouter/connection/intake"
 	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/platform"
 	"github.com/azurerouter/azurerouter/process/node"
@@ -29,8 +30,10 @@
 	// has ended.
 	stopAllowance = 200 * time.Millisecond
 	// memoryLimitShare is the share of the platform's memory limit that is set as the soft
-	// limit of the Go runtime; the process is killed above the platform's limit.
-	memoryLimitShare = 0.8
+	// limit of the Go runtime; the process is killed above the platform's limit. The rest is for
+	// memory outside the heap, about 10 MB, and for bytes that the kernel holds for clients, at most
+	// 32 KiB for each connection, which is 22 % of an instance with the most connections.
+	memoryLimitShare = 0.7
 	// entryGCPercent trades memory for processor time: the heap of an entry is small, so
 	// that collections are frequent while it is busy.
 	entryGCPercent = 300
@@ -117,11 +120,17 @@
 	options := node.EntryOptions{Node: p.settings.Node, Zone: p.settings.Zone, PeerAddr: p.settings.PeerAddr,
 		AdvertiseAddr: flags.advertiseAddr, Seeds: p.settings.SeedPeers, Grace: p.settings.Grace, Cores: p.settings.Cores,
 		CallerAddr: p.settings.CallerAddr, ReadyAddr: p.settings.ReadyAddr, ControlAddr: p.settings.ControlAddr, MetricsAddr: p.metricsAddr,
-		CallerHandler: p.callers, ReadinessHandler: platform.ReadyHandler, ExplainHandler: p.explain, Config: store, Directory: store, Copies: store, Jobs: store, RemoteFactor: p.settings.RemoteFactor}
+		CallerHandler: p.callers, ReadinessHandler: platform.ReadyHandler, ExplainHandler: p.explain, Config: store, Directory: store, Copies: store, Jobs: store, RemoteFactor: p.settings.RemoteFactor,
+		Limits: p.limits()}
 	e := node.NewEntry(options, p.observer, p.decisions)
 	return runDaemon("entry", stderr, p.signalHooks(), e.AddTo)
 }
 
+// limits returns the bounds for the clients of the process.
+func (p *platformProcess) limits() intake.Limits {
+	return intake.DeriveLimits(p.settings.MemoryLimit, p.settings.MaxDescriptors)
+}
+
 func (p *platformProcess) callers(e *node.Entry) http.Handler {
 	return platform.NewCallerHandler(e, p.settings.ResendAfter)
 }
@@ -138,7 +147,7 @@
 	defer p.close()
 	options := node.AgentOptions{Node: p.settings.Node, Zone: p.settings.Zone, Seeds: p.settings.SeedPeers, Grace: p.settings.Grace,
 		ControlAddr: p.settings.ControlAddr, ControlHandler: func(c *runner.Core) http.Handler { return platform.ControlHandler(c) },
-		MetricsAddr: p.metricsAddr, Target: platform.NewTarget(p.settings.TargetAddr), Directory: platform.NewStore(p.settings.StoreAddr)}
+		MetricsAddr: p.metricsAddr, Target: platform.NewTarget(p.settings.TargetAddr), Directory: platform.NewStore(p.settings.StoreAddr), Limits: p.limits()}
 	if !p.settings.Bootstrap && p.settings.MachinesAddr != "" {
 		options.FindTarget = platform.NewTargetLookup(p.settings.TargetAddr, p.settings.MachinesAddr).Find
 	}
--- a/process/node/metrics.go
+++ b/process/node/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/azurerouter/azurerouter/connection/intake"
 	"github.com/azurerouter/azurerouter/process/dispatch"
 	"github.com/azurerouter/azurerouter/process/keeper"
 	"github.com/azurerouter/azurerouter/process/observe"
@@ -47,6 +48,7 @@
 	routingVersion  tally.Gauge
 	zonesEvacuated  tally.Gauge
 	totals          map[string]*cumulativeCounter
+	clients         *observe.IntakeMonitor
 	// responses holds the tally.Counter of each HTTP status, because a lookup by tags
 	// allocates memory for each response.
 	responses sync.Map
@@ -56,7 +58,8 @@
 	m := &entryMetrics{entry: e, scope: o.Metrics, responseTime: o.Metrics.Histogram(observe.ResponseSeconds, responseBuckets),
 		activeJobs: o.Metrics.Gauge(observe.JobsActive), durableJobs: o.Metrics.Gauge(observe.DurableJobsHere),
 		snapshotRecords: o.Metrics.Gauge(observe.DurableSnapshotRecords), logUnread: o.Condition("durable_log_unread"), routingVersion: o.Metrics.Gauge(observe.RoutingVersion),
-		zonesEvacuated: o.Metrics.Gauge(observe.ZonesEvacuated), totals: make(map[string]*cumulativeCounter)}
+		zonesEvacuated: o.Metrics.Gauge(observe.ZonesEvacuated), totals: make(map[string]*cumulativeCounter),
+		clients: o.IntakeMonitor(e.intake)}
 	return m
 }
 
@@ -89,6 +92,7 @@
 		m.durableJobs.Update(float64(m.entry.keeper.OwnedJobs()))
 		m.reportCatchUp()
 		m.entry.ticks.report()
+		m.clients.Report()
 	})
 }
 
@@ -154,10 +158,11 @@
 	scope    tally.Scope
 	runsHeld tally.Gauge
 	totals   map[string]*cumulativeCounter
+	clients  *observe.IntakeMonitor
 }
 
-func newAgentMetrics(o *observe.Observer, core *runner.Core, ticks *tickMonitor) *agentMetrics {
-	return &agentMetrics{core: core, ticks: ticks, scope: o.Metrics, runsHeld: o.Metrics.Gauge(observe.RunsHeld), totals: make(map[string]*cumulativeCounter)}
+func newAgentMetrics(o *observe.Observer, core *runner.Core, ticks *tickMonitor, in *intake.Intake) *agentMetrics {
+	return &agentMetrics{core: core, ticks: ticks, clients: o.IntakeMonitor(in), scope: o.Metrics, runsHeld: o.Metrics.Gauge(observe.RunsHeld), totals: make(map[string]*cumulativeCounter)}
 }
 
 // report updates the metrics until the context ends.
@@ -173,5 +178,6 @@
 			reportTotal(m.scope, m.totals, observe.RunsTurnedBack, observe.TagReason, string(reason), count)
 		}
 		m.ticks.report()
+		m.clients.Report()
 	})
 }
--- a/process/node/overload.go
+++ b/process/node/overload.go
@@ -67,7 +67,7 @@
 // that it has not run.
 func (e *Entry) CanCarry(s batch.Submission) bool {
 	guard := e.shedder.guard
-	if !guard.Limited() || e.mayBeKnown(s) {
+	if !guard.Limited() || e.MayBeKnown(s) {
 		guard.Count()
 		return true
 	}
@@ -78,7 +78,7 @@
 	return false
 }
 
-// mayBeKnown reports whether the job may have been submitted before.
-func (e *Entry) mayBeKnown(s batch.Submission) bool {
+// MayBeKnown reports whether the job may have been submitted before, here or elsewhere.
+func (e *Entry) MayBeKnown(s batch.Submission) bool {
 	return e.Core.LooksResubmitted(s) || e.Core.KnowsJob(s.Job.ID) || e.keeper.JobState(s.Job.ID) != dispatch.DurableUnknown
 }
--- a/process/observe/names.go
+++ b/process/observe/names.go
@@ -124,6 +124,13 @@
 	// ZonesEvacuated is the number of availability zones that the operator has evacuated.
 	ZonesEvacuated = "zones_evacuated"
 
+	// IntakeBytes is the memory that unfinished requests take, in bytes, IntakeConnections the
+	// number of open connections that the bounds apply to.
+	IntakeBytes       = "intake_bytes"
+	IntakeConnections = "intake_connections"
+	// IntakeGivenUp counts requests and connections of clients that were given up, by TagReason.
+	IntakeGivenUp = "intake_given_up"
+
 	// ConfigFaults is the number of faults in the configuration in force.
 	ConfigFaults = "config_faults"
 )
