intake: faults found in the review of the merged parts

Cause: (1) a folded line of one space, or empty lines before a request, counted as the end of a head, after which nothing was counted; (2) a charge that grew after its connection was closed was never returned; (3) a connection chosen for closing could have become busy meanwhile, and a head that had to give way was served; (4) the time of a body counted while its handler still waited for a configuration. Change: the end of a head is an empty line after one that was not; closed charges take nothing; a connection is closed only in the phase in which it was chosen; the time of a body begins with its first read. The share of memory of the runtime stands once; Limits.Admin was read nowhere. Measured: TestHeadLimits (two cases more), TestClosedChargeTakesNothing, TestBusyConnectionIsNotClosedForAnother pass with -race.

--- a/cmd/azurerouter/daemons.go
+++ b/cmd/azurerouter/daemons.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 
+	"github.com/azurerouter/azurerouter/connection/intake"
 	"github.com/azurerouter/azurerouter/process/agent"
 	"github.com/azurerouter/azurerouter/process/entry"
 	"github.com/azurerouter/azurerouter/process/observe"
@@ -31,7 +32,7 @@
 		return fail(stderr, "entry", err)
 	}
 	if s.InstanceMemoryMB > 0 {
-		debug.SetMemoryLimit(int64(settings.MemoryLimitShare * float64(s.InstanceMemory())))
+		debug.SetMemoryLimit(int64(intake.RuntimeMemoryShare * float64(s.InstanceMemory())))
 	}
 	observer := observe.New(s.Name, stderr)
 	defer observer.Close()
--- a/cmd/azurerouter/platform.go
+++ b/cmd/azurerouter/platform.go
@@ -29,11 +29,6 @@
 	// stopAllowance is the time in which an agent stops the runs of an entry whose session
 	// has ended.
 	stopAllowance = 200 * time.Millisecond
-	// memoryLimitShare is the share of the platform's memory limit that is set as the soft
-	// limit of the Go runtime; the process is killed above the platform's limit. The rest is for
-	// memory outside the heap, about 10 MB, and for bytes that the kernel holds for clients, at most
-	// 32 KiB for each connection, which is 22 % of an instance with the most connections.
-	memoryLimitShare = 0.7
 	// entryGCPercent trades memory for processor time: the heap of an entry is small, so
 	// that collections are frequent while it is busy.
 	entryGCPercent = 300
@@ -74,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryLimit)))
+	debug.SetMemoryLimit(int64(intake.RuntimeMemoryShare * float64(settings.MemoryLimit)))
 	debug.SetGCPercent(gcPercent)
 	limitThreads(settings.Cores)
 	log := observe.NewNonBlockingWriter(stdout, logQueueLines)
--- a/connection/intake/body.go
+++ b/connection/intake/body.go
@@ -51,6 +51,10 @@
 		return nil, ErrTooLarge
 	}
 	conn := connOf(r.Context())
+	if conn != nil && phase(conn.phase.Load()) == phaseBody {
+		// The time of the body counts from its first read: the handler may have waited before.
+		conn.setPhase(phaseBody)
+	}
 	b := &Body{conn: conn}
 	if err := b.read(r, limit); err != nil {
 		evicted := b.charge != nil && b.charge.wasEvicted()
--- a/connection/intake/budget.go
+++ b/connection/intake/budget.go
@@ -40,6 +40,8 @@
 	evict func()
 	usage
 	isEvicted bool
+	// closed is set when nothing is charged any more.
+	closed bool
 	// head is the charge for the head of the same request, or nil.
 	head *charge
 }
@@ -75,9 +77,11 @@
 		b.refused++
 		return ErrNoRoom
 	}
-	for !c.isEvicted && b.used+n > b.total && !b.alone(c) {
+	for !c.isEvicted && !c.closed && b.used+n > b.total && !b.alone(c) {
 		if b.used-b.leaving+n <= b.total {
+			began := time.Now()
 			b.changed.Wait()
+			now = now.Add(time.Since(began))
 			continue
 		}
 		victim := b.victim(now, c, n)
@@ -87,7 +91,9 @@
 		}
 		b.evictLocked(victim)
 	}
-	if c.isEvicted {
+	if c.isEvicted || c.closed {
+		// A connection may be closed while its reader waits here. What it charged then would
+		// never be returned.
 		return ErrNoRoom
 	}
 	c.held += n
@@ -174,6 +180,7 @@
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	c.closed = true
 	c.shrinkLocked(c.held)
 	delete(b.charges, c)
 }
--- a/connection/intake/conn.go
+++ b/connection/intake/conn.go
@@ -48,8 +48,10 @@
 	// headEnded is set once its end has arrived, and headCharged is what was charged for it. Only
 	// the reader of the connection uses them.
 	headBytes, headLines, lineBytes int
-	headEnded                       bool
-	headCharged                     int64
+	// lineLast is the last byte of that line, and headBegan is set once a line was not empty.
+	lineLast             byte
+	headBegan, headEnded bool
+	headCharged          int64
 
 	mu sync.Mutex
 	// head is the charge for a head that takes more than freeHeadCost, or nil. closed is set when
@@ -72,9 +74,28 @@
 // the wall clock.
 var clockStart = time.Now()
 
-func (c *Conn) setPhase(p phase) {
-	c.since.Store(int64(time.Since(clockStart)))
-	c.phase.Store(int32(p))
+// setPhase begins a phase. It reports false if the connection is being closed for another one.
+func (c *Conn) setPhase(p phase) bool {
+	for {
+		current := c.phase.Load()
+		if phase(current) == phaseClosed {
+			return false
+		}
+		c.since.Store(int64(time.Since(clockStart)))
+		if c.phase.CompareAndSwap(current, int32(p)) {
+			return true
+		}
+	}
+}
+
+// closeInPhase closes the connection unless it has left the phase: a request that has arrived
+// meanwhile is served. It reports whether it closed it.
+func (c *Conn) closeInPhase(p phase) bool {
+	if !c.phase.CompareAndSwap(int32(p), int32(phaseClosed)) {
+		return false
+	}
+	c.Close()
+	return true
 }
 
 func (c *Conn) view() connView {
@@ -90,7 +111,11 @@
 	}
 	switch phase(c.phase.Load()) {
 	case phaseIdle:
-		c.setPhase(phaseHead)
+		if !c.setPhase(phaseHead) {
+			return 0, net.ErrClosed
+		}
+	case phaseClosed:
+		return 0, net.ErrClosed
 	case phaseHead:
 	default:
 		return n, err
@@ -127,20 +152,27 @@
 	return c.chargeHead(n, len(data))
 }
 
-// countLines counts the bytes and lines of a head up to the empty line that ends it.
+// countLines counts the bytes and lines of a head up to the empty line that ends it. Empty lines
+// before a request do not end its head.
 func (c *Conn) countLines(data []byte) {
 	for !c.headEnded && len(data) > 0 {
 		i := bytes.IndexByte(data, '\n')
 		if i < 0 {
 			c.headBytes += len(data)
 			c.lineBytes += len(data)
+			c.lineLast = data[len(data)-1]
 			return
 		}
 		c.headBytes += i + 1
 		c.lineBytes += i
 		c.headLines++
+		if i > 0 {
+			c.lineLast = data[i-1]
+		}
 		// The end of a line is a line feed, usually after a carriage return.
-		c.headEnded = c.headLines > 1 && c.lineBytes <= 1
+		isEmpty := c.lineBytes == 0 || c.lineBytes == 1 && c.lineLast == '\r'
+		c.headEnded = isEmpty && c.headBegan
+		c.headBegan = c.headBegan || !isEmpty
 		c.lineBytes, data = 0, data[i+1:]
 	}
 }
@@ -166,19 +198,20 @@
 	return nil
 }
 
-// headArrived ends the phase of the head.
-func (c *Conn) headArrived(next phase) {
-	c.setPhase(next)
+// headArrived ends the phase of the head. It reports false if the request has to be given up,
+// because its head had to give way or the connection is being closed.
+func (c *Conn) headArrived(next phase) bool {
+	if !c.setPhase(next) {
+		return false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.head != nil {
-		c.head.finish()
-	}
+	return c.head == nil || c.head.finish()
 }
 
 // becomeIdle releases what the last request has taken.
 func (c *Conn) becomeIdle() {
-	c.headBytes, c.headLines, c.lineBytes, c.headEnded, c.headCharged = 0, 0, 0, false, 0
+	c.headBytes, c.headLines, c.lineBytes, c.headBegan, c.headEnded, c.headCharged = 0, 0, 0, false, false, 0
 	c.setPhase(phaseIdle)
 	c.releaseHead()
 }
--- a/connection/intake/conns.go
+++ b/connection/intake/conns.go
@@ -19,6 +19,8 @@
 	phaseBusy
 	// phaseIdle: the last request was answered.
 	phaseIdle
+	// phaseClosed: the connection is closed for another one. No other phase follows.
+	phaseClosed
 )
 
 // headAllowance is the age up to which a new connection is closed only after idle ones.
@@ -34,7 +36,7 @@
 // rank orders connections by how readily they are closed; 0 means never.
 func (v connView) rank(now time.Time) int {
 	switch {
-	case v.phase == phaseBusy:
+	case v.phase == phaseBusy || v.phase == phaseClosed:
 		return 0
 	case v.phase == phaseIdle:
 		return 2
@@ -103,12 +105,16 @@
 		t.mu.Unlock()
 		return false
 	}
-	t.closed++
-	delete(t.conns, conns[i])
 	t.conns[c] = struct{}{}
 	t.mu.Unlock()
-	conns[i].Close()
-	return true
+	if conns[i].closeInPhase(views[i].phase) {
+		t.count(&t.closed)
+		return true
+	}
+	// A request has arrived there meanwhile.
+	t.remove(c)
+	t.count(&t.refused)
+	return false
 }
 
 func (t *connTable) remove(c *Conn) {
@@ -137,22 +143,24 @@
 		began, writes := c.writesSince()
 		switch {
 		case writes && now.Sub(began) > writeTimeout:
-			t.countTimeout()
+			t.count(&t.timedOut)
 			c.Close()
 		case v.phase == phaseIdle && waited > limits.IdleTimeout:
-			c.Close()
+			c.closeInPhase(phaseIdle)
 		case v.phase == phaseHead && waited > limits.HeaderTimeout:
-			t.countTimeout()
-			c.Close()
+			if c.closeInPhase(phaseHead) {
+				t.count(&t.timedOut)
+			}
 		case v.phase == phaseBody && waited > bodyTimeout && !c.interrupted.Load():
-			t.countTimeout()
+			t.count(&t.timedOut)
 			c.interrupt()
 		}
 	}
 }
 
-func (t *connTable) countTimeout() {
+// count adds one to a counter of the table.
+func (t *connTable) count(counter *uint64) {
 	t.mu.Lock()
-	t.timedOut++
+	*counter++
 	t.mu.Unlock()
 }
--- a/connection/intake/limits.go
+++ b/connection/intake/limits.go
@@ -29,14 +29,19 @@
 // DefaultMemory is the memory of an instance whose settings name none, in bytes.
 const DefaultMemory = 1 << 30
 
+// RuntimeMemoryShare is the share of the memory of an instance that is set as the soft limit of the
+// Go runtime. The rest is for memory outside the heap, about 10 MB, and for bytes that the kernel holds
+// for clients, at most 32 KiB for each connection, which is 22 % of an instance with the most connections.
+const RuntimeMemoryShare = 0.7
+
 // Limits are the bounds of one process.
 type Limits struct {
 	// Bytes is the budget for unfinished requests.
 	Bytes int64
 	// Conns is the largest number of open connections of callers, Links of connections of
 	// other processes before their first message, Checks and Control of those to the
-	// listeners for readiness checks and for the target, Admin of those of operators.
-	Conns, Links, Checks, Control, Admin int
+	// listeners for readiness checks and for the target.
+	Conns, Links, Checks, Control int
 }
 
 // DeriveLimits returns the bounds for an instance with an amount of memory in bytes and a
@@ -49,7 +54,6 @@
 		Links:   min(descriptors/8, max(int(memory/connShare/connBytes), minConns)),
 		Checks:  min(64, descriptors/16),
 		Control: min(256, descriptors/16),
-		Admin:   min(32, descriptors/32),
 	}
 }
 
--- a/connection/intake/server.go
+++ b/connection/intake/server.go
@@ -46,7 +46,10 @@
 			if r.ContentLength != 0 {
 				next = phaseBody
 			}
-			c.headArrived(next)
+			if !c.headArrived(next) {
+				// Ends the connection without a response.
+				panic(http.ErrAbortHandler)
+			}
 		}
 		h.ServeHTTP(w, r)
 	})
--- a/connection/intake/server_test.go
+++ b/connection/intake/server_test.go
@@ -6,10 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/azurerouter/azurerouter/standin/freeport"
 )
 
@@ -70,10 +73,12 @@
 		request  string
 		accepted bool
 	}{
-		"ordinary":   {head(10, "X-A: b\r\n"), true},
-		"100 lines":  {head(100, "X-A: "+strings.Repeat("b", 100)+"\r\n"), true},
-		"many lines": {head(1000, "a:\r\n"), false},
-		"too long":   {head(30, "X-A: "+strings.Repeat("b", 1000)+"\r\n"), false},
+		"ordinary":                  {head(10, "X-A: b\r\n"), true},
+		"100 lines":                 {head(100, "X-A: "+strings.Repeat("b", 100)+"\r\n"), true},
+		"many lines":                {head(1000, "a:\r\n"), false},
+		"folded lines of one space": {"POST / HTTP/1.1\r\nHost: x\r\n \n" + strings.Repeat("a:\r\n", 1000) + "\r\n", false},
+		"empty lines before":        {"\n\n" + head(1000, "a:\r\n"), false},
+		"too long":                  {head(30, "X-A: "+strings.Repeat("b", 1000)+"\r\n"), false},
 	}
 	for name, c := range cases {
 		_, response := exchange(t, addr, c.request)
@@ -110,6 +115,42 @@
 	}
 }
 
+// Guards against bytes that stay charged for good because a connection is closed while its
+// reader waits for room.
+func TestClosedChargeTakesNothing(t *testing.T) {
+	b := newBudget(100)
+	leaving, waiting := b.open(time.Now(), netip.Addr{}, func() {}), b.open(time.Now(), netip.Addr{}, func() {})
+	if err := leaving.grow(time.Now(), 100); err != nil {
+		t.Fatal(err)
+	}
+	b.mu.Lock()
+	b.evictLocked(leaving)
+	b.mu.Unlock()
+	result := make(chan error)
+	go func() { result <- waiting.grow(time.Now(), 50) }()
+	waiting.close()
+	leaving.close()
+	if err := <-result; !errors.Is(err, ErrNoRoom) {
+		t.Errorf("a closed charge grew: %v", err)
+	}
+	if b.used != 0 {
+		t.Errorf("%d bytes stay charged", b.used)
+	}
+}
+
+// Guards against closing a connection on which a request has arrived since it was chosen.
+func TestBusyConnectionIsNotClosedForAnother(t *testing.T) {
+	c := &Conn{}
+	c.setPhase(phaseIdle)
+	if !c.headArrived(phaseBusy) || c.closeInPhase(phaseIdle) {
+		t.Error("a connection with a request was closed")
+	}
+	c.phase.Store(int32(phaseClosed))
+	if c.headArrived(phaseBusy) {
+		t.Error("a request of a closed connection is served")
+	}
+}
+
 // Guards against slow bodies that keep an ordinary request out.
 func TestSlowBodyGivesWay(t *testing.T) {
 	in, addr := serveEcho(t, ListenerOptions{MaxConns: 10})
--- a/process/settings/intake.go
+++ b/process/settings/intake.go
@@ -10,10 +10,6 @@
 )
 
 const (
-	// MemoryLimitShare is the share of the memory of an instance that is set as the soft limit of
-	// the Go runtime. The rest is for memory outside the heap and for bytes that the kernel holds
-	// for clients.
-	MemoryLimitShare = 0.7
 	// environmentShare is the share that GOMEMLIMIT is taken to be of the memory of an instance.
 	environmentShare = 0.8
 	// defaultDescriptors is the limit of file descriptors if the system does not tell it.
