runner, dispatch, node: faults found in the review of the merged parts

Cause: (1) an agent whose run was still stopping at the end of a session enrolled again only with the next message of the entry; (2) orders sent before an enrolment on a second connection could be carried out after it; (3) entries that differ on whether capacity is enforced made a target open and close; versions of the configuration that take effect side by side could leave the older one's services in force; (4) a pool whose first target was moved there never counted as having had one; (5) runs stopped because their session ended counted as stragglers; (6) an explanation looked at the targets of all steps of a job. Change: resume in each flush; enrolments have a clock of their own; the flag is kept for each session and one true suffices; services are applied under a lock from the version in force; see the tests.

--- a/process/dispatch/assign.go
+++ b/process/dispatch/assign.go
@@ -62,17 +62,17 @@
 	out := orderBatch{orders: make(map[*target]*wire.Orders)}
 	var left []group
 	waits := newLocalityPass()
-	without, mayStart := 0, c.mayStartDurable(now)
-	for queue.Len() > 0 && without < maxUnplacedGroups {
+	withoutRoom, mayStart := 0, c.mayStartDurable(now)
+	for queue.Len() > 0 && withoutRoom < maxUnplacedGroups {
 		g := queue.next()
 		if !g.waits() || g.job.onHold(now, mayStart) {
 			continue
 		}
 		switch c.place(now, p, g, waits, &out) {
 		case placed:
-			without = 0
+			withoutRoom = 0
 		case unplaced:
-			without++
+			withoutRoom++
 		}
 		if g.waits() {
 			g.rank = g.job.rank(now.UnixNano(), g.state())
@@ -90,7 +90,7 @@
 		c.endJob(now, p, j, unfinishedResult(j, ReasonCallerLeft))
 	}
 	if waiting != nil {
-		c.announceWaiting(now, p, waiting, without)
+		c.announceWaiting(now, p, waiting, withoutRoom)
 	}
 }
 
@@ -175,12 +175,12 @@
 		next := state.ready[0]
 		state.ready = state.ready[1:]
 		next.lastNumber++
-		r := &run{task: next, target: t, number: next.lastNumber, orderedAt: now, demand: step.Demand, load: t.loadWith(step.Demand)}
+		r := &run{task: next, target: t, number: next.lastNumber, orderedAt: now, demand: step.Demand, load: t.loadWith(step.Demand), stopIfSlow: p.mayRestart(next)}
 		next.liveRun = r
 		t.runs[r.id()] = r
 		p.addToNodeCount(r, 1)
 		j.runsStarted++
-		start.Tasks = append(start.Tasks, wire.StartTask{Index: next.index, RunNumber: next.lastNumber, StopIfSlow: p.mayRestart(next)})
+		start.Tasks = append(start.Tasks, wire.StartTask{Index: next.index, RunNumber: next.lastNumber, StopIfSlow: r.stopIfSlow})
 		t.inFlight = append(t.inFlight, inFlightOrder{t.lastSequence + 1, step.Demand})
 	}
 	c.counters.runsOrdered.Add(uint64(len(start.Tasks)))
--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -76,7 +76,7 @@
 	lastProbe    time.Time
 	// jobs holds the active jobs, durable ones included.
 	jobs map[batch.ID]*activeJob
-	// enrolled is set once an agent of the service has enrolled.
+	// enrolled is set once the pool has had a target.
 	enrolled bool
 	// durable holds the durable jobs until ForgetDurable is called: an ended job
 	// stays until its end is recorded.
@@ -268,6 +268,7 @@
 }
 
 func (p *pool) addTarget(t *target) {
+	p.enrolled = true
 	p.targets[t.agent] = t
 	p.targetList = append(p.targetList, t)
 }
--- a/process/dispatch/durations.go
+++ b/process/dispatch/durations.go
@@ -74,7 +74,7 @@
 func (c *Core) noteRestart(now time.Time, p *pool, r *run, report wire.RunReport) {
 	t := r.task
 	switch {
-	case report.End == batch.EndStopped && !r.stopRequested:
+	case report.End == batch.EndStopped && !r.stopRequested && r.stopIfSlow && p.ranLong(t, report):
 		t.restarted = true
 		c.counters.stragglers.Add(1)
 	case report.End == batch.EndDone && t.restarted:
@@ -87,6 +87,13 @@
 	}
 }
 
+// ranLong reports whether a run took longer than is usual. An agent also stops runs because
+// their session has ended.
+func (p *pool) ranLong(t *task, report wire.RunReport) bool {
+	usual := p.speeds.Class(t.job.Queue).Usual(t.job.Job.Steps[t.step].Estimate)
+	return time.Duration(report.RanMS)*time.Millisecond > usual
+}
+
 // stragglerFactor is the ratio to the usual duration from which a run that was started again
 // counts as slow once more.
 const stragglerFactor = 3
--- a/process/dispatch/explain.go
+++ b/process/dispatch/explain.go
@@ -14,8 +14,8 @@
 const (
 	// explainedID is the ID of a job that is only explained.
 	explainedID batch.ID = "explained"
-	// maxExplainedSteps bounds the steps whose candidates are listed, maxExplainedTargets
-	// the candidates of each of them.
+	// maxExplainedSteps bounds the steps that are explained, since sessions are not renewed
+	// meanwhile, and maxExplainedTargets the candidates of each of them.
 	maxExplainedSteps   = 4
 	maxExplainedTargets = 1000
 	// maxExplainedAhead bounds the groups ahead whose placement is tried for an
@@ -161,18 +161,18 @@
 		return e
 	}
 	waits := newLocalityPass()
-	var without int
-	e.Ahead, without = c.explainAhead(now, p, *first, waits)
+	var withoutRoom int
+	e.Ahead, withoutRoom = c.explainAhead(now, p, *first, waits)
 	e.Ahead.WaitMS = c.expectedWait(now, first.adjustedStart, p).Milliseconds()
 	listed := 0
 	for step := range j.steps {
 		x := explainedStep(j, step)
 		if state := &j.steps[step]; len(state.ready) > 0 {
 			g := group{job: j, step: step, rank: j.rank(now.UnixNano(), state), adjustedStart: state.adjustedStart}
-			c.explainStep(now, p, g, waits, without, &x)
 			if listed++; listed > maxExplainedSteps {
-				x.Candidates = nil
+				break
 			}
+			c.explainStep(now, p, g, waits, withoutRoom, &x)
 		}
 		e.Steps = append(e.Steps, x)
 	}
@@ -198,7 +198,7 @@
 
 // explainAhead describes the groups that are served before a group, and goes through them
 // as a pass does. It returns how many groups without room come last before the group.
-func (c *Core) explainAhead(now time.Time, p *pool, g group, waits *localityPass) (ahead ExplainedQueue, without int) {
+func (c *Core) explainAhead(now time.Time, p *pool, g group, waits *localityPass) (ahead ExplainedQueue, withoutRoom int) {
 	var groups []group
 	mayStart := c.mayStartDurable(now)
 	for _, j := range p.jobs {
@@ -232,13 +232,13 @@
 		case chosen.tasksNow(other) == 0:
 			waits.add(other, chosen)
 		case chosen.target == nil:
-			without++
+			withoutRoom++
 		default:
-			without = 0
+			withoutRoom = 0
 			ahead.CanStart++
 		}
 	}
-	return ahead, without
+	return ahead, withoutRoom
 }
 
 func explainedStep(j *activeJob, step int) ExplainedStep {
@@ -246,9 +246,9 @@
 	return ExplainedStep{Step: step, Tasks: s.Tasks, Demand: s.Demand, DataRack: s.DataRack, Outcome: StepDepends, StartMS: -1}
 }
 
-// explainStep sets what happens to the tasks of a group that may start now. without is the
+// explainStep sets what happens to the tasks of a group that may start now. withoutRoom is the
 // number of groups before it that have found no room.
-func (c *Core) explainStep(now time.Time, p *pool, g group, waits *localityPass, without int, x *ExplainedStep) {
+func (c *Core) explainStep(now time.Time, p *pool, g group, waits *localityPass, withoutRoom int, x *ExplainedStep) {
 	before := *p.source
 	x.Candidates = c.candidates(now, p, g)
 	p.restoreRandom(&before)
@@ -260,7 +260,7 @@
 		}
 	}
 	switch {
-	case without >= maxUnplacedGroups:
+	case withoutRoom >= maxUnplacedGroups:
 		x.Outcome = StepBehind
 	case chosen.target == nil:
 		x.Outcome = StepWaits
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -122,6 +122,8 @@
 	// crash is what is known of a crash of the target once the run has ended.
 	crash  crashKind
 	demand batch.Resources
+	// stopIfSlow is set if the agent may stop the run because it is slow.
+	stopIfSlow bool
 	// load is the share of the target that was in use when the run was ordered.
 	load float64
 }
--- a/process/dispatch/services_test.go
+++ b/process/dispatch/services_test.go
@@ -44,3 +44,26 @@
 		}
 	}
 }
+
+// Guards against an entry that lets jobs wait for the first agent of a service for as long as
+// their callers do, although its agents were there and are gone: an agent that has just
+// started enrolls before it knows the service of its target.
+func TestTargetThatJoinsItsServiceLaterCountsAsTheFirst(t *testing.T) {
+	c := newCluster(t, 1, 1, equalRooms(1, 8000))
+	e, a := c.entries[0], c.agents[0]
+	e.alive, a.alive = false, false
+	c.run(100 * time.Millisecond)
+	a.node = node{alive: true, id: wire.Incarnation(c.random.Uint64())}
+	a.pendingHolds, a.inbox = nil, nil
+	a.core = runner.New((*agentEnv)(a), runner.Options{Agent: a.id, Node: a.name, Zone: a.zone, Fence: uint64(c.now.UnixMilli())})
+	c.startEntry(e)
+	e.core.HandleEnroll(&wire.Enroll{Agent: a.id, Node: a.name, Zone: a.zone, Clock: c.now.UnixMicro()})
+	e.core.HandleReport(a.id, &wire.AgentReport{Clock: c.now.UnixMicro() + 1, Target: &wire.TargetState{Target: "target-0", Service: serviceName, Revision: 1}})
+	a.alive = false
+	c.run(2 * time.Second)
+	k := c.call(c.submission("check", 1, 30*time.Millisecond, 1000, 0), 0)
+	c.run(time.Second)
+	if k.result == nil {
+		t.Error("the job waits for an agent although that of the service is gone")
+	}
+}
--- a/process/dispatch/target.go
+++ b/process/dispatch/target.go
@@ -85,7 +85,7 @@
 	}
 	t.node, t.zone = m.Node, m.Zone
 	t.connected, t.lastReceived, t.lastClock = true, now, m.Clock
-	p.lastReceived, p.enrolled = now, true
+	p.lastReceived = now
 	t.state, t.reportedFree, t.inFlight, t.lastSequence, t.waitingAnnounced = m.Target, m.Free, nil, 0, false
 	t.speed = p.speeds.Target(now, t.node, incarnationOf(t.state))
 	c.env.Record(decision.Decision{Step: "agent", Peer: m.Node, Outcome: "enrolled", Reason: string(m.Target.Closed),
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -115,6 +115,10 @@
 	limits   intake.Limits
 	intake   *intake.Intake
 	started  time.Time
+	// servicesMu is held while the services of a configuration take effect, and guards
+	// services, which are those of the last one.
+	servicesMu sync.Mutex
+	services   map[string]bool
 	// configured is closed when the first configuration is in force.
 	configured chan struct{}
 	// configUnreadable is set while the operator's configuration cannot be read.
@@ -248,9 +252,7 @@
 	}
 	e.observer.Log.Info().Str("step", "config").Uint64("version", c.Version).Str("source", source).Int("queues", len(c.Queues)).
 		Str("outcome", "in_force").Msg("configuration")
-	for _, service := range c.Services {
-		e.Core.SetCapacityEnforced(service.Name, service.EnforcesCapacity)
-	}
+	e.applyServices()
 	update := &wire.RoutingUpdate{Config: c}
 	e.mu.Lock()
 	peers := make([]*processLink, 0, len(e.peers))
@@ -263,6 +265,26 @@
 	}
 }
 
+// applyServices tells the core which services of the configuration in force have targets that
+// enforce their capacity. Calls for several versions end with the newest.
+func (e *Entry) applyServices() {
+	e.servicesMu.Lock()
+	defer e.servicesMu.Unlock()
+	enforced := make(map[string]bool)
+	for _, service := range e.RoutingTable().Services {
+		enforced[service.Name] = service.EnforcesCapacity
+	}
+	for service := range e.services {
+		if _, listed := enforced[service]; !listed {
+			e.Core.SetCapacityEnforced(service, false)
+		}
+	}
+	for service, enforces := range enforced {
+		e.Core.SetCapacityEnforced(service, enforces)
+	}
+	e.services = enforced
+}
+
 var (
 	errNoConfig         = errors.New("no configuration yet")
 	errStopping         = errors.New("stopping")
--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -222,7 +222,7 @@
 	defer c.mu.Unlock()
 	now := c.env.Now()
 	s := c.sessions[entry]
-	if s == nil || !s.connected || orders.ClockEcho < s.resumedClock {
+	if s == nil || !s.connected || orders.ClockEcho < s.enrolledClock {
 		return
 	}
 	c.endSessionIfExpired(now, s)
@@ -232,7 +232,7 @@
 		s.ended = len(orders.Starts) > 0 && now.After(s.expiresAt)
 	}
 	s.idleRenew = orders.IdleRenewInterval()
-	c.setCapacityEnforced(orders.CapacityEnforced)
+	c.setCapacityEnforced(s, orders.CapacityEnforced)
 	s.handledSequence = max(s.handledSequence, orders.Sequence)
 	c.settleEnds(now, orders)
 	s.forgetReports(orders.RecordedEnds)
@@ -253,8 +253,8 @@
 	if now.Sub(s.lastSentAt) >= replyAfter {
 		c.sendReport(now, s, false)
 	}
+	s.resumable = s.ended
 	c.flush(now)
-	c.resumeEnded(now, s)
 }
 
 // later returns the later of two times.
--- a/process/runner/session.go
+++ b/process/runner/session.go
@@ -28,10 +28,13 @@
 	// the current connection.
 	handledSequence uint64
 	lastSentAt      time.Time
-	// lastClock is the highest clock value sent to the entry. resumedClock is that of the
-	// enrolment that has resumed the session on its connection, or zero: messages with an
-	// earlier echo were sent before the entry had handled it.
-	lastClock, resumedClock int64
+	// lastClock is the highest clock value sent to the entry. enrolledClock is that of the
+	// last enrolment: messages with an earlier echo were sent before the entry had handled it.
+	lastClock, enrolledClock int64
+	// capacityEnforced is set if the entry has said that the target enforces its capacity.
+	capacityEnforced bool
+	// resumable is set once the entry has sent a message after the end of the session.
+	resumable bool
 	// pendingReports have not been sent yet. recentReports are repeated when the
 	// entry reconnects.
 	pendingReports []wire.RunReport
@@ -64,7 +67,6 @@
 	if s == nil || (s.ended && !c.holdsRunsOf(entry)) {
 		s = c.openSession(now, entry)
 	}
-	s.resumedClock = 0
 	c.enroll(now, s)
 }
 
@@ -72,24 +74,21 @@
 func (c *Core) openSession(now time.Time, entry wire.Incarnation) *session {
 	fresh := &session{entry: entry, expiresAt: now.Add(wire.SessionTTL), idleRenew: wire.SessionRenewInterval}
 	if s := c.sessions[entry]; s != nil {
-		fresh.recentReports, fresh.lastClock = s.recentReports, s.lastClock
+		fresh.recentReports, fresh.lastClock, fresh.capacityEnforced = s.recentReports, s.lastClock, s.capacityEnforced
 	}
 	c.sessions[entry] = fresh
 	return fresh
 }
 
-// resumeEnded opens a new session on the connection of one that has ended, once no run of
-// the entry is alive here. An entry that was slow is not dialled again for it, which would
+// resumeEnded opens a new session on the connection of one that has ended, once the entry has
+// sent a message since and no run of it is alive here. An entry that was slow is not dialled again for it, which would
 // cost it more processor time. An entry of a version that expects enrolments only on new
 // connections closes this one.
 func (c *Core) resumeEnded(now time.Time, s *session) {
-	if !s.ended || c.holdsRunsOf(s.entry) {
+	if !s.resumable || c.holdsRunsOf(s.entry) {
 		return
 	}
-	fresh := c.openSession(now, s.entry)
-	fresh.lastClock++
-	c.enroll(now, fresh)
-	fresh.resumedClock = fresh.lastClock
+	c.enroll(now, c.openSession(now, s.entry))
 	c.env.Record(decision.Decision{Step: "session_end", Peer: s.entry.String(), Outcome: "enrolled_again",
 		Age: now.Sub(s.expiresAt) + wire.SessionTTL})
 }
@@ -106,9 +105,11 @@
 func (c *Core) enroll(now time.Time, s *session) {
 	entry := s.entry
 	s.connected, s.handledSequence, s.waiting = true, 0, false
+	s.lastClock = max(s.lastClock+1, now.UnixMicro())
+	s.enrolledClock = s.lastClock
 	s.pendingReports, s.reportAt, s.lastSentAt, s.sentRevision = c.keptCrashReports(now), now, now, c.revision
 	enroll := &wire.Enroll{Agent: c.options.Agent, Node: c.options.Node, Zone: c.options.Zone,
-		Clock: s.nextClock(now), Target: c.targetState(), Free: c.free()}
+		Clock: s.lastClock, Target: c.targetState(), Free: c.free()}
 	for _, recent := range s.recentReports {
 		enroll.HeldRuns = append(enroll.HeldRuns, recent.report)
 	}
@@ -172,7 +173,7 @@
 }
 
 // flush sends each connected entry its pending reports and the target state if
-// it has changed, or a renewal of its session when that is due.
+// it has changed, or a renewal of its session when that is due. It resumes ended sessions.
 func (c *Core) flush(now time.Time) {
 	for _, entry := range slices.Sorted(maps.Keys(c.sessions)) {
 		s := c.sessions[entry]
@@ -184,6 +185,7 @@
 		if reportsDue || renewalDue || s.sentRevision != c.revision {
 			c.sendReport(now, s, false)
 		}
+		c.resumeEnded(now, s)
 	}
 }
 
@@ -215,7 +217,8 @@
 	if invited == nil || invited == s || !now.Before(c.reservedUntil) {
 		return free
 	}
-	return free.Sub(invited.smallestDemand)
+	left := free.Sub(invited.smallestDemand)
+	return batch.Resources{MilliCPU: max(left.MilliCPU, 0), MemoryMiB: max(left.MemoryMiB, 0), GPUs: max(left.GPUs, 0)}
 }
 
 // forgetReports forgets the reports on runs that the entry has settled.
--- a/process/runner/target.go
+++ b/process/runner/target.go
@@ -108,12 +108,19 @@
 }
 
 // setCapacityEnforced records whether the target enforces its capacity, as an entry says.
-func (c *Core) setCapacityEnforced(enforced bool) {
-	if c.capacityEnforced == enforced {
+// It does if any connected entry says so: one without a configuration, or of a version that
+// does not know, says that it does not.
+func (c *Core) setCapacityEnforced(s *session, enforced bool) {
+	s.capacityEnforced = enforced
+	any := false
+	for _, other := range c.sessions {
+		any = any || other.connected && other.capacityEnforced
+	}
+	if c.capacityEnforced == any {
 		return
 	}
 	before := c.closedReason()
-	c.capacityEnforced = enforced
+	c.capacityEnforced = any
 	if c.closedReason() != before {
 		c.bumpRevision()
 	}
