review: case 10, one incomplete heartbeat closes an executor for good

Tried: one heartbeat of another writer, with the state draining and most fields missing, is sent to the agent of each of eight executors while kept jobs wait.

--- a/review/_second/cases.go
+++ b/review/_second/cases.go
@@ -121,6 +121,54 @@
 	return nil
 }
 
+// foreignDraining: another writer sends one heartbeat with the id of each executor and the state
+// draining, which lacks most fields.
+func foreignDraining(r *record, trouble bool) (verdict, error) {
+	s, err := startServing(r, 2, sameMachines(8), service, service)
+	defer s.close()
+	if err != nil {
+		return nil, err
+	}
+	var ids []string
+	for range 12 {
+		j := job{id: newID(), tasks: 10, ms: 2000, cpu: 1600}
+		if err := s.submit(s.entries[0], j); err != nil {
+			return nil, err
+		}
+		ids = append(ids, j.id)
+	}
+	if trouble {
+		for _, e := range s.executors {
+			body := fmt.Sprintf(`{"service":%q,"state":"draining","room":{"cpu":16000,"memMb":32768,"gpu":0},"sequence":%d}`, service, foreignFirstSequence)
+			status := e.post("Heartbeat", e.id, body)
+			r.note("another writer sends a heartbeat of %s with state draining to its agent: %d", e.id, status)
+		}
+	}
+	time.Sleep(14 * time.Second)
+	return s.stuckJobs(ids), nil
+}
+
+// stuckJobs asks for jobs for 4 s and returns those that are not completed, if nothing runs.
+func (s *system) stuckJobs(ids []string) verdict {
+	var open []string
+	for range 8 {
+		open = nil
+		for _, id := range ids {
+			if state := s.state(s.entries[1], id); state != "completed" {
+				open = append(open, id+" is "+state)
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	var broken verdict
+	for _, text := range open {
+		if running := s.running(); running == 0 {
+			broken = append(broken, fmt.Sprintf("job %s, no task runs on any executor; it has had %d runs", text, len(s.record.runsOf(text[:16]))))
+		}
+	}
+	return broken
+}
+
 // twoCrashes: the executor that runs the only task of a kept job crashes, and so does the next
 // one that runs it.
 func twoCrashes(r *record, trouble bool) (verdict, error) {
@@ -219,30 +267,7 @@
 	// finish_s after the end of the traffic the jobs are asked for, for 4 s.
 	time.Sleep(14 * time.Second)
 	s.request(s.entries[1], http.MethodGet, "", "")
-	var stuck []string
-	for range 8 {
-		var open []string
-		for _, id := range ids {
-			if state := s.state(s.entries[1], id); state != "completed" {
-				open = append(open, id+" is "+state)
-			}
-		}
-		stuck = open
-		time.Sleep(500 * time.Millisecond)
-	}
-	var broken verdict
-	for _, text := range stuck {
-		last := time.Time{}
-		for _, run := range r.runsOf(text[:16]) {
-			if run.ended.After(last) || run.ended.IsZero() {
-				last = run.ended
-			}
-		}
-		if running := s.running(); running == 0 {
-			broken = append(broken, fmt.Sprintf("job %s, %d tasks run on 7 executors of service %s; it has had %d runs", text, running, newService, len(r.runsOf(text[:16]))))
-		}
-	}
-	return broken, nil
+	return s.stuckJobs(ids), nil
 }
 
 // running returns the number of tasks that run on all executors.
--- a/review/_second/main.go
+++ b/review/_second/main.go
@@ -25,6 +25,7 @@
 
 var cases = map[string]caseFunc{
 	"foreign-heartbeat": foreignHeartbeat,
+	"foreign-draining":  foreignDraining,
 	"two-crashes":       twoCrashes,
 	"moved-queue":       movedQueue,
 	"other-kind":        otherKind,
