--- a/review/_second/cases.go
+++ b/review/_second/cases.go
@@ -304,7 +304,7 @@
 					return
 				default:
 				}
-				j := job{id: newID(), tasks: 6, ms: 300, cpu: 1600, requires: "a", bestEffort: true}
+				j := job{id: newID(), tasks: 6, ms: 1000, cpu: 1600, requires: "a", bestEffort: true}
 				mu.Lock()
 				ids = append(ids, j.id)
 				mu.Unlock()
@@ -324,7 +324,7 @@
 			return nil, err
 		}
 	}
-	time.Sleep(5 * time.Second)
+	time.Sleep(3 * time.Second)
 	close(stop)
 	clients.Wait()
 	var broken verdict
