--- a/review/_second/cases.go
+++ b/review/_second/cases.go
@@ -2,10 +2,10 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -38,14 +38,14 @@
 			if a.task != b.task || a.executor == b.executor && a.life == b.life {
 				continue
 			}
-			if b.started.Before(a.started) {
-				a, b = b, a
+			begin, end := a.started, a.end()
+			if b.started.After(begin) {
+				begin = b.started
 			}
-			end := a.ended
-			if end.IsZero() {
-				end = time.Now()
+			if b.end().Before(end) {
+				end = b.end()
 			}
-			if common := end.Sub(b.started); common > 0 {
+			if common := end.Sub(begin); common > 0 {
 				broken = append(broken, fmt.Sprintf("run %d of %s at %s and run %d at %s overlap by %d ms", a.run, a.task, a.executor, b.run, b.executor, common.Milliseconds()))
 			}
 		}
@@ -169,72 +169,124 @@
 	return broken
 }
 
-// twoCrashes: the executor that runs the only task of a kept job crashes, and so does the next
-// one that runs it.
-func twoCrashes(r *record, trouble bool) (verdict, error) {
+// Times of lateStart, from the order on.
+const (
+	lateRounds        = 3
+	lateExecutorDown  = 300 * time.Millisecond
+	lateExecutorUp    = 1300 * time.Millisecond
+	lateOrder         = 2200 * time.Millisecond
+	lateAgentUp       = 3 * time.Second
+	lateTaskMs        = 4000
+	lateBetweenRounds = 6 * time.Second
+)
+
+// lateStart: an order to start a task is carried out late; the agent that gave it has been killed
+// and its executor has started again under its id meanwhile.
+func lateStart(r *record, trouble bool) (verdict, error) {
 	s, err := startServing(r, 2, sameMachines(8), service, service)
 	defer s.close()
 	if err != nil {
 		return nil, err
 	}
-	j := job{id: newID(), tasks: 1, ms: 3000, cpu: 1600}
-	if err := s.submit(s.entries[0], j); err != nil {
-		return nil, err
-	}
-	if trouble {
-		for crash := range 2 {
-			e, err := s.awaitExecutorOf(j.id, time.Second)
-			if err != nil {
-				return nil, fmt.Errorf("crash %d: %w", crash+1, err)
-			}
-			e.crash()
-			time.AfterFunc(3*time.Second, func() {
-				e.mu.Lock()
-				e.id = fmt.Sprintf("i-%08x", rand.Uint32())
-				e.mu.Unlock()
-				if err := e.start(); err != nil {
-					r.note("executor does not start: %v", err)
+	var broken verdict
+	for range lateRounds {
+		j := job{id: newID(), tasks: 1, ms: lateTaskMs, cpu: 1600, bestEffort: true}
+		var once sync.Once
+		ordered := make(chan int, 1)
+		for n, e := range s.executors {
+			e.mu.Lock()
+			e.holdBack = func(task string) time.Duration {
+				first := false
+				if trouble && task[:len(j.id)] == j.id {
+					once.Do(func() { first = true })
 				}
-			})
-		}
-	}
-	deadline := time.Now().Add(30 * time.Second)
-	for time.Now().Before(deadline) {
-		switch state := s.state(s.entries[1], j.id); state {
-		case "completed":
-			return nil, nil
-		case "failed":
-			var ends []string
-			for _, run := range r.runsOf(j.id) {
-				ends = append(ends, run.how)
+				if !first {
+					return 0
+				}
+				ordered <- n
+				return lateOrder
 			}
-			if !slices.Contains(ends, "failed") {
-				return verdict{fmt.Sprintf("job %s is shown as failed; its runs ended %v, none of them failed", j.id, ends)}, nil
+			e.mu.Unlock()
+		}
+		var answered sync.WaitGroup
+		answered.Add(1)
+		go func() {
+			defer answered.Done()
+			s.request(s.entries[0], http.MethodPost, j.id, j.body())
+		}()
+		if trouble {
+			select {
+			case n := <-ordered:
+				if err := s.loseMachine(n); err != nil {
+					return nil, err
+				}
+			case <-time.After(5 * time.Second):
+				return nil, fmt.Errorf("no order to start job %s", j.id)
 			}
 		}
-		time.Sleep(500 * time.Millisecond)
+		answered.Wait()
+		time.Sleep(lateBetweenRounds)
+		broken = append(broken, overlaps(r.runsOf(j.id))...)
+	}
+	return broken, nil
+}
+
+// loseMachine kills the agent of a machine and crashes its executor, which starts again under
+// its id before the agent does.
+func (s *system) loseMachine(n int) error {
+	begin, node, e := time.Now(), fmt.Sprintf("side-arq-a-%d", n+1), s.executors[n]
+	s.kill(node)
+	time.Sleep(time.Until(begin.Add(lateExecutorDown)))
+	e.crash()
+	time.Sleep(time.Until(begin.Add(lateExecutorUp)))
+	if err := e.start(); err != nil {
+		return err
 	}
-	return nil, fmt.Errorf("the job has not ended")
+	time.Sleep(time.Until(begin.Add(lateAgentUp)))
+	return s.startProcess(node)
 }
 
-// awaitExecutorOf returns the executor that has run a task of a job for some time.
-func (s *system) awaitExecutorOf(id string, ran time.Duration) (*executor, error) {
-	deadline := time.Now().Add(20 * time.Second)
-	for time.Now().Before(deadline) {
-		time.Sleep(10 * time.Millisecond)
-		for _, e := range s.executors {
-			e.mu.Lock()
-			found := false
-			for _, run := range e.running {
-				found = found || run.task[:len(id)] == id && time.Since(run.started) >= ran
-			}
-			e.mu.Unlock()
-			if found {
-				return e, nil
+// Times of frozenAccept. frozen is below the longest freeze of the site file, 4 s.
+const (
+	frozen         = 3900 * time.Millisecond
+	frozenDeadline = 1500 * time.Millisecond
+	cancelLimit    = 3 * time.Second
+)
+
+// frozenAccept: an entry is frozen before it has read a kept job. Its client gets no answer in
+// time, leaves, and cancels the job at the other entry.
+func frozenAccept(r *record, trouble bool) (verdict, error) {
+	s, err := startServing(r, 2, sameMachines(8), service, service)
+	defer s.close()
+	if err != nil {
+		return nil, err
+	}
+	first := s.processes["frontend-arq-a-1"].command.Process
+	var broken verdict
+	for range 3 {
+		j := job{id: newID(), tasks: 4, ms: 700, cpu: 1600, steps: 4}
+		if trouble {
+			r.note("frontend-arq-a-1 is frozen")
+			first.Signal(syscall.SIGSTOP)
+			time.AfterFunc(frozen, func() {
+				first.Signal(syscall.SIGCONT)
+				r.note("frontend-arq-a-1 goes on")
+			})
+		}
+		s.requestWithin(frozenDeadline, s.entries[0], http.MethodPost, j.id, j.body())
+		status, _ := s.request(s.entries[1], http.MethodDelete, j.id, "")
+		cancelled := time.Now()
+		if status != http.StatusOK && status != http.StatusGone {
+			return nil, fmt.Errorf("the cancelling is answered %d", status)
+		}
+		time.Sleep(8 * time.Second)
+		for _, run := range r.runsOf(j.id) {
+			if late := run.started.Sub(cancelled); late > cancelLimit {
+				broken = append(broken, fmt.Sprintf("run %d of %s starts %d ms after its job's cancelling was answered %d", run.run, run.task, late.Milliseconds(), status))
 			}
 		}
 	}
-	return nil, fmt.Errorf("no executor runs job %s", id)
+	return broken, nil
 }
 
 const oldService, newService = "huvo11a", "kesi42b"
--- a/review/_second/executor.go
+++ b/review/_second/executor.go
@@ -1,10 +1,14 @@
 package main
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -49,6 +53,9 @@
 	lastEnd   uint64
 	lastLapse uint64
 	changed   chan struct{}
+	// holdBack, if set, says for how long an order to start a task is on its way to the
+	// executor. The executor that is up then carries it out, and nobody gets the answer.
+	holdBack func(task string) time.Duration
 }
 
 // taskRun is a run that goes on.
@@ -85,7 +92,7 @@
 	defer e.mu.Unlock()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health", e.handleHealth)
-	mux.HandleFunc("POST /v1/run-start", e.handleStart)
+	mux.HandleFunc("POST /v1/run-start", e.passStart)
 	mux.HandleFunc("POST /v1/run-stop", e.handleStop)
 	mux.HandleFunc("POST /v1/hold", e.handleHold)
 	e.server = &http.Server{Handler: mux}
@@ -298,6 +305,44 @@
 	}
 }
 
+// passStart passes an order to start a task on, or holds it back.
+func (e *executor) passStart(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	var c call
+	json.Unmarshal(body, &c)
+	e.mu.Lock()
+	holdBack := e.holdBack
+	e.mu.Unlock()
+	var delay time.Duration
+	if holdBack != nil {
+		delay = holdBack(c.Task)
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	if delay == 0 {
+		e.handleStart(w, r)
+		return
+	}
+	e.record.note("the order to start run %d of %s at %s is held back for %v", c.Run, c.Task, e.id, delay)
+	go e.startLate(r.Clone(context.Background()), body, delay)
+	// The caller gets no answer.
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
+// startLate carries an order out after a delay.
+func (e *executor) startLate(r *http.Request, body []byte, delay time.Duration) {
+	time.Sleep(delay)
+	// handleStart breaks a call off if the executor is down.
+	defer func() { recover() }()
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	answer := httptest.NewRecorder()
+	e.handleStart(answer, r)
+	e.record.note("the late order is answered %d %s", answer.Code, answer.Body)
+}
+
 func (e *executor) handleStart(w http.ResponseWriter, r *http.Request) {
 	c, ok := e.accept(w, r)
 	if !ok {
--- a/review/_second/main.go
+++ b/review/_second/main.go
@@ -26,7 +26,8 @@
 var cases = map[string]caseFunc{
 	"foreign-heartbeat": foreignHeartbeat,
 	"foreign-draining":  foreignDraining,
-	"two-crashes":       twoCrashes,
+	"frozen-accept":     frozenAccept,
+	"late-start":        lateStart,
 	"moved-queue":       movedQueue,
 	"other-kind":        otherKind,
 }
--- a/review/_second/record.go
+++ b/review/_second/record.go
@@ -35,6 +35,14 @@
 	noted time.Time
 }
 
+// end returns when the run ended, or now if it goes on.
+func (r *runRecord) end() time.Time {
+	if r.ended.IsZero() {
+		return time.Now()
+	}
+	return r.ended
+}
+
 func newRecord(dir string) (*record, error) {
 	file, err := os.Create(filepath.Join(dir, "record.txt"))
 	if err != nil {
--- a/review/_second/system.go
+++ b/review/_second/system.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -35,14 +37,21 @@
 	network   string
 	store     *platformtest.Store
 	record    *record
-	processes []*exec.Cmd
-	logs      []*os.File
+	processes map[string]*process
 	entries   []string
 	executors []*executor
 	client    *http.Client
 	version   int
 }
 
+// process is one program of the deploy file.
+type process struct {
+	args    []string
+	path    string
+	log     *os.File
+	command *exec.Cmd
+}
+
 // machine is one machine beside an executor.
 type machine struct {
 	service string
@@ -55,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &system{dir: dir, record: r, store: platformtest.NewStore(),
+	s := &system{dir: dir, record: r, processes: make(map[string]*process), store: platformtest.NewStore(),
 		client: &http.Client{Timeout: 25 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 	s.store.SetPages(500, 0)
 	if err := s.chooseNetwork(entries + len(machines)); err != nil {
@@ -167,31 +176,40 @@
 	if err != nil {
 		return err
 	}
-	s.logs = append(s.logs, log)
-	command := exec.Command("target/azurerouter", args...)
-	command.Env = []string{"AZUREROUTER_CONFIG=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
-	command.Stdout, command.Stderr = log, log
-	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := command.Start(); err != nil {
-		return err
-	}
-	s.processes = append(s.processes, command)
+	p := &process{args: args, path: path, log: log}
+	s.processes[node] = p
+	return s.startProcess(node)
+}
+
+// startProcess starts a program that does not run.
+func (s *system) startProcess(node string) error {
+	p := s.processes[node]
+	p.command = exec.Command("target/azurerouter", p.args...)
+	p.command.Env = []string{"AZUREROUTER_CONFIG=" + p.path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
+	p.command.Stdout, p.command.Stderr = p.log, p.log
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	s.record.note("%s starts", node)
-	return nil
+	return p.command.Start()
+}
+
+// kill ends a program with SIGKILL.
+func (s *system) kill(node string) {
+	p := s.processes[node]
+	s.record.note("%s is killed", node)
+	p.command.Process.Kill()
+	p.command.Wait()
 }
 
 // close ends all processes and removes the temporary folder, unless KEEP is set.
 func (s *system) close() {
 	for _, p := range s.processes {
-		p.Process.Kill()
-		p.Wait()
+		p.command.Process.Kill()
+		p.command.Wait()
+		p.log.Close()
 	}
 	for _, e := range s.executors {
 		e.crash()
 	}
-	for _, log := range s.logs {
-		log.Close()
-	}
 	s.store.Stop()
 	if os.Getenv("KEEP") == "" {
 		os.RemoveAll(s.dir)
@@ -246,11 +264,12 @@
 	return response.StatusCode
 }
 
-// job is what a client submits: one step.
+// job is what a client submits: one step, or several that follow each other.
 type job struct {
 	id         string
 	tasks      int
 	ms, cpu    int
+	steps      int
 	requires   string
 	bestEffort bool
 }
@@ -260,7 +279,13 @@
 	if j.requires != "" {
 		step["requires"] = j.requires
 	}
-	body := map[string]any{"spec": fmt.Sprintf("%d %d", j.ms, j.cpu), "steps": []any{step}}
+	steps := []any{step}
+	for n := 1; n < j.steps; n++ {
+		next := maps.Clone(step)
+		next["dependsOn"] = []int{n - 1}
+		steps = append(steps, next)
+	}
+	body := map[string]any{"spec": fmt.Sprintf("%d %d", j.ms, j.cpu), "steps": steps}
 	if j.bestEffort {
 		body["bestEffort"] = true
 	}
@@ -270,16 +295,26 @@
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
+// requestDeadline is how long clients wait, unless a case says something else.
+const requestDeadline = 20 * time.Second
+
 // request sends a request of a client to an entry and returns the status, 0 without an answer,
 // and the body.
 func (s *system) request(entry, method, id, body string) (int, string) {
-	request, err := http.NewRequest(method, "http://"+entry+"/q/"+id, strings.NewReader(body))
+	return s.requestWithin(requestDeadline, entry, method, id, body)
+}
+
+// requestWithin is request for a client that leaves when its deadline has passed.
+func (s *system) requestWithin(deadline time.Duration, entry, method, id, body string) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+entry+"/q/"+id, strings.NewReader(body))
 	if err != nil {
 		return 0, ""
 	}
 	request.Host = host
 	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set("Azurerouter-Deadline-Ms", "20000")
+	request.Header.Set("Azurerouter-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	s.record.note("%s %s at %s", method, id, entry)
 	response, err := s.client.Do(request)
 	if err != nil {
