--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-go build -o target/review-2/second ./review/_second
+go build -o target/review-2/second ./review/_second/platform
