--- a/review/_second/platform/cases.go
+++ b/review/_second/platform/cases.go
@@ -178,6 +178,8 @@
 	lateAgentUp       = 3 * time.Second
 	lateTaskMs        = 4000
 	lateBetweenRounds = 6 * time.Second
+	// lateOtherTasks are started beside the one task, so that its order is a small share.
+	lateOtherTasks = 24
 )
 
 // lateStart: an order to start a task is carried out late; the agent that gave it has been killed
@@ -208,8 +210,13 @@
 			}
 			e.mu.Unlock()
 		}
+		others := job{id: newID(), tasks: lateOtherTasks, ms: 1000, cpu: 1600, bestEffort: true}
 		var answered sync.WaitGroup
-		answered.Add(1)
+		answered.Add(2)
+		go func() {
+			defer answered.Done()
+			s.request(s.entries[1], http.MethodPost, others.id, others.body())
+		}()
 		go func() {
 			defer answered.Done()
 			s.request(s.entries[0], http.MethodPost, j.id, j.body())
@@ -251,6 +258,8 @@
 	frozen         = 3900 * time.Millisecond
 	frozenDeadline = 1500 * time.Millisecond
 	cancelLimit    = 3 * time.Second
+	// frozenOthers jobs are not cancelled for each one that is.
+	frozenOthers = 3
 )
 
 // frozenAccept: an entry is frozen before it has read a kept job. Its client gets no answer in
@@ -264,6 +273,11 @@
 	first := s.processes["frontend-arq-a-1"].command.Process
 	var broken verdict
 	for range 3 {
+		for range frozenOthers {
+			if err := s.submit(s.entries[1], job{id: newID(), tasks: 4, ms: 700, cpu: 1600}); err != nil {
+				return nil, err
+			}
+		}
 		j := job{id: newID(), tasks: 4, ms: 700, cpu: 1600, steps: 4}
 		if trouble {
 			r.note("frontend-arq-a-1 is frozen")
