--- a/connection/wire/run.go
+++ b/connection/wire/run.go
@@ -18,9 +18,19 @@
 	// longer renews the lease.
 	RunLease = 700 * time.Millisecond
 	// RunsLostAfter is the time without a message from an agent after which every
-	// run at that agent has ended: the session ends, then the lease lapses,
-	// both on clocks that may be 2 % slow, and then 100 ms for the stop itself.
+	// run there whose starts are answered has ended: the session ends, then the lease
+	// lapses, both on clocks that may be 2 % slow, and then 100 ms for the stop itself.
 	RunsLostAfter = (SessionTTL+RunLease)*102/100 + 100*time.Millisecond
+	// MaxCallDelay is the longest time after which a target carries out a call that it has
+	// not answered.
+	MaxCallDelay = 12 * time.Second
+	// MaxTargetLease is the longest lease that targets grant. A call that is carried out
+	// after a restart of its target gets it, because the clock of the target starts again.
+	MaxTargetLease = time.Second
+	// UnconfirmedRunsLostAfter is the same as RunsLostAfter for runs of which a start has no
+	// answer. The agent sends no start after the end of the session; a target that has
+	// restarted under its identity may carry one out MaxCallDelay later.
+	UnconfirmedRunsLostAfter = (SessionTTL+MaxTargetLease)*102/100 + MaxCallDelay + 100*time.Millisecond
 	// StopGrace is how long an agent still renews the lease although a stop that was
 	// ordered is not confirmed. Together with the lease it is shorter than the time after
 	// which callers submit a job again.
@@ -258,7 +268,8 @@
 	// end it is about a run whose end was reported before the crash was certain.
 	TargetCrashed bool `cbor:"6,keyasint,omitempty"`
 	// StartUnconfirmed is set with TargetCrashed if the target did not answer the start
-	// of the run, which it may have received only after the crash.
+	// of the run, which it may have received only after the crash. It is set for a held
+	// run if a start of it has no answer.
 	StartUnconfirmed bool `cbor:"7,keyasint,omitempty"`
 }
 
@@ -275,4 +286,10 @@
 	// Invitation is set for an entry with waiting tasks when the target has free
 	// resources. The entry replies with Orders, which may be empty.
 	Invitation bool `cbor:"6,keyasint,omitempty"`
+	// ConfirmedSequence is the highest Orders.Sequence up to which the target has answered
+	// all starts of runs that are still held, apart from those in UnansweredStarts.
+	ConfirmedSequence uint64 `cbor:"7,keyasint,omitempty"`
+	// UnansweredStarts lists the held runs of which a start got no answer. The target may
+	// still carry it out, also after a restart.
+	UnansweredStarts []batch.Run `cbor:"8,keyasint,omitempty"`
 }
--- a/process/dispatch/admit.go
+++ b/process/dispatch/admit.go
@@ -40,7 +40,7 @@
 		return Result{Code: NotRun, Reason: ReasonNoTargets, RetryAfter: defaultRetryAfter}, false
 	}
 	for step := range s.Job.Steps {
-		if !p.anyTargetFits(s, step) {
+		if !p.anyTargetFits(now, s, step) {
 			return Result{Code: NotRun, Reason: ReasonTooLarge, RetryAfter: defaultRetryAfter}, false
 		}
 	}
@@ -78,6 +78,9 @@
 func (c *Core) expectedWait(now time.Time, adjustedStart int64, p *pool) time.Duration {
 	usedMilliCPU := 0
 	for _, t := range p.targetList {
+		if t.isGone(now) {
+			continue
+		}
 		for _, r := range t.runs {
 			usedMilliCPU += r.demand.MilliCPU
 		}
@@ -123,10 +126,10 @@
 
 // anyTargetFits reports whether a target with the label of the step is large
 // enough for one of its tasks when idle.
-func (p *pool) anyTargetFits(s batch.Submission, step int) bool {
+func (p *pool) anyTargetFits(now time.Time, s batch.Submission, step int) bool {
 	required := s.Job.Steps[step]
 	for _, t := range p.targetList {
-		if required.Demand.FitsIn(t.state.Capacity) && t.hasLabel(required.Label) {
+		if !t.isGone(now) && required.Demand.FitsIn(t.state.Capacity) && t.hasLabel(required.Label) {
 			return true
 		}
 	}
--- a/process/dispatch/assign.go
+++ b/process/dispatch/assign.go
@@ -182,6 +182,7 @@
 		j.runsStarted++
 		start.Tasks = append(start.Tasks, wire.StartTask{Index: next.index, RunNumber: next.lastNumber, StopIfSlow: r.stopIfSlow})
 		t.inFlight = append(t.inFlight, inFlightOrder{t.lastSequence + 1, step.Demand})
+		t.unconfirmed = append(t.unconfirmed, unconfirmedStart{t.lastSequence + 1, r})
 	}
 	c.counters.runsOrdered.Add(uint64(len(start.Tasks)))
 	c.env.Record(decision.Decision{Step: "place", Job: j.Job.ID, Peer: t.node, Outcome: "ordered", Age: now.Sub(t.lastReceived),
--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -194,6 +194,12 @@
 	}
 	j := p.jobs[s.Job.ID]
 	if j == nil {
+		if p.hasUnconfirmedRuns(s.Job.ID) {
+			refusal := Result{Code: GaveUp, Reason: ReasonRunsElsewhere}
+			c.refuse(now, p, s, refusal)
+			reply(refusal)
+			return func() {}
+		}
 		s.PriorWait = p.resubmissions.credibleWait(s)
 		if refusal, ok := c.admit(now, p, s); !ok {
 			refusal = p.correctNotRun(s.Job.ID, refusal)
--- a/process/dispatch/counters.go
+++ b/process/dispatch/counters.go
@@ -23,6 +23,8 @@
 	refusedFull  atomic.Uint64
 	refusedOther atomic.Uint64
 	runsLost     atomic.Uint64
+	// runsWithheld counts the runs without a confirmed start of agents that fell silent.
+	runsWithheld atomic.Uint64
 	// stragglers counts the runs that agents stopped because they were slow, and
 	// restartsPaid those of the tasks started again that took the usual time.
 	stragglers   atomic.Uint64
@@ -77,6 +79,9 @@
 	RefusedOther uint64 `json:"refused_otherwise"`
 	// RunsLost counts the runs that were lost or whose lease lapsed.
 	RunsLost uint64 `json:"runs_lost"`
+	// RunsWithheld counts the runs of silent agents that were not given up with the others
+	// because their start was not confirmed.
+	RunsWithheld uint64 `json:"runs_withheld"`
 	// Stragglers counts the runs that agents stopped because they were slow, RestartsPaid
 	// the tasks of such runs that took the usual time when they were started again.
 	Stragglers   uint64 `json:"stragglers"`
@@ -92,7 +97,7 @@
 	n := &c.counters
 	return Counts{Submitted: n.submitted.Load(), Completed: n.completed.Load(), Failed: n.failed.Load(), NotRun: n.notRun.Load(),
 		GaveUp: n.gaveUp.Load(), CallersLeft: n.callersLeft.Load(), RunsOrdered: n.runsOrdered.Load(), RefusedFull: n.refusedFull.Load(),
-		RefusedOther: n.refusedOther.Load(), RunsLost: n.runsLost.Load(),
+		RefusedOther: n.refusedOther.Load(), RunsLost: n.runsLost.Load(), RunsWithheld: n.runsWithheld.Load(),
 		Stragglers: n.stragglers.Load(), RestartsPaid: n.restartsPaid.Load(),
 		LocalWaits: n.localWaits.Load(), LocalWaitsMet: n.localWaitsMet.Load()}
 }
--- a/process/dispatch/env.go
+++ b/process/dispatch/env.go
@@ -101,7 +101,7 @@
 	ReasonWithdrawn Reason = "withdrawn"
 	// ReasonCallerLeft: the connections of all callers have ended.
 	ReasonCallerLeft Reason = "caller_left"
-	// ReasonRunsElsewhere: runs of the job at another entry may be alive for longer than
+	// ReasonRunsElsewhere: runs of an earlier submission of the job may be alive for longer than
 	// the caller waits.
 	ReasonRunsElsewhere Reason = "runs_elsewhere"
 	// ReasonIsolated: the entry has lost contact with every agent of the service.
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -117,6 +117,12 @@
 	target    *target
 	number    int
 	orderedAt time.Time
+	// startConfirmed is set once the target has answered all starts of the run, so that
+	// the lease bounds it.
+	startConfirmed bool
+	// withheld is set once the agent has been silent for so long that the run would have
+	// ended if its start was confirmed.
+	withheld bool
 	// stopRequested is set once the result of the run is not needed.
 	stopRequested bool
 	// crash is what is known of a crash of the target once the run has ended.
--- a/process/dispatch/pause_test.go
+++ b/process/dispatch/pause_test.go
@@ -34,7 +34,8 @@
 // time.
 func TestRunsOfSilentAgentsAreGivenUpByADelayedEntry(t *testing.T) {
 	c, _ := newOwnedCluster(t, time.Minute, 1, 10*time.Second)
-	c.run(50 * time.Millisecond)
+	// The next message of the agent confirms the start.
+	c.run(2 * wire.SessionRenewInterval)
 	c.links[0].cut = true
 	for range 20 {
 		c.entries[0].frozen = true
--- a/process/dispatch/target.go
+++ b/process/dispatch/target.go
@@ -25,6 +25,8 @@
 	// orders that it does not include yet.
 	reportedFree batch.Resources
 	inFlight     []inFlightOrder
+	// unconfirmed holds the starts that the agent has not confirmed on the connection.
+	unconfirmed  []unconfirmedStart
 	lastReceived time.Time
 	// lastClock is the newest clock value of the agent, to be echoed to it.
 	lastClock int64
@@ -74,10 +76,10 @@
 	if previous != nil && previous != p {
 		c.removeTarget(previous, m.Agent, "moved to another service")
 	}
+	c.removeEarlierAgents(m)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := c.env.Now()
-	c.removeEarlierAgents(now, p, m)
 	t := p.targets[m.Agent]
 	if t == nil {
 		t = &target{agent: m.Agent, runs: make(map[batch.Run]*run)}
@@ -87,6 +89,7 @@
 	t.connected, t.lastReceived, t.lastClock = true, now, m.Clock
 	p.lastReceived = now
 	t.state, t.reportedFree, t.inFlight, t.lastSequence, t.waitingAnnounced = m.Target, m.Free, nil, 0, false
+	t.unconfirmed = nil
 	t.speed = p.speeds.Target(now, t.node, incarnationOf(t.state))
 	c.env.Record(decision.Decision{Step: "agent", Peer: m.Node, Outcome: "enrolled", Reason: string(m.Target.Closed),
 		Version: m.Target.Revision, Inputs: []decision.Input{{Name: "runs", Value: int64(len(t.runs))}, {Name: "free_millicpu", Value: int64(m.Free.MilliCPU)}}})
@@ -99,17 +102,23 @@
 }
 
 // removeEarlierAgents removes earlier agent incarnations on the same instance and
-// ends their runs: an agent enrolls only once none of these runs is alive.
-func (c *Core) removeEarlierAgents(now time.Time, p *pool, m *wire.Enroll) {
-	for _, t := range p.targetList {
-		if t.node != m.Node || t.agent == m.Agent {
-			continue
-		}
-		for _, r := range batch.SortedByRun(t.runs) {
-			c.runEnded(now, p, r, batch.EndLost)
+// ends their runs: an agent enrolls only once none of these runs is alive and the target
+// refuses the calls of earlier agents.
+func (c *Core) removeEarlierAgents(m *wire.Enroll) {
+	for _, p := range c.allPools() {
+		p.mu.Lock()
+		now := c.env.Now()
+		for _, t := range p.targetList {
+			if t.node != m.Node || t.agent == m.Agent {
+				continue
+			}
+			for _, r := range batch.SortedByRun(t.runs) {
+				c.runEnded(now, p, r, batch.EndLost)
+			}
+			p.deleteTarget(t)
+			c.forgetAgent(t.agent)
 		}
-		p.deleteTarget(t)
-		c.forgetAgent(t.agent)
+		p.mu.Unlock()
 	}
 }
 
@@ -135,6 +144,9 @@
 		}
 	}
 	for _, report := range held {
+		if r := t.runs[report.Run]; r != nil {
+			r.startConfirmed = !report.StartUnconfirmed
+		}
 		c.handleRunReport(now, p, t, report)
 	}
 }
@@ -224,6 +236,7 @@
 	for len(t.inFlight) > 0 && t.inFlight[0].sequence <= m.HandledSequence {
 		t.inFlight = t.inFlight[1:]
 	}
+	t.confirmStarts(m)
 	if m.Target != nil {
 		c.updateTargetState(now, p, t, *m.Target)
 	}
@@ -307,7 +320,7 @@
 }
 
 // checkTargets renews sessions, and ends the runs of agents that have been silent
-// for so long that none of their runs can be alive.
+// for so long that the runs can't be alive.
 func (c *Core) checkTargets(now time.Time, p *pool) {
 	c.keepContact(now, p)
 	for _, t := range p.targetList {
@@ -316,14 +329,8 @@
 		if now.Sub(t.lastReceived) <= c.pauses.toleratedSilence(now) {
 			continue
 		}
-		if len(t.runs) > 0 {
-			c.env.Record(decision.Decision{Step: "agent", Peer: t.node, Outcome: "runs_lost", Reason: "agent silent",
-				Age: now.Sub(t.lastReceived), Inputs: []decision.Input{{Name: "runs", Value: int64(len(t.runs))}}})
-		}
-		for _, r := range batch.SortedByRun(t.runs) {
-			c.runEnded(now, p, r, batch.EndLost)
-		}
-		if !t.connected {
+		c.endRunsOfSilentAgent(now, p, t)
+		if !t.connected && len(t.runs) == 0 {
 			p.deleteTarget(t)
 			c.forgetAgent(t.agent)
 		}
--- a/process/node/metrics.go
+++ b/process/node/metrics.go
@@ -127,6 +127,7 @@
 	m.add(observe.RunsTurnedBack, observe.TagReason, "full", n.RefusedFull)
 	m.add(observe.RunsTurnedBack, observe.TagReason, "other", n.RefusedOther)
 	m.add(observe.RunsLost, "", "", n.RunsLost)
+	m.add(observe.RunsWithheld, "", "", n.RunsWithheld)
 	m.add(observe.Stragglers, "", "", n.Stragglers)
 	m.add(observe.RestartsPaid, "", "", n.RestartsPaid)
 	m.add(observe.LocalWaits, observe.TagOutcome, "begun", n.LocalWaits)
--- a/process/observe/names.go
+++ b/process/observe/names.go
@@ -87,6 +87,9 @@
 	LocalWaits = "local_waits"
 	// RunsLost counts runs that were lost because their target or agent ended.
 	RunsLost = "runs_lost"
+	// RunsWithheld counts runs of silent agents whose tasks wait because the target may not
+	// have received the start yet.
+	RunsWithheld = "runs_withheld"
 	// Stragglers counts runs that agents stopped because they were slow.
 	Stragglers = "stragglers"
 	// RestartsPaid counts tasks of such runs that took the usual time when they were
--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -131,6 +131,9 @@
 	entry    wire.Incarnation
 	demand   batch.Resources
 	estimate time.Duration
+	// orderSequence is the wire.Orders.Sequence of the order on the present connection of
+	// the entry, or 0 if the order came on an earlier one.
+	orderSequence uint64
 	// durable is set if the end of the run may be acknowledged to the target
 	// only after the entry has recorded it.
 	durable bool
@@ -176,6 +179,11 @@
 	// if one of them may have reached the target.
 	unansweredStarts    int
 	startMayHaveArrived bool
+	// startPending is set from a start to its answer.
+	startPending bool
+	// lost is set for a run that has ended with a life of its target, but that is held until
+	// the present life refuses the starts of its task that are under way.
+	lost bool
 	// targetCrashed is set if the target has crashed while the run was there.
 	targetCrashed bool
 }
@@ -210,7 +218,7 @@
 
 // maxForeignLease is the same for the leases that earlier agents have requested: the
 // target may have restarted since, and then grants the longest lease.
-const maxForeignLease = maxLeaseDuration - wire.RunLease + maxTargetLease
+const maxForeignLease = maxLeaseDuration - wire.RunLease + wire.MaxTargetLease
 
 // HandleMessage handles a message of a connected entry.
 func (c *Core) HandleMessage(entry wire.Incarnation, m wire.Message) {
@@ -242,7 +250,7 @@
 	}
 	for _, order := range orders.Starts {
 		for _, task := range order.Tasks {
-			c.handleStartOrder(now, s, order, task)
+			c.handleStartOrder(now, s, orders.Sequence, order, task)
 		}
 	}
 	s.setWaiting(now, orders.Waiting)
--- a/process/runner/crash_test.go
+++ b/process/runner/crash_test.go
@@ -25,11 +25,16 @@
 	return reported
 }
 
-// silence lets the target leave all calls unanswered until its runs have lapsed. The entry
-// goes on renewing its session.
-func (h *harness) silence() {
-	for range 150 {
-		h.advance(15 * time.Millisecond)
+// silence lets the target leave all calls unanswered until its runs have lapsed, also those
+// whose start has no answer.
+func (h *harness) silence() { h.silenceFor(wire.UnconfirmedRunsLostAfter + time.Second) }
+
+// silenceFor lets the target leave all calls unanswered for a time. The entry goes on
+// renewing its session.
+func (h *harness) silenceFor(d time.Duration) {
+	const step = 15 * time.Millisecond
+	for range d / step {
+		h.advance(step)
 		h.core.HandleMessage(entryID, &wire.Orders{ClockEcho: h.now.UnixMicro()})
 		h.core.Tick()
 	}
--- a/process/runner/hold.go
+++ b/process/runner/hold.go
@@ -20,10 +20,6 @@
 	// unreachableAfter is how long a target may leave calls unanswered before it
 	// gets no new runs and its lease is no longer renewed.
 	unreachableAfter = 400 * time.Millisecond
-	// maxTargetLease is the longest lease that targets grant. A start that is
-	// carried out after a restart of its target gets this lease, because its
-	// LeaseUntil is far ahead of the restarted target's clock.
-	maxTargetLease = time.Second
 	// missingAnswersLimit is the number of successive answers without a
 	// confirmed run after which the run counts as lapsed.
 	missingAnswersLimit = 2
@@ -119,12 +115,15 @@
 
 // latestLeaseEnd returns when the lease of a run ends at the latest. A run that
 // has not been listed may have been started after a restart of the target, with
-// the longest lease that targets grant.
+// the longest lease that targets grant; a start without an answer may still be under way.
 func (h *heldRun) latestLeaseEnd(t target) time.Time {
-	if h.listed {
+	switch {
+	case h.startUnanswered():
+		return later(t.leaseUntil, h.startSentAt.Add(wire.MaxCallDelay+wire.MaxTargetLease))
+	case h.listed:
 		return t.leaseUntil
 	}
-	return later(t.leaseUntil, h.startSentAt.Add(maxTargetLease))
+	return later(t.leaseUntil, h.startSentAt.Add(wire.MaxTargetLease))
 }
 
 // HandleHoldAnswer handles the target's list of running and ended runs.
@@ -164,7 +163,7 @@
 func (c *Core) noteFenced(now time.Time, call HoldCall) {
 	if c.target.unfenced && call.Life == c.target.life {
 		c.target.unfenced = false
-		c.target.leaseUntil = later(c.target.leaseUntil, now.Add(maxTargetLease))
+		c.target.leaseUntil = later(c.target.leaseUntil, now.Add(wire.MaxTargetLease))
 	}
 }
 
@@ -222,12 +221,13 @@
 // running.
 func (c *Core) reconcileRunning(now time.Time, call HoldCall, answer HoldAnswer) {
 	running := make(map[batch.Run]bool, len(answer.Running))
-	foreign := 0
+	// foreignTasks are the tasks of which a run goes on that this agent does not hold.
+	foreignTasks := make(map[batch.Task]bool)
 	for _, row := range answer.Running {
 		running[row.Run] = true
 		h := c.runs[row.Run]
 		if h == nil {
-			foreign++
+			foreignTasks[row.Run.Task] = true
 			c.stopForeign(now, row.Run)
 			continue
 		}
@@ -239,7 +239,7 @@
 			h.progressPercent, h.progressAt = row.Percent, now
 		}
 	}
-	if foreign == 0 {
+	if len(foreignTasks) == 0 {
 		c.foreignRunsCleared = true
 		clear(c.foreignRuns)
 	}
@@ -247,7 +247,7 @@
 		c.target.capacityRefusedAt = time.Time{}
 	}
 	for _, h := range batch.SortedByRun(c.runs) {
-		if !running[h.run] {
+		if !running[h.run] && !foreignTasks[h.run.Task] {
 			c.handleMissingRun(now, h, call.SentAt)
 		}
 	}
@@ -275,6 +275,14 @@
 	}
 }
 
+// endOnceStopped returns the end of a run that the target has stopped.
+func (h *heldRun) endOnceStopped() batch.End {
+	if h.lost {
+		return batch.EndLost
+	}
+	return batch.EndStopped
+}
+
 // handleMissingRun handles a held run that the target does not list. Only the
 // answer to a call that was made after a start or stop shows the effect of that
 // start or stop.
@@ -282,7 +290,7 @@
 	switch {
 	case h.state == stateStopping:
 		if !h.stopConfirmedAt.IsZero() && askedAt.After(h.stopConfirmedAt) {
-			c.finishRun(now, h, batch.EndStopped)
+			c.finishRun(now, h, h.endOnceStopped())
 		}
 	case h.state == stateStarting:
 		if !h.unansweredAt.IsZero() && askedAt.After(h.unansweredAt) {
--- a/process/runner/session.go
+++ b/process/runner/session.go
@@ -114,7 +114,9 @@
 		enroll.HeldRuns = append(enroll.HeldRuns, recent.report)
 	}
 	for _, h := range c.runsOf(entry) {
-		enroll.HeldRuns = append(enroll.HeldRuns, wire.RunReport{Run: h.run})
+		// The numbers of the orders begin again on this connection.
+		h.orderSequence, h.startMayHaveArrived = 0, h.startUnanswered()
+		enroll.HeldRuns = append(enroll.HeldRuns, wire.RunReport{Run: h.run, StartUnconfirmed: h.startMayHaveArrived})
 	}
 	enroll.HeldRuns = append(enroll.HeldRuns, c.unackedReports(entry)...)
 	c.env.Send(entry, enroll)
@@ -201,6 +203,7 @@
 // target state if it has changed.
 func (c *Core) sendReport(now time.Time, s *session, invitation bool) {
 	m := &wire.AgentReport{Clock: s.nextClock(now), HandledSequence: s.handledSequence, Free: c.freeFor(now, s), Runs: s.pendingReports, Invitation: invitation}
+	m.ConfirmedSequence, m.UnansweredStarts = c.confirmedStarts(s)
 	if s.sentRevision != c.revision {
 		target := c.targetState()
 		m.Target, s.sentRevision = &target, c.revision
--- a/process/runner/start.go
+++ b/process/runner/start.go
@@ -20,14 +20,14 @@
 const maxFenceRetries = 8
 
 // handleStartOrder starts one run of an order or refuses it.
-func (c *Core) handleStartOrder(now time.Time, s *session, order wire.StartOrder, task wire.StartTask) {
+func (c *Core) handleStartOrder(now time.Time, s *session, sequence uint64, order wire.StartOrder, task wire.StartTask) {
 	run := order.Run(task)
 	if reason := c.refusalReason(now, s, order, run); reason != "" {
 		c.queueReport(now, s, wire.RunReport{Run: run, RefusalReason: reason}, 0)
 		return
 	}
 	h := &heldRun{run: run, entry: s.entry, demand: order.Demand, durable: order.Durable, startedAt: now, stopIfSlow: task.StopIfSlow,
-		estimate: time.Duration(order.EstimateMS) * time.Millisecond}
+		estimate: time.Duration(order.EstimateMS) * time.Millisecond, orderSequence: sequence}
 	c.runs[run] = h
 	s.runs++
 	c.used = c.used.Add(h.demand)
@@ -37,7 +37,7 @@
 
 // sendStart sends a start to the target, for the first time or as a retry.
 func (c *Core) sendStart(now time.Time, h *heldRun, call StartCall) {
-	h.startSentAt = now
+	h.startSentAt, h.startPending = now, true
 	call.Fence, call.LeaseUntil = c.fence, c.extendLease(now)
 	c.env.Start(call)
 }
@@ -78,15 +78,16 @@
 	if h == nil {
 		return
 	}
+	h.startPending = false
 	switch answer.Verdict {
 	case VerdictDone:
 		c.startConfirmed(now, h)
 	case VerdictUnanswered:
 		h.startMayHaveArrived = true
-		c.startUnanswered(now, h, call)
+		c.retryStart(now, h, call)
 	case VerdictNotListening:
 		c.closeUnreachable(now)
-		c.startUnanswered(now, h, call)
+		c.retryStart(now, h, call)
 	case VerdictFenced:
 		c.startFenced(now, h, call)
 	case VerdictOtherTarget:
@@ -106,10 +107,10 @@
 	}
 }
 
-// startUnanswered retries a start without an answer; if the run has started
+// retryStart retries a start without an answer; if the run has started
 // already, the target confirms it. After maxStartRetries it polls the target
 // for the run.
-func (c *Core) startUnanswered(now time.Time, h *heldRun, call StartCall) {
+func (c *Core) retryStart(now time.Time, h *heldRun, call StartCall) {
 	c.lossyUntil = now.Add(lossyPeriod)
 	if h.observed || h.state == stateStopping {
 		return
--- a/process/runner/target.go
+++ b/process/runner/target.go
@@ -318,10 +318,14 @@
 	}
 }
 
+// firstRunNumber is the number of the first run of a task.
+const firstRunNumber = 1
+
 // handleTargetRestart handles a target that has restarted under the same
 // identity. Since then it may have carried out starts that were sent before the
 // restart. A run that it lists continues. A run whose start may still be in
-// flight is stopped at the target before it counts as ended.
+// flight is stopped at the target before it counts as ended, and so is a lost run if a
+// start of an earlier run of its task may be in flight.
 func (c *Core) handleTargetRestart(now time.Time, call HoldCall, answer HoldAnswer) {
 	listed := make(map[batch.Run]bool)
 	for _, row := range answer.Running {
@@ -338,6 +342,10 @@
 				listedStopping = append(listedStopping, h)
 			}
 		case h.observed && h.unansweredStarts == 0 && call.SentAt.After(h.confirmedAt):
+			if h.lost = h.run.Number > firstRunNumber; h.lost {
+				inFlight = append(inFlight, h)
+				continue
+			}
 			lost = append(lost, h)
 		default:
 			inFlight = append(inFlight, h)
@@ -348,7 +356,7 @@
 	// The present life has seen no token yet and would carry out calls that are under way.
 	c.fence++
 	c.target = target{id: c.target.id, startTime: answer.StartTime, life: c.newLife(), service: c.target.service, capacity: c.target.capacity, labels: c.target.labels, lastAnswerAt: now,
-		leaseUntil: later(c.target.leaseUntil, now.Add(maxTargetLease)), unfenced: true}
+		leaseUntil: later(c.target.leaseUntil, now.Add(wire.MaxTargetLease)), unfenced: true}
 	c.health = health{}
 	c.bumpRevision()
 	c.env.Record(decision.Decision{Step: "target", Peer: c.target.id, Outcome: "born_again", Version: uint64(answer.StartTime),
