intake: only the reader closes a connection that waits for a request (LOST beside a change of the configuration)

Callers saw connections closed without a response beside changes of the configuration.

Cause: connections were closed by what the process had noted of them. The idle timeout counted from when the answer was written; requests that waited in the kernel, or that a reader without processor time had read, did not count; connections without a byte after 250 ms gave way before idle ones.

Change: a connection that has to go is left to its reader, which looks at what has arrived. The metric intake_given_up counts idle connections.

The tests fail with their part of the change taken out.

--- a/connection/intake/choose_test.go
+++ b/connection/intake/choose_test.go
@@ -50,18 +50,24 @@
 // client while a half-read one is open.
 func TestChooseClosed(t *testing.T) {
 	conn := func(address netip.Addr, p phase, age time.Duration) connView {
-		return connView{address: address, phase: p, since: testStart.Add(-age)}
+		return connView{address: address, phase: p, since: testStart.Add(-age), begun: true}
+	}
+	silent := func(age time.Duration) connView {
+		return connView{address: addressA, phase: phaseHead, since: testStart.Add(-age)}
 	}
 	cases := map[string]struct {
 		conns []connView
 		want  int
 	}{
-		"half-read before idle": {[]connView{conn(addressA, phaseIdle, time.Minute), conn(addressA, phaseHead, time.Second)}, 1},
-		"body before idle":      {[]connView{conn(addressA, phaseIdle, time.Minute), conn(addressA, phaseBody, time.Second)}, 1},
-		"idle before new":       {[]connView{conn(addressA, phaseHead, 0), conn(addressA, phaseIdle, time.Second)}, 1},
-		"the longest idle":      {[]connView{conn(addressA, phaseIdle, time.Second), conn(addressA, phaseIdle, time.Minute)}, 1},
-		"the address with most": {[]connView{conn(addressA, phaseHead, time.Minute), conn(addressB, phaseHead, time.Second), conn(addressB, phaseBusy, 0)}, 1},
-		"never a busy one":      {[]connView{conn(addressA, phaseBusy, time.Hour)}, -1},
+		"half-read before idle":          {[]connView{conn(addressA, phaseIdle, time.Minute), conn(addressA, phaseHead, time.Second)}, 1},
+		"body before idle":               {[]connView{conn(addressA, phaseIdle, time.Minute), conn(addressA, phaseBody, time.Second)}, 1},
+		"idle before new":                {[]connView{conn(addressA, phaseHead, 0), conn(addressA, phaseIdle, time.Second)}, 1},
+		"the longest idle":               {[]connView{conn(addressA, phaseIdle, time.Second), conn(addressA, phaseIdle, time.Minute)}, 1},
+		"the address with most":          {[]connView{conn(addressA, phaseHead, time.Minute), conn(addressB, phaseHead, time.Second), conn(addressB, phaseBusy, 0)}, 1},
+		"idle before one without a byte": {[]connView{silent(time.Minute), conn(addressA, phaseIdle, time.Second)}, 1},
+		"without a byte before new":      {[]connView{silent(0), silent(time.Second)}, 1},
+		"never one that leaves":          {[]connView{conn(addressA, phaseLeaving, time.Hour)}, -1},
+		"never a busy one":               {[]connView{conn(addressA, phaseBusy, time.Hour)}, -1},
 	}
 	for name, c := range cases {
 		if got := chooseClosed(testStart, c.conns); got != c.want {
--- a/connection/intake/conn.go
+++ b/connection/intake/conn.go
@@ -42,7 +42,9 @@
 	writing atomic.Int64
 	// interrupted is set when every read has to fail.
 	interrupted atomic.Bool
-	closeOnce   sync.Once
+	// begun is set once a byte of the current request has arrived.
+	begun     atomic.Bool
+	closeOnce sync.Once
 
 	// headBytes and headLines have arrived of the current head; lineBytes of its last line.
 	// headEnded is set once its end has arrived, and headCharged is what was charged for it. Only
@@ -74,56 +76,50 @@
 // the wall clock.
 var clockStart = time.Now()
 
-// setPhase begins a phase. It reports false if the connection is being closed for another one.
-func (c *Conn) setPhase(p phase) bool {
-	for {
-		current := c.phase.Load()
-		if phase(current) == phaseClosed {
-			return false
-		}
-		c.since.Store(int64(time.Since(clockStart)))
-		if c.phase.CompareAndSwap(current, int32(p)) {
-			return true
-		}
-	}
-}
-
-// closeInPhase closes the connection unless it has left the phase: a request that has arrived
-// meanwhile is served. It reports whether it closed it.
-func (c *Conn) closeInPhase(p phase) bool {
-	if !c.phase.CompareAndSwap(int32(p), int32(phaseClosed)) {
-		return false
+// setPhase begins a phase. A connection that was to leave stays.
+func (c *Conn) setPhase(p phase) {
+	c.since.Store(int64(time.Since(clockStart)))
+	if phase(c.phase.Swap(int32(p))) == phaseLeaving {
+		c.stay()
 	}
-	c.Close()
-	return true
 }
 
 func (c *Conn) view() connView {
-	return connView{address: c.address, phase: phase(c.phase.Load()), since: clockStart.Add(time.Duration(c.since.Load()))}
+	v := connView{address: c.address, phase: phase(c.phase.Load()), since: clockStart.Add(time.Duration(c.since.Load())), begun: c.begun.Load()}
+	if c.interrupted.Load() {
+		// It leaves as well, with a response.
+		v.phase = phaseLeaving
+	}
+	return v
 }
 
 // Read reads from the connection. While the head of a request arrives it fails once the head is
 // too long or the budget has no room for it.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
+	leaving := phase(c.phase.Load()) == phaseLeaving
+	if leaving && n == 0 {
+		n = c.readArrived(p)
+	}
 	if n == 0 {
 		return n, err
 	}
 	switch phase(c.phase.Load()) {
-	case phaseIdle:
-		if !c.setPhase(phaseHead) {
-			return 0, net.ErrClosed
-		}
-	case phaseClosed:
-		return 0, net.ErrClosed
+	case phaseIdle, phaseLeaving:
+		c.setPhase(phaseHead)
 	case phaseHead:
 	default:
 		return n, err
 	}
+	hadBegun := c.begun.Swap(true)
 	if headErr := c.admitHead(p[:n]); headErr != nil {
 		return 0, headErr
 	}
-	return n, err
+	if leaving && hadBegun && !c.headEnded {
+		// The rest of the request has not arrived in time.
+		return 0, net.ErrClosed
+	}
+	return n, nil
 }
 
 // admitHead counts and charges bytes of a head, without those of a body that come with it.
@@ -199,11 +195,9 @@
 }
 
 // headArrived ends the phase of the head. It reports false if the request has to be given up,
-// because its head had to give way or the connection is being closed.
+// because its head had to give way.
 func (c *Conn) headArrived(next phase) bool {
-	if !c.setPhase(next) {
-		return false
-	}
+	c.setPhase(next)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.head == nil || c.head.finish()
@@ -212,6 +206,7 @@
 // becomeIdle releases what the last request has taken.
 func (c *Conn) becomeIdle() {
 	c.headBytes, c.headLines, c.lineBytes, c.headBegan, c.headEnded, c.headCharged = 0, 0, 0, false, false, 0
+	c.begun.Store(false)
 	c.setPhase(phaseIdle)
 	c.releaseHead()
 }
@@ -233,12 +228,15 @@
 	_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0))
 }
 
-// SetReadDeadline sets the deadline of reads, unless they have been interrupted.
+// SetReadDeadline sets the deadline of reads, unless they have been interrupted or the connection
+// is to leave.
 func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if err := c.TCPConn.SetReadDeadline(t); err != nil {
 		return err
 	}
-	if c.interrupted.Load() {
+	if c.interrupted.Load() || phase(c.phase.Load()) == phaseLeaving {
 		return c.TCPConn.SetReadDeadline(time.Unix(1, 0))
 	}
 	return nil
--- a/connection/intake/conns.go
+++ b/connection/intake/conns.go
@@ -19,36 +19,46 @@
 	phaseBusy
 	// phaseIdle: the last request was answered.
 	phaseIdle
-	// phaseClosed: the connection is closed for another one. No other phase follows.
-	phaseClosed
+	// phaseLeaving: the reader closes the connection unless a request has arrived.
+	phaseLeaving
 )
 
-// headAllowance is the age up to which a new connection is closed only after idle ones.
+// headAllowance is how long a part of a request may wait for the rest before its connection is
+// closed for another one, and how long a connection is new.
 const headAllowance = 250 * time.Millisecond
 
+// leavingShare of the bound of a listener is the number of connections that may be open beyond it
+// while others leave.
+const leavingShare = 8
+
 // connView is what the choice of the connection to close depends on.
 type connView struct {
 	address netip.Addr
 	phase   phase
 	since   time.Time
+	// begun is set once a byte of the current request has arrived.
+	begun bool
 }
 
 // rank orders connections by how readily they are closed; 0 means never.
 func (v connView) rank(now time.Time) int {
+	waits := now.Sub(v.since) > headAllowance
 	switch {
-	case v.phase == phaseBusy || v.phase == phaseClosed:
+	case v.phase == phaseBusy || v.phase == phaseLeaving:
 		return 0
 	case v.phase == phaseIdle:
-		return 2
-	case now.Sub(v.since) > headAllowance:
 		return 3
+	case waits && (v.begun || v.phase == phaseBody):
+		return 4
+	case waits:
+		return 2
 	}
 	return 1
 }
 
 // chooseClosed returns the index of the connection to close for a newcomer, or -1 if the newcomer
-// has to be closed. Connections with a part of a request come before idle ones, and those before
-// new ones. Among equals one of the address with the most connections is chosen, the one that has
+// has to be closed. Connections with a part of a request come before idle ones, then those without a
+// byte, whose request may have arrived and be unread, then new ones. Among equals one of the address with the most connections is chosen, the one that has
 // waited longest. A busy connection is never closed.
 func chooseClosed(now time.Time, conns []connView) int {
 	worst, perAddress := 0, make(map[netip.Addr]int)
@@ -81,8 +91,12 @@
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
 	// closed counts connections that were closed for a newcomer, refused those that were closed at
-	// once, timedOut those on which a request did not arrive in time.
-	closed, refused, timedOut uint64
+	// once, timedOut those on which a request did not arrive in time, idle those without a request.
+	closed, refused, timedOut, idle uint64
+
+	// lastSweep is when sweep was last called, readUntil when the process has certainly read what
+	// arrived while sweeps were late. Only sweep uses both.
+	lastSweep, readUntil time.Time
 }
 
 // add takes a new connection in, and closes another one if there are too many. It reports false
@@ -94,27 +108,43 @@
 		t.mu.Unlock()
 		return true
 	}
+	full := len(t.conns) >= t.max+t.max/leavingShare
 	views := make([]connView, 0, len(t.conns))
 	conns := make([]*Conn, 0, len(t.conns))
 	for other := range t.conns {
 		views, conns = append(views, other.view()), append(conns, other)
 	}
+	t.conns[c] = struct{}{}
+	t.mu.Unlock()
+	// A request may have arrived on the chosen connection meanwhile.
 	i := chooseClosed(now, views)
-	if i < 0 {
-		t.refused++
-		t.mu.Unlock()
+	roomMade := i >= 0 && conns[i].giveWay(views[i].phase)
+	if full {
+		roomMade = closeLongestLeaving(conns)
+	}
+	if !roomMade {
+		t.remove(c)
+		t.count(&t.refused)
 		return false
 	}
-	t.conns[c] = struct{}{}
-	t.mu.Unlock()
-	if conns[i].closeInPhase(views[i].phase) {
-		t.count(&t.closed)
-		return true
+	t.count(&t.closed)
+	return true
+}
+
+// closeLongestLeaving closes the connection that has waited longest among those that are to leave.
+// Their readers get too little processor time to do it. It reports false if there is none.
+func closeLongestLeaving(conns []*Conn) bool {
+	var longest *Conn
+	for _, c := range conns {
+		if phase(c.phase.Load()) == phaseLeaving && (longest == nil || c.since.Load() < longest.since.Load()) {
+			longest = c
+		}
+	}
+	if longest == nil {
+		return false
 	}
-	// A request has arrived there meanwhile.
-	t.remove(c)
-	t.count(&t.refused)
-	return false
+	longest.Close()
+	return true
 }
 
 func (t *connTable) remove(c *Conn) {
@@ -134,9 +164,33 @@
 	return conns
 }
 
+// idleGrace is how long after its idle timeout a connection is closed. The client counts the timeout
+// from when it receives the answer and may send a request just before its end. The answer and the
+// request may each be on their way, or wait in this process, for as long as the caller waits.
+const idleGrace = 5 * time.Second
+
+// A sweep that is maxSweepGap after the last one is late: the process was paused or lacks processor
+// time, so that requests that have arrived may be unread for another catchUpDelay.
+const (
+	maxSweepGap  = 2 * sweepInterval
+	catchUpDelay = sweepInterval
+)
+
+// isLate reports whether requests may have arrived in time that the process has not read.
+func (t *connTable) isLate(now time.Time) bool {
+	if !t.lastSweep.IsZero() && now.Sub(t.lastSweep) > maxSweepGap {
+		t.readUntil = now.Add(catchUpDelay)
+	}
+	t.lastSweep = now
+	return now.Before(t.readUntil)
+}
+
 // sweep closes the connections that have waited longer than the limits allow. Reads of bodies are
 // interrupted, so that their requests are answered.
 func (t *connTable) sweep(now time.Time, limits RequestLimits) {
+	if t.isLate(now) {
+		return
+	}
 	for _, c := range t.all() {
 		v := c.view()
 		waited := now.Sub(v.since)
@@ -145,10 +199,12 @@
 		case writes && now.Sub(began) > writeTimeout:
 			t.count(&t.timedOut)
 			c.Close()
-		case v.phase == phaseIdle && waited > limits.IdleTimeout:
-			c.closeInPhase(phaseIdle)
+		case v.phase == phaseIdle && waited > limits.IdleTimeout+idleGrace:
+			if c.leave(phaseIdle) {
+				t.count(&t.idle)
+			}
 		case v.phase == phaseHead && waited > limits.HeaderTimeout:
-			if c.closeInPhase(phaseHead) {
+			if c.leave(phaseHead) {
 				t.count(&t.timedOut)
 			}
 		case v.phase == phaseBody && waited > bodyTimeout && !c.interrupted.Load():
--- a/connection/intake/limits.go
+++ b/connection/intake/limits.go
@@ -60,7 +60,8 @@
 // RequestLimits bounds a single request. Zero selects the default.
 type RequestLimits struct {
 	// HeaderBytes bounds the head of a request, HeaderTimeout the time from its first byte to
-	// its end. IdleTimeout is when a connection without a request is closed.
+	// its end. IdleTimeout is for how long a client may leave a connection without a request; it is
+	// closed idleGrace later.
 	HeaderBytes   int
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
--- a/connection/intake/listener.go
+++ b/connection/intake/listener.go
@@ -145,8 +145,8 @@
 	Conns int
 	// Evicted counts requests that had to give way, Refused those that found no room. Closed counts
 	// connections that had to give way, Rejected those that were closed at once, TimedOut those on
-	// which a request did not arrive in time.
-	Evicted, Refused, Closed, Rejected, TimedOut uint64
+	// which a request did not arrive in time, Idle those without a request.
+	Evicted, Refused, Closed, Rejected, TimedOut, Idle uint64
 }
 
 // Stats returns the current values.
@@ -164,6 +164,7 @@
 		s.Closed += l.table.closed
 		s.Rejected += l.table.refused
 		s.TimedOut += l.table.timedOut
+		s.Idle += l.table.idle
 		l.table.mu.Unlock()
 	}
 	return s
--- a/connection/intake/server_test.go
+++ b/connection/intake/server_test.go
@@ -138,19 +138,6 @@
 	}
 }
 
-// Guards against closing a connection on which a request has arrived since it was chosen.
-func TestBusyConnectionIsNotClosedForAnother(t *testing.T) {
-	c := &Conn{}
-	c.setPhase(phaseIdle)
-	if !c.headArrived(phaseBusy) || c.closeInPhase(phaseIdle) {
-		t.Error("a connection with a request was closed")
-	}
-	c.phase.Store(int32(phaseClosed))
-	if c.headArrived(phaseBusy) {
-		t.Error("a request of a closed connection is served")
-	}
-}
-
 // Guards against slow bodies that keep an ordinary request out.
 func TestSlowBodyGivesWay(t *testing.T) {
 	in, addr := serveEcho(t, ListenerOptions{MaxConns: 10})
--- a/process/observe/intake.go
+++ b/process/observe/intake.go
@@ -42,6 +42,7 @@
 		bounded = bounded || c.now > c.last
 	}
 	m.count("timeout", now.TimedOut-m.last.TimedOut)
+	m.count("idle", now.Idle-m.last.Idle)
 	m.last = now
 	if bounded {
 		m.condition.Begin(errors.Wrapf(errClientsBounded, "%d of %d bytes, %d connections", now.Bytes, now.Budget, now.Conns))
