--- a/connection/intake/choose_test.go
+++ b/connection/intake/choose_test.go
@@ -65,7 +65,7 @@
 		"the longest idle":               {[]connView{conn(addressA, phaseIdle, time.Second), conn(addressA, phaseIdle, time.Minute)}, 1},
 		"the address with most":          {[]connView{conn(addressA, phaseHead, time.Minute), conn(addressB, phaseHead, time.Second), conn(addressB, phaseBusy, 0)}, 1},
 		"idle before one without a byte": {[]connView{silent(time.Minute), conn(addressA, phaseIdle, time.Second)}, 1},
-		"without a byte before new":      {[]connView{silent(0), silent(time.Second)}, 1},
+		"the oldest without a byte":      {[]connView{silent(0), silent(time.Second)}, 1},
 		"never one that leaves":          {[]connView{conn(addressA, phaseLeaving, time.Hour)}, -1},
 		"never a busy one":               {[]connView{conn(addressA, phaseBusy, time.Hour)}, -1},
 	}
--- a/connection/intake/conns.go
+++ b/connection/intake/conns.go
@@ -24,7 +24,7 @@
 )
 
 // headAllowance is how long a part of a request may wait for the rest before its connection is
-// closed for another one, and how long a connection is new.
+// closed for another one.
 const headAllowance = 250 * time.Millisecond
 
 // leavingShare of the bound of a listener is the number of connections that may be open beyond it
@@ -42,23 +42,20 @@
 
 // rank orders connections by how readily they are closed; 0 means never.
 func (v connView) rank(now time.Time) int {
-	waits := now.Sub(v.since) > headAllowance
 	switch {
 	case v.phase == phaseBusy || v.phase == phaseLeaving:
 		return 0
 	case v.phase == phaseIdle:
-		return 3
-	case waits && (v.begun || v.phase == phaseBody):
-		return 4
-	case waits:
 		return 2
+	case (v.begun || v.phase == phaseBody) && now.Sub(v.since) > headAllowance:
+		return 3
 	}
 	return 1
 }
 
 // chooseClosed returns the index of the connection to close for a newcomer, or -1 if the newcomer
 // has to be closed. Connections with a part of a request come before idle ones, then those without a
-// byte, whose request may have arrived and be unread, then new ones. Among equals one of the address with the most connections is chosen, the one that has
+// byte, whose request may have arrived and be unread. Among equals one of the address with the most connections is chosen, the one that has
 // waited longest. A busy connection is never closed.
 func chooseClosed(now time.Time, conns []connView) int {
 	worst, perAddress := 0, make(map[netip.Addr]int)
