--- a/process/runner/target.go
+++ b/process/runner/target.go
@@ -16,6 +16,9 @@
 	// startTime is the last value of TargetReport.StartTime. It changes with each
 	// restart of the target.
 	startTime int64
+	// datesReports is set once a report of the target has named its start time. All of its
+	// reports do then.
+	datesReports bool
 	// life numbers the lives of targets from 1, in the order in which the agent learned
 	// of them. Zero stands for no target.
 	life     uint64
@@ -169,6 +172,9 @@
 		// began after the restart.
 		c.requestPoll()
 		return true
+	case r.StartTime == 0 && c.target.datesReports:
+		c.ignoreReport(r, "lacks the start time")
+		return true
 	case c.isDoubtful(r):
 		return true
 	}
@@ -198,10 +204,15 @@
 		return false
 	}
 	c.target.doubtful = &r
-	c.env.Record(decision.Decision{Step: "target_report", Peer: r.Target, Outcome: "ignored", Reason: "contradicts the earlier reports", Version: r.Sequence})
+	c.ignoreReport(r, "contradicts the earlier reports")
 	return true
 }
 
+// ignoreReport logs that a report may be of another writer.
+func (c *Core) ignoreReport(r TargetReport, reason string) {
+	c.env.Record(decision.Decision{Step: "target_report", Peer: r.Target, Outcome: "ignored", Reason: reason, Version: r.Sequence})
+}
+
 // follows reports whether a report may be the next one of the target that sent an earlier
 // one.
 func (r TargetReport) follows(earlier TargetReport) bool {
@@ -235,6 +246,7 @@
 	c.target.service, c.target.sequence = r.Service, r.Sequence
 	c.target.capacity, c.target.labels = r.Capacity, r.Labels
 	c.target.draining = c.target.draining || r.Draining
+	c.target.datesReports = c.target.datesReports || r.StartTime != 0
 	if before.service != r.Service || before.capacity != r.Capacity || before.draining != c.target.draining || !slices.Equal(before.labels, r.Labels) {
 		c.bumpRevision()
 		c.env.Record(decision.Decision{Step: "target_report", Peer: r.Target, Outcome: reportOutcome(c.target.draining),
@@ -355,7 +367,7 @@
 	c.endLostRuns(now, "target started again", lost)
 	// The present life has seen no token yet and would carry out calls that are under way.
 	c.fence++
-	c.target = target{id: c.target.id, startTime: answer.StartTime, life: c.newLife(), service: c.target.service, capacity: c.target.capacity, labels: c.target.labels, lastAnswerAt: now,
+	c.target = target{id: c.target.id, startTime: answer.StartTime, life: c.newLife(), service: c.target.service, capacity: c.target.capacity, labels: c.target.labels, lastAnswerAt: now, datesReports: c.target.datesReports,
 		leaseUntil: later(c.target.leaseUntil, now.Add(wire.MaxTargetLease)), unfenced: true}
 	c.health = health{}
 	c.bumpRevision()
--- a/process/runner/target_test.go
+++ b/process/runner/target_test.go
@@ -166,6 +166,35 @@
 	}
 }
 
+// Guards against reports of another writer that agree with each other: runs were given up while
+// they went on (review/6, TWICE), and a target got no runs any more (review/9, LOST).
+func TestReportWithoutTheStartTimeIsIgnored(t *testing.T) {
+	cases := map[string]struct {
+		foreign runner.TargetReport
+		// restart lets the target start again before.
+		restart bool
+	}{
+		"draining":                  {runner.TargetReport{Service: "card", Draining: true}, false},
+		"draining, after a restart": {runner.TargetReport{Service: "card", Draining: true}, true},
+		"another service":           {runner.TargetReport{Service: "other"}, false},
+	}
+	for name, step := range cases {
+		h := newHarness(t)
+		if step.restart {
+			h.restartTarget(2)
+		}
+		step.foreign.Target, step.foreign.Capacity = targetID, h.targetCapacity()
+		for range 4 {
+			step.foreign.Sequence++
+			h.core.HandleTargetReport(step.foreign)
+		}
+		h.sendStartOrder(0)
+		if got := h.core.Dump().Service; got != "card" || len(h.starts) != 1 {
+			t.Errorf("%s: service %q and %d starts after reports of another writer, want %q and 1", name, got, len(h.starts), "card")
+		}
+	}
+}
+
 // Guards against a target whose reports are ignored for ever once one was doubtful.
 func TestSecondReportConfirmsADoubtfulOne(t *testing.T) {
 	h := newHarness(t)
