--- a/process/keeper/calls.go
+++ b/process/keeper/calls.go
@@ -49,9 +49,14 @@
 // refusedMalformed is the refusal of a forwarded job that no caller could have submitted.
 var refusedMalformed = Outcome{Code: NotAccepted, Refusal: dispatch.Result{Code: dispatch.NotRun, Reason: dispatch.ReasonUnsupported}}
 
+// refusedCallerLeft is the outcome of a new job whose caller's connection has ended. The caller may
+// have been told elsewhere that there is no such job.
+var refusedCallerLeft = Outcome{Code: NotAccepted, Refusal: dispatch.Result{Code: dispatch.NotRun, Reason: dispatch.ReasonCallerLeft}}
+
 // submitHere accepts a job at this entry. If the record of the job is queued or being
 // appended already, the caller waits for it.
 func (k *Keeper) submitHere(ctx context.Context, s batch.Submission) Outcome {
+	callerLeft := s.CallerWaits != nil && !s.CallerWaits()
 	k.mu.Lock()
 	if _, known := k.table.Job(s.Job.ID); known {
 		k.mu.Unlock()
@@ -62,6 +67,10 @@
 		k.mu.Unlock()
 		return Outcome{Code: NotAccepted, Refusal: refusal}
 	}
+	if !pending && callerLeft {
+		k.mu.Unlock()
+		return refusedCallerLeft
+	}
 	answer := make(chan Outcome, 1)
 	if !pending {
 		record, err := ledger.AcceptRecord(1, k.self, ledger.AcceptedJob{Job: s.Job, Service: s.Service, Queue: s.Queue, Priority: s.Priority,
--- a/process/keeper/keeper_test.go
+++ b/process/keeper/keeper_test.go
@@ -28,6 +28,26 @@
 	}
 }
 
+// Guards against a job that runs although its caller, which has left a frozen entry, was told
+// elsewhere that there is no such job (review/10, UNASKED).
+func TestJobOfACallerThatHasLeftIsNotAccepted(t *testing.T) {
+	e := startEntry(t, newMemoryLog(), &clock{}, "a")
+	for _, waits := range []bool{false, true} {
+		s := submission("j")
+		s.CallerWaits = func() bool { return waits }
+		want := NotAccepted
+		if waits {
+			want = Accepted
+		}
+		if o := e.Submit(context.Background(), s); o.Code != want {
+			t.Errorf("caller waits %t: %+v, want %s", waits, o, want)
+		}
+	}
+	if started := e.dispatcher.startedJobs(); len(started) > 1 {
+		t.Errorf("started %d jobs, want at most the one of the caller that waits", len(started))
+	}
+}
+
 // Guards against recording a job twice, or not running it, when its append took
 // effect but the answer was lost and the append is repeated.
 func TestUnansweredAppendRecordsJobOnce(t *testing.T) {
