intake: links of other processes give way at once

Cause: since a connection that gives way is left to its reader, so that up to an eighth more links were open, each with a part of a large message.

Change: such links are closed at once, as before; the processes connect again, and no request of a caller comes over them.

--- a/connection/intake/leave.go
+++ b/connection/intake/leave.go
@@ -32,13 +32,18 @@
 // giveWay ends the connection for another one, as leave does. A request whose body is under way is
 // answered. It reports false if the connection has left the phase.
 func (c *Conn) giveWay(from phase) bool {
-	if from != phaseBody {
-		return c.leave(from)
-	}
-	if phase(c.phase.Load()) != phaseBody {
+	switch {
+	case from == phaseBody:
+		if phase(c.phase.Load()) != phaseBody {
+			return false
+		}
+		c.interrupt()
+	case !c.leave(from):
 		return false
+	case c.listener.options.Raw:
+		// A first message may be large, and the other process connects again.
+		c.Close()
 	}
-	c.interrupt()
 	return true
 }
 
