--- a/review/_third/labels.go
+++ b/review/_third/labels.go
@@ -39,11 +39,11 @@
 			defer mu.Unlock()
 			if kind[machine] == "b" {
 				right++
+				w.note("executor on machine %d, of kind b, starts %v", machine, run)
 				return
 			}
-			if wrong++; wrong <= 20 {
-				w.note("executor on machine %d, now of kind %s, is told to start %v, which requires kind b", machine, kind[machine], run)
-			}
+			wrong++
+			w.note("executor on machine %d, now of kind %s, IS TOLD TO START %v, which requires kind b", machine, kind[machine], run)
 		}, nil)
 	}
 	w.addEntry(1)
@@ -65,8 +65,10 @@
 					return
 				case <-time.After(100 * time.Millisecond):
 				}
-				status, _ := w.call(client, 1+n%2, http.MethodPost, prefix+newID(),
+				id := newID()
+				status, answer := w.call(client, 1+n%2, http.MethodPost, prefix+id,
 					`{"spec":"x","bestEffort":true,"steps":[{"count":1,"cpu":1000,"memMb":64,"estimateMs":200,"requires":"b"}]}`, 1500*time.Millisecond)
+				w.note("client %d: POST %s%s (requires \"b\") to machine %d -> %d %s", n, prefix, id, 1+n%2, status, answer)
 				mu.Lock()
 				answers[status]++
 				mu.Unlock()
--- a/review/_third/main.go
+++ b/review/_third/main.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // cases are the cases by the number of their folder. Each returns whether the rule held.
@@ -34,6 +36,13 @@
 	}()
 	w := newWorld(record)
 	defer w.close()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		w.close()
+		os.Exit(exitCannotRun)
+	}()
 	if cases[args[0]](w, os.Getenv("TROUBLE") != "0") {
 		w.note("the rule held")
 		return exitHeld
--- a/review/_third/world.go
+++ b/review/_third/world.go
@@ -66,6 +66,7 @@
 	record   io.Writer
 
 	closing    chan struct{}
+	closeOnce  sync.Once
 	background sync.WaitGroup
 }
 
@@ -374,7 +375,9 @@
 }
 
 // close ends all processes and removes the temporary folder.
-func (w *world) close() {
+func (w *world) close() { w.closeOnce.Do(w.closeAll) }
+
+func (w *world) closeAll() {
 	close(w.closing)
 	w.background.Wait()
 	var ending sync.WaitGroup
