--- a/review/_third/platform/labels.go
+++ b/review/_third/platform/labels.go
@@ -13,13 +13,16 @@
 func init() { cases["labels"] = playLabels }
 
 // playLabels keeps a stream of jobs that need an executor of kind `b`. Of eight executors two are
-// of that kind. One of the two crashes and starts again under the id that it had, as kind `a`.
-// From then on it must not be told to start these tasks: RULES, ROUTE.
+// of that kind. One of the two crashes and starts again under the id that it had, as kind `a`, and
+// later as kind `b` again, three times. While it is of kind `a`, it must not be told to start these
+// tasks: RULES, ROUTE.
 func playLabels(w *world, trouble bool) bool {
 	const (
 		taskTime = 200 * time.Millisecond
 		downTime = 2 * time.Second
-		length   = 16 * time.Second
+		upTime   = 4 * time.Second
+		rounds   = 3
+		length   = 36 * time.Second
 	)
 	var mu sync.Mutex
 	kind := make(map[int]string)
@@ -79,14 +82,18 @@
 	time.Sleep(3 * time.Second)
 	if trouble {
 		k := w.workers[0]
-		w.note("executor on machine %d, %s of kind b, crashes, down for %v; one of 8 executors", k.machine, k.id(), downTime)
-		k.crash()
-		time.Sleep(downTime)
-		mu.Lock()
-		kind[k.machine] = "a"
-		mu.Unlock()
-		k.restart(false, []string{"a", "r1-1"})
-		w.note("executor on machine %d starts again as %s, of kind a, and has sent its first heartbeat", k.machine, k.id())
+		for round := range 2*rounds - 1 {
+			next := []string{"a", "b"}[round%2]
+			w.note("executor on machine %d, %s of kind %s, crashes, down for %v; one of 8 executors", k.machine, k.id(), kind[k.machine], downTime)
+			k.crash()
+			time.Sleep(downTime)
+			mu.Lock()
+			kind[k.machine] = next
+			mu.Unlock()
+			k.restart(false, []string{next, "r1-1"})
+			w.note("executor on machine %d starts again as %s, of kind %s, and has sent its first heartbeat", k.machine, k.id(), next)
+			time.Sleep(upTime)
+		}
 	}
 	time.Sleep(length - time.Since(began))
 	close(stop)
