--- a/connection/wire/run.go
+++ b/connection/wire/run.go
@@ -244,8 +244,8 @@
 	// RefusedByTarget means that the target refused the run for a reason that
 	// has no value of its own here.
 	RefusedByTarget StartRefusal = "target"
-	// RefusedUnanswered means that the target did not respond and the run was
-	// withdrawn.
+	// RefusedUnanswered means that the target did not respond, the run was withdrawn, and no
+	// copy of its start can be carried out any more.
 	RefusedUnanswered StartRefusal = "unanswered"
 	// RefusedStopped means that the run was stopped before it was started.
 	RefusedStopped StartRefusal = "stopped"
@@ -269,8 +269,12 @@
 	TargetCrashed bool `cbor:"6,keyasint,omitempty"`
 	// StartUnconfirmed is set with TargetCrashed if the target did not answer the start
 	// of the run, which it may have received only after the crash. It is set for a held
-	// run if a start of it has no answer.
+	// run, and for an unrecorded end, if a start of the run has no answer.
 	StartUnconfirmed bool `cbor:"7,keyasint,omitempty"`
+	// WithheldMS is set for a run that has ended or was withdrawn, but whose task must not
+	// start elsewhere for so many milliseconds: a start without an answer may be carried out
+	// late. The report of the end follows then.
+	WithheldMS int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // AgentReport is a message from an agent to an entry. With no runs and no target
@@ -289,7 +293,7 @@
 	// ConfirmedSequence is the highest Orders.Sequence up to which the target has answered
 	// all starts of runs that are still held, apart from those in UnansweredStarts.
 	ConfirmedSequence uint64 `cbor:"7,keyasint,omitempty"`
-	// UnansweredStarts lists the held runs of which a start got no answer. The target may
-	// still carry it out, also after a restart.
+	// UnansweredStarts lists the runs of which a start got no answer, and that are held or
+	// have not been reported as ended. The target may still carry it out, also after a restart.
 	UnansweredStarts []batch.Run `cbor:"8,keyasint,omitempty"`
 }
--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -79,7 +79,7 @@
 	suspensionLogged bool
 	// recordedEnds are the runs of durable jobs whose ends this entry has recorded, for
 	// agents that have not received the confirmation.
-	recordedEnds recentRuns[struct{}]
+	recordedEnds recentRuns[recordedEnd]
 	// reportedCrashes are the runs under which targets have crashed, for jobs that this
 	// entry may take over.
 	reportedCrashes recentRuns[crashKind]
@@ -264,7 +264,9 @@
 }
 
 func (p *pool) deleteTarget(t *target) {
-	delete(p.targets, t.agent)
+	if p.targets[t.agent] == t {
+		delete(p.targets, t.agent)
+	}
 	p.targetList = slices.DeleteFunc(slices.Clone(p.targetList), func(other *target) bool { return other == t })
 }
 
--- a/process/dispatch/counters.go
+++ b/process/dispatch/counters.go
@@ -79,8 +79,8 @@
 	RefusedOther uint64 `json:"refused_otherwise"`
 	// RunsLost counts the runs that were lost or whose lease lapsed.
 	RunsLost uint64 `json:"runs_lost"`
-	// RunsWithheld counts the runs of silent agents that were not given up with the others
-	// because their start was not confirmed.
+	// RunsWithheld counts the runs whose tasks wait because a start of them may still be
+	// carried out.
 	RunsWithheld uint64 `json:"runs_withheld"`
 	// Stragglers counts the runs that agents stopped because they were slow, RestartsPaid
 	// the tasks of such runs that took the usual time when they were started again.
--- a/process/dispatch/durable.go
+++ b/process/dispatch/durable.go
@@ -51,6 +51,20 @@
 type durableEnd struct {
 	agent wire.Incarnation
 	run   batch.Run
+	// startUnconfirmed is set if a start of the run may still be carried out.
+	startUnconfirmed bool
+}
+
+// recordedEnd is what is known of a recorded end.
+type recordedEnd struct {
+	// onlyAgent is the agent that may acknowledge the end, or 0 for any. It is set if a start of
+	// the run may still be carried out: that agent knows how long.
+	onlyAgent wire.Incarnation
+}
+
+// mayAcknowledge reports whether an agent may acknowledge the end.
+func (e recordedEnd) mayAcknowledge(agent wire.Incarnation) bool {
+	return e.onlyAgent == 0 || e.onlyAgent == agent
 }
 
 // durableState is the additional state of a durable job.
@@ -238,12 +252,13 @@
 // addDurableEnd reports progress of a durable job. If the agent keeps the end of
 // the run until it is recorded, the end is added to the unrecorded ones, or
 // resolved if the job has been forgotten.
-func (c *Core) addDurableEnd(now time.Time, p *pool, r *run, unstored bool) {
+func (c *Core) addDurableEnd(now time.Time, p *pool, r *run, report wire.RunReport) {
 	j := r.task.job
 	if j.durableState == nil {
 		return
 	}
-	end := durableEnd{agent: r.target.agent, run: r.id()}
+	unstored := report.EndUnrecorded
+	end := durableEnd{agent: r.target.agent, run: r.id(), startUnconfirmed: report.StartUnconfirmed}
 	if p.durable[j.Job.ID] != j {
 		if unstored {
 			c.settleForgottenEnd(now, p, j, end)
@@ -256,11 +271,11 @@
 	c.env.NoteProgress(j.Job.ID)
 }
 
-// awaitsRecord reports whether the job of an end runs here and the end is not recorded
-// yet.
-func (p *pool) awaitsRecord(end durableEnd) bool {
-	j := p.durable[end.run.Task.Job]
-	return j != nil && slices.Contains(j.durableState.unrecordedEnds, end)
+// awaitsRecord reports whether the job of an end runs here and the end, which an agent keeps,
+// is not recorded yet.
+func (p *pool) awaitsRecord(agent wire.Incarnation, run batch.Run) bool {
+	j := p.durable[run.Task.Job]
+	return j != nil && slices.ContainsFunc(j.durableState.unrecordedEnds, func(e durableEnd) bool { return e.agent == agent && e.run == run })
 }
 
 // settleForgottenEnd settles an end that was reported while its run was alive, of a job
@@ -276,7 +291,11 @@
 // confirmEnd notes that an end is recorded. The next message to the agent that keeps it
 // says so.
 func (c *Core) confirmEnd(now time.Time, p *pool, end durableEnd) {
-	p.recordedEnds.add(now, end.run, struct{}{}, recordedEndRetention)
+	recorded := recordedEnd{}
+	if end.startUnconfirmed {
+		recorded.onlyAgent = end.agent
+	}
+	p.recordedEnds.add(now, end.run, recorded, recordedEndRetention)
 	if t := p.targets[end.agent]; t != nil && t.connected {
 		t.recordedEnds = append(t.recordedEnds, end.run)
 	}
--- a/process/dispatch/env.go
+++ b/process/dispatch/env.go
@@ -101,8 +101,8 @@
 	ReasonWithdrawn Reason = "withdrawn"
 	// ReasonCallerLeft: the connections of all callers have ended.
 	ReasonCallerLeft Reason = "caller_left"
-	// ReasonRunsElsewhere: runs of an earlier submission of the job may be alive for longer than
-	// the caller waits.
+	// ReasonRunsElsewhere: runs of the job, or of an earlier submission of it, may be alive or
+	// may begin late for longer than the caller waits.
 	ReasonRunsElsewhere Reason = "runs_elsewhere"
 	// ReasonIsolated: the entry has lost contact with every agent of the service.
 	ReasonIsolated Reason = "isolated"
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -26,6 +26,8 @@
 			// The entry does not wait for this run.
 			c.send(now, p, t, &wire.Orders{Stops: []batch.Run{report.Run}, Waiting: c.announcedWaiting(now, p, t)})
 		}
+	case report.WithheldMS > 0:
+		c.runWithheld(now, p, r, time.Duration(report.WithheldMS)*time.Millisecond)
 	case report.RefusalReason != "":
 		c.runRefused(now, p, r, report.RefusalReason)
 	case report.End != "":
@@ -34,7 +36,7 @@
 		}
 		c.noteRestart(now, p, r, report)
 		r.crash = crashKindOf(report)
-		c.addDurableEnd(now, p, r, report.EndUnrecorded)
+		c.addDurableEnd(now, p, r, report)
 		c.runEnded(now, p, r, report.End)
 	}
 }
--- a/process/dispatch/target.go
+++ b/process/dispatch/target.go
@@ -18,8 +18,10 @@
 	agent wire.Incarnation
 	node  string
 	zone  string
-	// connected is false while the agent may reconnect.
+	// connected is false while the agent may reconnect. retired is set if it does not, and
+	// the target is kept for its unconfirmed runs only.
 	connected bool
+	retired   bool
 	state     wire.TargetState
 	// reportedFree is the room that the agent last reported. inFlight holds the
 	// orders that it does not include yet.
@@ -74,7 +76,7 @@
 	c.poolByAgent[m.Agent] = p
 	c.agentsMu.Unlock()
 	if previous != nil && previous != p {
-		c.removeTarget(previous, m.Agent, "moved to another service")
+		c.removeTarget(previous, m.Agent, m.Target.Target, "moved to another service")
 	}
 	c.removeEarlierAgents(m)
 	p.mu.Lock()
@@ -102,20 +104,18 @@
 }
 
 // removeEarlierAgents removes earlier agent incarnations on the same instance and
-// ends their runs: an agent enrolls only once none of these runs is alive and the target
-// refuses the calls of earlier agents.
+// ends their runs: an agent enrolls only once none of these runs is alive and the present
+// life of the target refuses the calls of earlier agents.
 func (c *Core) removeEarlierAgents(m *wire.Enroll) {
 	for _, p := range c.allPools() {
 		p.mu.Lock()
 		now := c.env.Now()
 		for _, t := range p.targetList {
-			if t.node != m.Node || t.agent == m.Agent {
+			if t.node != m.Node || t.agent == m.Agent || t.retired {
 				continue
 			}
-			for _, r := range batch.SortedByRun(t.runs) {
-				c.runEnded(now, p, r, batch.EndLost)
-			}
-			p.deleteTarget(t)
+			t.noteReplacement(m.Target.Target)
+			c.retireTarget(now, p, t)
 			c.forgetAgent(t.agent)
 		}
 		p.mu.Unlock()
@@ -192,8 +192,9 @@
 	return c.poolByAgent[agent]
 }
 
-// removeTarget removes a target and ends its runs as lost.
-func (c *Core) removeTarget(p *pool, agent wire.Incarnation, cause string) {
+// removeTarget removes the target of an agent, which is beside the given target now, and ends
+// its runs as lost.
+func (c *Core) removeTarget(p *pool, agent wire.Incarnation, present, cause string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := p.targets[agent]
@@ -203,10 +204,8 @@
 	now := c.env.Now()
 	c.env.Record(decision.Decision{Step: "agent", Peer: t.node, Outcome: "removed", Reason: cause, Age: now.Sub(t.lastReceived),
 		Inputs: []decision.Input{{Name: "runs", Value: int64(len(t.runs))}}})
-	p.deleteTarget(t)
-	for _, r := range batch.SortedByRun(t.runs) {
-		c.runEnded(now, p, r, batch.EndLost)
-	}
+	t.noteReplacement(present)
+	c.retireTarget(now, p, t)
 }
 
 // HandleReport handles a report of an agent. Reports of unknown agents are ignored.
@@ -218,7 +217,7 @@
 	// An agent that has lost its target stays in the pool of the service until it
 	// has another one, because it still reports on the runs that were lost.
 	if m.Target != nil && m.Target.Service != "" && m.Target.Service != p.service {
-		p = c.moveTarget(agent, p, m.Target.Service)
+		p = c.moveTarget(agent, p, m.Target)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -275,16 +274,13 @@
 
 // moveTarget moves an agent to the pool of the service that its target has joined
 // and ends the runs it had for the previous service as lost.
-func (c *Core) moveTarget(agent wire.Incarnation, from *pool, service string) *pool {
-	to := c.pool(service)
+func (c *Core) moveTarget(agent wire.Incarnation, from *pool, state *wire.TargetState) *pool {
+	to := c.pool(state.Service)
 	from.mu.Lock()
 	t := from.targets[agent]
 	if t != nil {
-		from.deleteTarget(t)
-		now := c.env.Now()
-		for _, r := range batch.SortedByRun(t.runs) {
-			c.runEnded(now, from, r, batch.EndLost)
-		}
+		t.noteReplacement(state.Target)
+		c.retireTarget(c.env.Now(), from, t)
 	}
 	from.mu.Unlock()
 	c.agentsMu.Lock()
@@ -332,7 +328,9 @@
 		c.endRunsOfSilentAgent(now, p, t)
 		if !t.connected && len(t.runs) == 0 {
 			p.deleteTarget(t)
-			c.forgetAgent(t.agent)
+			if !t.retired {
+				c.forgetAgent(t.agent)
+			}
 		}
 	}
 }
--- a/process/dispatch/unconfirmed.go
+++ b/process/dispatch/unconfirmed.go
@@ -21,7 +21,12 @@
 	for len(t.unconfirmed) > 0 && t.unconfirmed[0].sequence <= m.ConfirmedSequence {
 		r := t.unconfirmed[0].run
 		t.unconfirmed = t.unconfirmed[1:]
-		r.startConfirmed = !slices.Contains(m.UnansweredStarts, r.id())
+		r.startConfirmed = true
+	}
+	for _, id := range m.UnansweredStarts {
+		if r := t.runs[id]; r != nil {
+			r.startConfirmed = false
+		}
 	}
 }
 
@@ -65,6 +70,64 @@
 	}
 }
 
+// runWithheld handles the report that the task of a run may not start elsewhere for a time,
+// although the run has ended or was withdrawn.
+func (c *Core) runWithheld(now time.Time, p *pool, r *run, remaining time.Duration) {
+	r.startConfirmed = false
+	if !r.withheld {
+		r.withheld = true
+		c.counters.runsWithheld.Add(1)
+	}
+	c.giveUpIfTooLate(now, p, r.task.job, now.Add(remaining))
+}
+
+// giveUpIfTooLate answers the callers of a job at once who would leave before the time at
+// which one of its tasks may start again.
+func (c *Core) giveUpIfTooLate(now time.Time, p *pool, j *activeJob, startsAt time.Time) {
+	if j.durableState == nil && !j.ended && startsAt.After(j.callersLeaveAt) {
+		c.endJob(now, p, j, unfinishedResult(j, ReasonRunsElsewhere))
+	}
+}
+
+// noteReplacement notes which target is beside the agent now. Another target refuses the
+// starts that were sent to the former one, so that none of them begins a run any more.
+func (t *target) noteReplacement(present string) {
+	if present == "" || present == t.state.Target {
+		return
+	}
+	for _, r := range t.runs {
+		r.startConfirmed = true
+	}
+}
+
+// retireTarget removes a target whose agent is not used any more, and ends its runs as lost.
+// A run whose start is not confirmed may begin later, whichever agent has fenced the target
+// since, as a restart of the target undoes that: it stays with a copy of the target that
+// takes no orders, until wire.UnconfirmedRunsLostAfter has passed.
+func (c *Core) retireTarget(now time.Time, p *pool, t *target) {
+	p.deleteTarget(t)
+	retired := &target{agent: t.agent, node: t.node, zone: t.zone, state: t.state, lastReceived: t.lastReceived, speed: t.speed,
+		retired: true, runs: make(map[batch.Run]*run)}
+	for _, r := range batch.SortedByRun(t.runs) {
+		if r.startConfirmed {
+			c.runEnded(now, p, r, batch.EndLost)
+			continue
+		}
+		delete(t.runs, r.id())
+		retired.runs[r.id()], r.target = r, retired
+	}
+	if len(retired.runs) == 0 {
+		return
+	}
+	p.targetList = append(p.targetList, retired)
+	freeAt := t.lastReceived.Add(wire.UnconfirmedRunsLostAfter)
+	c.env.Record(decision.Decision{Step: "agent", Peer: t.node, Outcome: "runs_withheld", Reason: "agent replaced, starts not confirmed",
+		Age: now.Sub(t.lastReceived), Inputs: []decision.Input{{Name: "runs", Value: int64(len(retired.runs))}}})
+	for _, r := range batch.SortedByRun(retired.runs) {
+		c.runWithheld(now, p, r, freeAt.Sub(now))
+	}
+}
+
 // hasUnconfirmedRuns reports whether a run of an earlier submission of a job may still begin.
 func (p *pool) hasUnconfirmedRuns(id batch.ID) bool {
 	if !p.retainedAnswers[id].mayHaveRun {
--- a/process/dispatch/unsettledends.go
+++ b/process/dispatch/unsettledends.go
@@ -20,13 +20,15 @@
 // this entry has recorded it, or if its job is not durable: the task of any other run
 // may have started again, also if the job has ended since.
 func (c *Core) resolveLateEnd(now time.Time, p *pool, t *target, run batch.Run) {
-	end := durableEnd{t.agent, run}
+	recorded, known := p.recordedEnds.values[run]
 	switch {
-	case p.recordedEnds.contains(run) || p.isNonDurable(run.Task.Job):
+	case known && !recorded.mayAcknowledge(t.agent):
+		// The agent voids the end, which must not count while the run may begin again.
+	case known || p.isNonDurable(run.Task.Job):
 		c.send(now, p, t, &wire.Orders{RecordedEnds: []batch.Run{run}, Waiting: c.announcedWaiting(now, p, t)})
-	case p.awaitsRecord(end):
+	case p.awaitsRecord(t.agent, run):
 	default:
-		p.unsettledEnds.ends = append(p.unsettledEnds.ends, end)
+		p.unsettledEnds.ends = append(p.unsettledEnds.ends, durableEnd{agent: t.agent, run: run})
 		c.readForUnsettledEnds(p)
 	}
 }
--- a/process/observe/names.go
+++ b/process/observe/names.go
@@ -87,8 +87,8 @@
 	LocalWaits = "local_waits"
 	// RunsLost counts runs that were lost because their target or agent ended.
 	RunsLost = "runs_lost"
-	// RunsWithheld counts runs of silent agents whose tasks wait because the target may not
-	// have received the start yet.
+	// RunsWithheld counts runs whose tasks wait because the target may still carry a start
+	// of them out.
 	RunsWithheld = "runs_withheld"
 	// Stragglers counts runs that agents stopped because they were slow.
 	Stragglers = "stragglers"
--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -61,6 +61,8 @@
 	leaving  bool
 	sessions map[wire.Incarnation]*session
 	runs     map[batch.Run]*heldRun
+	// withheld holds the runs that have ended, but whose ends are not reported yet.
+	withheld map[batch.Run]*withheldEnd
 	used     batch.Resources
 	target   target
 	// lives counts the lives of targets that the agent has learned of.
@@ -110,6 +112,9 @@
 	Started uint64                       `json:"started"`
 	Refused map[wire.StartRefusal]uint64 `json:"refused"`
 	Ended   map[batch.End]uint64         `json:"ended"`
+	// EndsWithheld counts the ends that were not reported at once, because a start without an
+	// answer may be carried out late.
+	EndsWithheld uint64 `json:"ends_withheld"`
 	// SessionsEnded counts the expired sessions of entries that had runs.
 	SessionsEnded      uint64                       `json:"sessions_ended"`
 	Closed             map[wire.ClosedReason]uint64 `json:"closed"`
@@ -121,6 +126,7 @@
 	return &Core{env: env, options: options, startedAt: env.Now(), fence: options.Fence,
 		sessions:    make(map[wire.Incarnation]*session),
 		runs:        make(map[batch.Run]*heldRun),
+		withheld:    make(map[batch.Run]*withheldEnd),
 		revision:    1,
 		foreignRuns: make(map[batch.Run]time.Time),
 		counters: Counters{Refused: make(map[wire.StartRefusal]uint64), Ended: make(map[batch.End]uint64),
@@ -260,7 +266,9 @@
 			delete(c.sessions, entry)
 		}
 	}
+	c.retryStarts(now)
 	c.retryStops(now)
+	c.releaseWithheld(now)
 	c.checkReachability(now)
 	c.checkUnackedEnds(now)
 	if c.health.reopenIfDue(now) {
--- a/process/runner/crash.go
+++ b/process/runner/crash.go
@@ -30,7 +30,7 @@
 }
 
 // mayHaveCrashedTarget reports whether the target may have received the run.
-func (h *heldRun) mayHaveCrashedTarget() bool { return h.observed || h.startMayHaveArrived }
+func (h *heldRun) mayHaveCrashedTarget() bool { return h.observed || h.copies.unanswered() }
 
 // suspectCrash remembers a run that has lapsed at a target that does not answer.
 func (c *Core) suspectCrash(h *heldRun) {
--- a/process/runner/ends.go
+++ b/process/runner/ends.go
@@ -26,6 +26,11 @@
 	// unackedPollInterval is the pause between two hold calls while the target
 	// lists unacknowledged ends, since it answers such a call at once.
 	unackedPollInterval = 10 * time.Millisecond
+	// recordedPollInterval replaces it while all of them are recorded, which lasts longer.
+	recordedPollInterval = 20 * time.Millisecond
+	// maxListedEnds is the number of ends at the target from which on the recorded ones among
+	// them are void. Targets list a limited number (500), and the newer ones would be missed.
+	maxListedEnds = 400
 )
 
 // endTracker tracks which ends of a target may be acknowledged. The end of a
@@ -54,8 +59,16 @@
 	entry wire.Incarnation
 	// void is set if the end must not count, because the task may run again.
 	void bool
+	// startsOverAt is when the last copy of the start that got no answer is carried out at the
+	// latest, or zero. A later life of the target may begin the run again until then, which
+	// must not follow an end that counts. recorded is set once the entry has recorded the end.
+	startsOverAt time.Time
+	recorded     bool
 }
 
+// hasOutcome reports whether an end tells whether the task succeeded.
+func hasOutcome(end batch.End) bool { return end == batch.EndDone || end == batch.EndFailed }
+
 // unclaimed reports whether no connected entry is known to have ordered the run.
 func (e unackedEnd) unclaimed() bool { return e.entry == 0 }
 
@@ -110,13 +123,26 @@
 // hasUnackedOf reports whether ends of an entry are waiting to be acknowledged.
 func (l *endTracker) hasUnackedOf(entry wire.Incarnation) bool {
 	for _, e := range l.unacked {
-		if e.entry == entry && !e.void {
+		if e.entry == entry && !e.void && !e.recorded {
 			return true
 		}
 	}
 	return false
 }
 
+// allRecorded reports whether the entries have settled all unacknowledged ends.
+func (l *endTracker) allRecorded() bool {
+	for _, e := range l.unacked {
+		if !e.recorded {
+			return false
+		}
+	}
+	return true
+}
+
+// listed returns the number of ends that the target lists.
+func (l *endTracker) listed() uint64 { return l.lastNumber - l.acknowledged() }
+
 // lapsing reports whether the target takes no runs because its lease has to
 // lapse.
 func (l *endTracker) lapsing() bool { return !l.lapseSince.IsZero() }
@@ -130,10 +156,13 @@
 func (c *Core) HoldDelay() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.target.ends.hasUnacked() {
-		return unackedPollInterval
+	switch l := &c.target.ends; {
+	case !l.hasUnacked():
+		return 0
+	case l.allRecorded():
+		return recordedPollInterval
 	}
-	return 0
+	return unackedPollInterval
 }
 
 // startLapse closes the target until its lease has lapsed.
@@ -159,16 +188,33 @@
 	for number, e := range c.target.ends.unacked {
 		switch {
 		case slices.Contains(orders.RecordedEnds, e.run) && !e.void:
-			delete(c.target.ends.unacked, number)
+			e.recorded = true
+			c.target.ends.unacked[number] = e
 		case slices.Contains(orders.VoidEnds, e.run):
 			c.voidEnd(now, number)
 		}
 	}
+	c.dropRecordedEnds(now)
 	if c.target.ends.lapsing() && !c.target.ends.needsLapse() {
 		c.endLapse()
 	}
 }
 
+// dropRecordedEnds drops the recorded ends that may count now, so that they are acknowledged.
+// If the target lists too many ends meanwhile, those that may not count yet are void.
+func (c *Core) dropRecordedEnds(now time.Time) {
+	l := &c.target.ends
+	maps.DeleteFunc(l.unacked, func(_ uint64, e unackedEnd) bool { return e.recorded && !e.void && !now.Before(e.startsOverAt) })
+	if l.listed() <= maxListedEnds {
+		return
+	}
+	for _, number := range slices.Sorted(maps.Keys(l.unacked)) {
+		if l.unacked[number].recorded {
+			c.voidEnd(now, number)
+		}
+	}
+}
+
 // needsLapse reports whether there are ends that can be acknowledged only after
 // the lease has lapsed.
 func (l *endTracker) needsLapse() bool {
@@ -190,7 +236,7 @@
 	e.void = true
 	c.target.ends.unacked[number] = e
 	c.env.Record(decision.Decision{Step: "end", Job: e.run.Task.Job, Run: e.run, Peer: c.target.id, Outcome: "void",
-		Reason: "the task may run again", Age: now.Sub(e.receivedAt)})
+		Reason: "the task may run again, or the run begin again", Age: now.Sub(e.receivedAt)})
 	c.startLapse(now)
 }
 
@@ -198,7 +244,7 @@
 // another entry may run its tasks again.
 func (c *Core) voidEndsOf(now time.Time, entry wire.Incarnation) {
 	for _, number := range slices.Sorted(maps.Keys(c.target.ends.unacked)) {
-		if c.target.ends.unacked[number].entry == entry {
+		if e := c.target.ends.unacked[number]; e.entry == entry && !e.recorded {
 			c.voidEnd(now, number)
 		}
 	}
@@ -209,7 +255,7 @@
 func (c *Core) unackedReports(entry wire.Incarnation) []wire.RunReport {
 	var reports []wire.RunReport
 	for _, number := range slices.Sorted(maps.Keys(c.target.ends.unacked)) {
-		if e := c.target.ends.unacked[number]; !e.void && (e.entry == entry || e.unclaimed()) {
+		if e := c.target.ends.unacked[number]; !e.void && !e.recorded && (e.entry == entry || e.unclaimed()) {
 			reports = append(reports, wire.RunReport{Run: e.run, End: e.end, EndUnrecorded: true})
 		}
 	}
@@ -248,8 +294,9 @@
 	if len(c.unackedReports(0)) > 0 && now.Sub(l.offeredAt) >= endOfferInterval {
 		c.offerEnds(now)
 	}
+	c.dropRecordedEnds(now)
 	for _, number := range slices.Sorted(maps.Keys(l.unacked)) {
-		if now.Sub(l.unacked[number].receivedAt) > unsettledEndTimeout {
+		if e := l.unacked[number]; !e.recorded && now.Sub(e.receivedAt) > unsettledEndTimeout {
 			c.voidEnd(now, number)
 		}
 	}
--- a/process/runner/heldrun.go
+++ b/process/runner/heldrun.go
@@ -34,15 +34,18 @@
 	// target. A stopped run that was never observed is reported as not started.
 	observed  bool
 	startedAt time.Time
-	// startSentAt is when the newest copy of the start was sent. listed is set
-	// once the target has listed the run as running.
-	startSentAt time.Time
-	listed      bool
+	// copies is what is known of the copies of the start, spec the specification in them.
+	copies startCopies
+	spec   string
+	// listed is set once the target has listed the run as running.
+	listed bool
 	// confirmedAt is when the target confirmed the start.
 	confirmedAt time.Time
-	// unansweredAt is when the agent gave up retrying a start of which a copy
-	// may still be carried out, or zero.
-	unansweredAt time.Time
+	// unansweredAt is when the newest copy of a start that the target has not confirmed failed,
+	// once retries are no longer made at once, or zero. startRejected is set if the target has
+	// refused the start in a way that it would always do.
+	unansweredAt  time.Time
+	startRejected bool
 	// stopRequestedAt is when the run was first to be stopped.
 	stopRequestedAt time.Time
 	// stopSentAt is when the last request to stop the run was sent or, once a
@@ -66,12 +69,9 @@
 	// token.
 	missingAnswers int
 	fencedStarts   int
-	// unansweredStarts counts the starts without an answer. startMayHaveArrived is set
-	// if one of them may have reached the target.
-	unansweredStarts    int
-	startMayHaveArrived bool
-	// startPending is set from a start to its answer.
-	startPending bool
+	// unansweredStarts counts the starts without an answer, including those that have not
+	// reached the target.
+	unansweredStarts int
 	// lost is set for a run that has ended with a life of its target, but that is held until
 	// the present life refuses the starts of its task that are under way.
 	lost bool
--- a/process/runner/hold.go
+++ b/process/runner/hold.go
@@ -118,12 +118,12 @@
 // the longest lease that targets grant; a start without an answer may still be under way.
 func (h *heldRun) latestLeaseEnd(t target) time.Time {
 	switch {
-	case h.startUnanswered():
-		return later(t.leaseUntil, h.startSentAt.Add(wire.MaxCallDelay+wire.MaxTargetLease))
+	case h.copies.uncertain():
+		return later(t.leaseUntil, h.copies.taskFreeAt())
 	case h.listed:
 		return t.leaseUntil
 	}
-	return later(t.leaseUntil, h.startSentAt.Add(wire.MaxTargetLease))
+	return later(t.leaseUntil, h.copies.sentAt.Add(wire.MaxTargetLease))
 }
 
 // HandleHoldAnswer handles the target's list of running and ended runs.
@@ -187,7 +187,7 @@
 			continue
 		}
 		h := c.runs[e.Run]
-		if hasOutcome := e.End == batch.EndDone || e.End == batch.EndFailed; hasOutcome && (h != nil && h.durable || h == nil && e.Number > lapsed) {
+		if hasOutcome(e.End) && (h != nil && h.durable || h == nil && e.Number > lapsed) {
 			c.keepEnd(now, e, h)
 		}
 		if h == nil {
@@ -204,7 +204,11 @@
 // entry that ordered the run has ended meanwhile, because the task may run again.
 func (c *Core) keepEnd(now time.Time, e EndedRun, h *heldRun) {
 	entry := entryOf(h)
-	c.target.ends.addUnacked(e.Number, unackedEnd{run: e.Run, end: e.End, receivedAt: now, entry: entry})
+	kept := unackedEnd{run: e.Run, end: e.End, receivedAt: now, entry: entry}
+	if h != nil {
+		kept.startsOverAt = h.copies.overAt()
+	}
+	c.target.ends.addUnacked(e.Number, kept)
 	if h == nil {
 		return
 	}
@@ -294,7 +298,7 @@
 		}
 	case h.state == stateStarting:
 		if !h.unansweredAt.IsZero() && askedAt.After(h.unansweredAt) {
-			c.withdrawStart(now, h)
+			c.withdrawIfPointless(now, h)
 		}
 	case askedAt.After(h.confirmedAt):
 		if h.missingAnswers++; h.missingAnswers >= missingAnswersLimit {
--- a/process/runner/session.go
+++ b/process/runner/session.go
@@ -41,6 +41,8 @@
 	// reportAt is when the pending reports are sent at the latest.
 	reportAt      time.Time
 	recentReports []recentReport
+	// unansweredDue is set if the entry does not know yet that a start got no answer.
+	unansweredDue bool
 	// sentRevision is the revision of the target state that was last sent.
 	sentRevision uint64
 	// waiting is set while tasks of the entry wait for capacity.
@@ -115,8 +117,13 @@
 	}
 	for _, h := range c.runsOf(entry) {
 		// The numbers of the orders begin again on this connection.
-		h.orderSequence, h.startMayHaveArrived = 0, h.startUnanswered()
-		enroll.HeldRuns = append(enroll.HeldRuns, wire.RunReport{Run: h.run, StartUnconfirmed: h.startMayHaveArrived})
+		h.orderSequence = 0
+		enroll.HeldRuns = append(enroll.HeldRuns, wire.RunReport{Run: h.run, StartUnconfirmed: h.copies.uncertain()})
+	}
+	for _, w := range c.withheldRuns() {
+		if w.run.entry == entry {
+			enroll.HeldRuns = append(enroll.HeldRuns, w.announcement(now))
+		}
 	}
 	enroll.HeldRuns = append(enroll.HeldRuns, c.unackedReports(entry)...)
 	c.env.Send(entry, enroll)
@@ -135,7 +142,7 @@
 // active reports whether the session must be renewed at short intervals, because the
 // entry has runs or ends here, or waits for capacity.
 func (c *Core) active(s *session) bool {
-	return s.runs > 0 || s.waiting || c.target.ends.hasUnackedOf(s.entry)
+	return s.runs > 0 || s.waiting || c.target.ends.hasUnackedOf(s.entry) || c.withholdsEndsOf(s.entry)
 }
 
 // endSessionIfExpired ends an active session that the entry has not renewed in
@@ -184,7 +191,7 @@
 		}
 		reportsDue := len(s.pendingReports) > 0 && !now.Before(s.reportAt)
 		renewalDue := now.Sub(s.lastSentAt) >= c.renewInterval(s)
-		if reportsDue || renewalDue || s.sentRevision != c.revision {
+		if reportsDue || renewalDue || s.unansweredDue || s.sentRevision != c.revision {
 			c.sendReport(now, s, false)
 		}
 		c.resumeEnded(now, s)
@@ -208,7 +215,7 @@
 		target := c.targetState()
 		m.Target, s.sentRevision = &target, c.revision
 	}
-	s.pendingReports, s.lastSentAt = nil, now
+	s.pendingReports, s.lastSentAt, s.unansweredDue = nil, now, false
 	c.env.Send(s.entry, m)
 }
 
--- a/process/runner/start.go
+++ b/process/runner/start.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"slices"
 	"time"
 
 	"github.com/azurerouter/azurerouter/connection/wire"
@@ -13,8 +14,17 @@
 // milliseconds, so the increment covers a clock that was set back by a minute.
 const fenceIncrement = 60_000
 
-// maxStartRetries bounds the retries of one start without an answer.
-const maxStartRetries = 2
+// Retries of one start without an answer. Its task can't start elsewhere while a copy of the
+// start may be carried out, so that the same target gets the start again.
+const (
+	// maxStartRetries is the number of retries that are made at once.
+	maxStartRetries = 2
+	// startRetryInterval is the interval of the further ones.
+	startRetryInterval = 60 * time.Millisecond
+	// startRetryPeriod is the time from the order after which a copy without an answer is the
+	// last one: each of them makes the task wait for longer.
+	startRetryPeriod = 3 * time.Second
+)
 
 // maxFenceRetries bounds the retries of one start with a higher token.
 const maxFenceRetries = 8
@@ -26,20 +36,19 @@
 		c.queueReport(now, s, wire.RunReport{Run: run, RefusalReason: reason}, 0)
 		return
 	}
-	h := &heldRun{run: run, entry: s.entry, demand: order.Demand, durable: order.Durable, startedAt: now, stopIfSlow: task.StopIfSlow,
+	h := &heldRun{run: run, spec: order.Spec, entry: s.entry, demand: order.Demand, durable: order.Durable, startedAt: now, stopIfSlow: task.StopIfSlow,
 		estimate: time.Duration(order.EstimateMS) * time.Millisecond, orderSequence: sequence}
 	c.runs[run] = h
 	s.runs++
 	c.used = c.used.Add(h.demand)
 	c.counters.Started++
-	c.sendStart(now, h, StartCall{Target: c.target.id, Life: c.target.life, Run: run, Spec: order.Spec})
+	c.sendStart(now, h)
 }
 
 // sendStart sends a start to the target, for the first time or as a retry.
-func (c *Core) sendStart(now time.Time, h *heldRun, call StartCall) {
-	h.startSentAt, h.startPending = now, true
-	call.Fence, call.LeaseUntil = c.fence, c.extendLease(now)
-	c.env.Start(call)
+func (c *Core) sendStart(now time.Time, h *heldRun) {
+	h.copies.sent(now)
+	c.env.Start(StartCall{Target: c.target.id, Life: c.target.life, Run: h.run, Spec: h.spec, Fence: c.fence, LeaseUntil: c.extendLease(now)})
 }
 
 // refusalReason returns why a run can't be started, or an empty reason if it
@@ -70,6 +79,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.env.Now()
+	c.noteStartAnswer(call.Run, answer.Verdict)
 	if !c.isOfPresentLife(call.Target, call.Life) {
 		return
 	}
@@ -78,16 +88,18 @@
 	if h == nil {
 		return
 	}
-	h.startPending = false
+	if s := c.sessions[h.entry]; s != nil {
+		// The process may have been suspended for longer than the session lasts.
+		c.endSessionIfExpired(now, s)
+	}
 	switch answer.Verdict {
 	case VerdictDone:
 		c.startConfirmed(now, h)
 	case VerdictUnanswered:
-		h.startMayHaveArrived = true
-		c.retryStart(now, h, call)
+		c.retryStart(now, h)
 	case VerdictNotListening:
 		c.closeUnreachable(now)
-		c.retryStart(now, h, call)
+		c.retryStart(now, h)
 	case VerdictFenced:
 		c.startFenced(now, h, call)
 	case VerdictOtherTarget:
@@ -99,6 +111,23 @@
 	c.flush(now)
 }
 
+// noteStartAnswer notes an answer to a copy of a start, whichever life of the target it is of.
+func (c *Core) noteStartAnswer(run batch.Run, verdict Verdict) {
+	h := c.runs[run]
+	if w := c.withheld[run]; h == nil && w != nil {
+		h = w.run
+	}
+	if h == nil {
+		return
+	}
+	known := h.copies.unanswered()
+	h.copies.answered(verdict)
+	if s := c.sessions[h.entry]; s != nil && !known && h.copies.unanswered() {
+		s.unansweredDue = true
+	}
+}
+
+// startConfirmed notes that the target has begun the run.
 func (c *Core) startConfirmed(now time.Time, h *heldRun) {
 	h.observed, h.confirmedAt, h.unansweredAt = true, now, time.Time{}
 	h.progressAt = now
@@ -109,23 +138,60 @@
 
 // retryStart retries a start without an answer; if the run has started
 // already, the target confirms it. After maxStartRetries it polls the target
-// for the run.
-func (c *Core) retryStart(now time.Time, h *heldRun, call StartCall) {
+// for the run, and retries at intervals.
+func (c *Core) retryStart(now time.Time, h *heldRun) {
 	c.lossyUntil = now.Add(lossyPeriod)
 	if h.observed || h.state == stateStopping {
 		return
 	}
 	h.unansweredStarts++
-	if h.unansweredStarts <= maxStartRetries {
-		c.sendStart(now, h, call)
+	if h.unansweredStarts <= maxStartRetries && c.mayRetryStart(h) {
+		c.sendStart(now, h)
 		return
 	}
 	h.unansweredAt = now
 	c.requestPoll()
 }
 
+// mayRetryStart reports whether a start may be sent again.
+func (c *Core) mayRetryStart(h *heldRun) bool {
+	if h.state != stateStarting || h.startRejected {
+		return false
+	}
+	return !c.leaving && !c.target.draining && !c.target.ends.lapsing() && !c.evacuation.Contains(c.options.Zone)
+}
+
+// withdrawIfPointless withdraws a start that has not been carried out, unless its task would
+// have to wait for copies that are on their way and further copies make sense.
+func (c *Core) withdrawIfPointless(now time.Time, h *heldRun) {
+	if !c.mayRetryStart(h) || !h.copies.mayArrive(now) || h.copies.unansweredSentAt.Sub(h.startedAt) > startRetryPeriod {
+		c.withdrawStart(now, h)
+	}
+}
+
+// retryStarts repeats the starts without an answer that are due, or withdraws them. A target
+// that does not answer at all gets none, since a start extends the lease.
+func (c *Core) retryStarts(now time.Time) {
+	if c.target.unreachable {
+		return
+	}
+	var due []*heldRun
+	for _, h := range c.runs {
+		if h.state == stateStarting && !h.unansweredAt.IsZero() && !h.copies.pending && now.Sub(h.unansweredAt) >= startRetryInterval {
+			due = append(due, h)
+		}
+	}
+	slices.SortFunc(due, func(a, b *heldRun) int { return batch.Run.Compare(a.run, b.run) })
+	for _, h := range due {
+		c.withdrawIfPointless(now, h)
+		if h.state == stateStarting {
+			c.sendStart(now, h)
+		}
+	}
+}
+
 // withdrawStart gives up a start that has not been carried out but may still
-// be. The stop makes the target refuse the run from then on.
+// be. The stop makes the present life of the target refuse the run from then on.
 func (c *Core) withdrawStart(now time.Time, h *heldRun) {
 	c.env.Record(decision.Decision{Step: "start", Job: h.run.Task.Job, Run: h.run, Peer: c.target.id,
 		Outcome: "withdrawn", Reason: "target did not answer", Age: now.Sub(h.startedAt)})
@@ -139,11 +205,11 @@
 		c.env.Record(decision.Decision{Step: "fence", Peer: c.target.id, Outcome: "raised", Version: c.fence})
 	}
 	h.fencedStarts++
-	if h.fencedStarts > maxFenceRetries || h.state != stateStarting {
+	if h.fencedStarts > maxFenceRetries || !c.mayRetryStart(h) {
 		c.startRefused(now, h, VerdictFenced)
 		return
 	}
-	c.sendStart(now, h, call)
+	c.sendStart(now, h)
 }
 
 // startRefused ends a run whose start the target refused without any effect. If
@@ -155,9 +221,9 @@
 	reason := wire.RefusedByTarget
 	switch verdict {
 	case VerdictSuperseded:
-		reason = wire.RefusedSuperseded
+		reason, h.startRejected = wire.RefusedSuperseded, true
 	case VerdictInvalid:
-		reason = wire.RefusedInvalid
+		reason, h.startRejected = wire.RefusedInvalid, true
 	case VerdictUnhealthy:
 		c.updateHealth(now, func() { c.health.targetUnhealthy(now) })
 	case VerdictNoRoom:
@@ -168,7 +234,7 @@
 		Outcome: "refused", Reason: string(verdict),
 		Inputs: []decision.Input{{Name: "used_millicpu", Value: int64(c.used.MilliCPU)}, {Name: "room_millicpu", Value: int64(c.target.capacity.MilliCPU)}}})
 	if h.unansweredStarts > 0 || h.state == stateStopping {
-		if h.state == stateStarting && h.unansweredAt.IsZero() {
+		if h.state == stateStarting {
 			h.unansweredAt = now
 			c.requestPoll()
 		}
@@ -221,13 +287,10 @@
 	c.env.Stop(StopCall{Target: c.target.id, Life: c.target.life, Run: h.run, Fence: c.fence})
 }
 
-// retryStops withdraws unanswered starts and repeats unconfirmed stops. After a
-// confirmed stop it polls the target until the run is no longer listed.
+// retryStops repeats unconfirmed stops. After a confirmed stop it polls the target until the
+// run is no longer listed.
 func (c *Core) retryStops(now time.Time) {
 	for _, h := range batch.SortedByRun(c.runs) {
-		if !h.unansweredAt.IsZero() && h.state == stateStarting && now.Sub(h.unansweredAt) >= stopRetryInterval {
-			c.withdrawStart(now, h)
-		}
 		if h.state != stateStopping || now.Sub(h.stopSentAt) < stopRetryInterval {
 			continue
 		}
@@ -282,13 +345,18 @@
 	c.removeRun(h)
 	ran := now.Sub(h.startedAt)
 	c.counters.Ended[end]++
-	report := wire.RunReport{Run: h.run, End: end, RanMS: ran.Milliseconds(),
-		TargetCrashed: h.targetCrashed && end != batch.EndDone && end != batch.EndFailed, StartUnconfirmed: h.targetCrashed && !h.observed,
-		EndUnrecorded: h.durable && (end == batch.EndDone || end == batch.EndFailed)}
+	report := wire.RunReport{Run: h.run, End: end, RanMS: ran.Milliseconds()}
+	if hasOutcome(end) {
+		report.EndUnrecorded = h.durable
+		report.StartUnconfirmed = h.durable && h.copies.mayArrive(now)
+	} else {
+		report.TargetCrashed = h.targetCrashed
+		report.StartUnconfirmed = h.targetCrashed && !h.observed
+	}
 	if !h.observed && end == batch.EndStopped {
 		report = wire.RunReport{Run: h.run, RefusalReason: h.notStartedReason}
 	}
-	c.queueReport(now, c.sessions[h.entry], report, c.reportDelay(h, end))
+	c.reportWhenFree(now, h, report)
 	if report.TargetCrashed && h.durable {
 		c.queueReportToOthers(now, h.entry, wire.RunReport{Run: h.run, TargetCrashed: true, StartUnconfirmed: report.StartUnconfirmed})
 	}
--- a/process/runner/target.go
+++ b/process/runner/target.go
@@ -300,6 +300,7 @@
 	successor := c.target.successor
 	c.reportCrash(now)
 	c.endLostRuns(now, "another target answers at the address", batch.SortedByRun(c.runs))
+	c.releaseAllWithheld(now)
 	c.target = target{}
 	c.bumpRevision()
 	if successor != nil {
--- a/process/runonce/agent_test.go
+++ b/process/runonce/agent_test.go
@@ -285,6 +285,9 @@
 }
 func (a *agentEnv) Send(entry wire.Incarnation, m wire.Message) { a.world.send(entry, a.id, true, m) }
 func (a *agentEnv) Start(call runner.StartCall) {
+	if late := a.world.late; late != nil && late.intercept((*agentLife)(a), call) {
+		return
+	}
 	(*agentLife)(a).call(startCalls, func(t *target, late bool) runner.Answer {
 		c := call
 		c.LeaseUntil = t.leaseOf(call.LeaseUntil, late)
--- a/process/runonce/oracle_test.go
+++ b/process/runonce/oracle_test.go
@@ -60,6 +60,9 @@
 		}
 		o.starts = append(o.starts, event{run: run, target: id, at: now()})
 		o.log("%s starts run %d", id, run.Number)
+		if late := o.world.late; late != nil {
+			late.noteStart()
+		}
 	}
 	t.executor.OnEnd = func(run batch.Run, end batch.End) {
 		if run.Task.Job != jobID {
@@ -67,6 +70,9 @@
 		}
 		o.ends = append(o.ends, &event{run: run, target: id, end: end, at: now()})
 		o.log("%s ends run %d: %s", id, run.Number, end)
+		if late := o.world.late; late != nil {
+			late.noteEnd(end)
+		}
 	}
 	t.executor.OnAcknowledged = func(run batch.Run, end batch.End) {
 		if run.Task.Job != jobID {
--- a/process/runonce/world_test.go
+++ b/process/runonce/world_test.go
@@ -51,6 +51,8 @@
 	log      *sharedLog
 	caller   caller
 	oracle   oracle
+	// late is the course of events that is played, or nil.
+	late *lateStartRun
 	// activeFaults counts the faults that have begun and not ended, placedFaults those that
 	// have not begun.
 	activeFaults, placedFaults int
@@ -93,6 +95,9 @@
 			w.log.setFault(1, logFault{blind: true})
 		}
 		w.oracle.submittedAt = now()
+		if s.late != nil {
+			w.late = &lateStartRun{lateStart: *s.late, world: w, index: -1}
+		}
 		w.submit()
 		w.placedFaults = len(s.faults)
 		for _, f := range s.faults {
