runner, dispatch: the other entries are told of late starts once an entry is gone

Cause: only the entry that had ordered a run knew that a copy of its start may still be carried out. After it was killed, the next owner of a durable job, or the entry to which a caller submits its job again, started the task elsewhere; the agent there failed, its target restarted and carried the copy out.

Change: an agent keeps ended runs, done ones included, while a copy of their start is on its way, and tells all other entries how long, once the session of the entry that ordered them has ended, and those that enroll it later. A job that comes to such an entry starts no task until then; callers who can't wait so long are answered at once.

Not played with real processes.

--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -80,6 +80,9 @@
 	// recordedEnds are the runs of durable jobs whose ends this entry has recorded, for
 	// agents that have not received the confirmation.
 	recordedEnds recentRuns[recordedEnd]
+	// lateStarts are runs that other entries have ordered and of which a start may be carried
+	// out late, with the time when that is over.
+	lateStarts recentRuns[time.Time]
 	// reportedCrashes are the runs under which targets have crashed, for jobs that this
 	// entry may take over.
 	reportedCrashes recentRuns[crashKind]
@@ -178,7 +181,7 @@
 	}
 	j := p.jobs[s.Job.ID]
 	if j == nil {
-		if p.hasUnconfirmedRuns(s.Job.ID) {
+		if p.hasUnconfirmedRuns(s.Job.ID) || p.lateStartsOver(s.Job.ID).After(now.Add(usefulFor(s))) {
 			refusal := Result{Code: GaveUp, Reason: ReasonRunsElsewhere}
 			c.refuse(now, p, s, refusal)
 			reply(refusal)
@@ -196,6 +199,7 @@
 			j.awaitFirstAgent()
 		}
 		p.jobs[s.Job.ID] = j
+		c.awaitLateStarts(now, p, j)
 		c.enqueue(now, p, j)
 		c.env.Record(decision.Decision{Step: "accept", Job: s.Job.ID, Outcome: "accepted", Peer: s.Queue, Version: s.Version,
 			Routine: true, Inputs: []decision.Input{{Name: "objective_ms", Value: s.Objective.Milliseconds()},
--- a/process/dispatch/durable.go
+++ b/process/dispatch/durable.go
@@ -109,6 +109,7 @@
 		return
 	}
 	c.countReportedCrashes(now, p, j)
+	c.awaitLateStarts(now, p, j)
 	c.enqueue(now, p, j)
 	c.assign(now, p)
 }
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -140,8 +140,14 @@
 
 func (r *run) id() batch.Run { return batch.Run{Task: r.task.id(), Number: r.number} }
 
+// usefulFor returns the time from the submission of a job after which its answer is of no
+// more use.
+func usefulFor(s batch.Submission) time.Duration {
+	return min(s.CallerTimeout, expiryFactor*s.Objective)
+}
+
 func newActiveJob(now time.Time, s batch.Submission) *activeJob {
-	j := &activeJob{Submission: s, acceptedAt: now, objectiveAt: now.Add(s.TimeLeft()), expiresAt: now.Add(min(s.CallerTimeout, expiryFactor*s.Objective)), callersLeaveAt: now.Add(s.CallerTimeout),
+	j := &activeJob{Submission: s, acceptedAt: now, objectiveAt: now.Add(s.TimeLeft()), expiresAt: now.Add(usefulFor(s)), callersLeaveAt: now.Add(s.CallerTimeout),
 		waiters: make(map[uint64]waiter), steps: make([]stepState, len(s.Job.Steps))}
 	for stepIndex, step := range s.Job.Steps {
 		state := &j.steps[stepIndex]
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -19,6 +19,8 @@
 	switch {
 	case reportsCrashOnly(report):
 		c.noteCrash(now, p, report.Run, crashKindOf(report))
+	case r == nil && report.WithheldMS > 0:
+		c.noteLateStart(now, p, report.Run, now.Add(time.Duration(report.WithheldMS)*time.Millisecond))
 	case r == nil && report.EndUnrecorded:
 		c.resolveLateEnd(now, p, t, report.Run)
 	case r == nil:
--- a/process/dispatch/unconfirmed.go
+++ b/process/dispatch/unconfirmed.go
@@ -81,14 +81,50 @@
 	c.giveUpIfTooLate(now, p, r.task.job, now.Add(remaining))
 }
 
-// giveUpIfTooLate answers the callers of a job at once who would leave before the time at
-// which one of its tasks may start again.
+// giveUpIfTooLate answers the callers of a job at once if one of its tasks may start again only
+// when the answer is of no more use.
 func (c *Core) giveUpIfTooLate(now time.Time, p *pool, j *activeJob, startsAt time.Time) {
-	if j.durableState == nil && !j.ended && startsAt.After(j.callersLeaveAt) {
+	if j.durableState == nil && !j.ended && startsAt.After(j.expiresAt) {
 		c.endJob(now, p, j, unfinishedResult(j, ReasonRunsElsewhere))
 	}
 }
 
+// lateStartRetention is how long a late start of another entry is remembered. It is longer
+// than such a start can be on its way.
+const lateStartRetention = wire.UnconfirmedRunsLostAfter
+
+// noteLateStart notes that a start of a run that another entry has ordered may be carried out
+// late. The job of the run, which may have come to this entry, starts no task before it is
+// over.
+func (c *Core) noteLateStart(now time.Time, p *pool, id batch.Run, over time.Time) {
+	p.lateStarts.add(now, id, over, lateStartRetention)
+	if j := p.jobs[id.Task.Job]; j != nil {
+		c.awaitLateStarts(now, p, j)
+	}
+}
+
+// awaitLateStarts holds a job until the late starts of its runs are over.
+func (c *Core) awaitLateStarts(now time.Time, p *pool, j *activeJob) {
+	over := p.lateStartsOver(j.Job.ID)
+	if !over.After(now) {
+		return
+	}
+	j.heldUntil = later(j.heldUntil, over)
+	c.env.Record(decision.Decision{Step: "place", Job: j.Job.ID, Outcome: "held", Reason: "a start that another entry ordered may be carried out late",
+		Age: over.Sub(now)})
+	c.giveUpIfTooLate(now, p, j, over)
+}
+
+// lateStartsOver returns when no start of a run of the job that another entry has ordered can
+// be carried out any more, or zero.
+func (p *pool) lateStartsOver(id batch.ID) time.Time {
+	var over time.Time
+	for _, run := range p.lateStarts.ofJob(id) {
+		over = later(over, p.lateStarts.values[run])
+	}
+	return over
+}
+
 // noteReplacement notes which target is beside the agent now. Another target refuses the
 // starts that were sent to the former one, so that none of them begins a run any more.
 func (t *target) noteReplacement(present string) {
--- a/process/dispatch/unconfirmed_test.go
+++ b/process/dispatch/unconfirmed_test.go
@@ -143,3 +143,48 @@
 		}
 	}
 }
+
+// Guards against a task that its next owner, or the entry to which its caller submits it
+// again, starts while a start that its former entry has ordered may be carried out.
+func TestLateStartOfAnotherEntryIsAwaited(t *testing.T) {
+	const withheld = 500 * time.Millisecond
+	for _, known := range []bool{true, false} {
+		c := newCluster(t, 51, 1, equalRooms(1, 16000))
+		c.run(500 * time.Millisecond)
+		core := c.entries[0].core
+		plain, durable := c.submission("q", 1, 300*time.Millisecond, 1000, 0), c.submission("q", 1, 300*time.Millisecond, 1000, 0)
+		report := func() {
+			var reports []wire.RunReport
+			for _, s := range []batch.Submission{plain, durable} {
+				reports = append(reports, wire.RunReport{Run: batch.Run{Task: batch.Task{Job: s.Job.ID}, Number: 7}, StartUnconfirmed: true, WithheldMS: withheld.Milliseconds()})
+			}
+			core.HandleReport(c.agents[0].id, &wire.AgentReport{Clock: c.now.UnixMicro(), Runs: reports})
+		}
+		if known {
+			report()
+		}
+		core.Submit(plain, func(dispatch.Result) {})
+		core.RunDurable(dispatch.DurableJob{Submission: durable, Term: 2, NotBefore: c.now.Add(50 * time.Millisecond)}, func(dispatch.Result) {})
+		if !known {
+			report()
+		}
+		c.run(withheld - 100*time.Millisecond)
+		if ordered := core.Counts().RunsOrdered; ordered != 0 && known || ordered > 1 {
+			t.Errorf("reported first %t: %d runs ordered while starts may arrive", known, ordered)
+		}
+		c.run(300 * time.Millisecond)
+		if ordered := core.Counts().RunsOrdered; ordered != 2 {
+			t.Errorf("reported first %t: %d runs ordered in all, want 2", known, ordered)
+		}
+	}
+	c := newCluster(t, 52, 1, equalRooms(1, 16000))
+	c.run(500 * time.Millisecond)
+	s := c.submission("q", 1, 60*time.Millisecond, 1000, 0)
+	c.entries[0].core.HandleReport(c.agents[0].id, &wire.AgentReport{Clock: c.now.UnixMicro(),
+		Runs: []wire.RunReport{{Run: batch.Run{Task: batch.Task{Job: s.Job.ID}, Number: 1}, WithheldMS: 2 * s.CallerTimeout.Milliseconds()}}})
+	var result dispatch.Result
+	c.entries[0].core.Submit(s, func(r dispatch.Result) { result = r })
+	if want := (dispatch.Result{Code: dispatch.GaveUp, Reason: dispatch.ReasonRunsElsewhere}); result != want {
+		t.Errorf("result %+v of a caller who can't wait so long, want %+v", result, want)
+	}
+}
--- a/process/runner/confirm.go
+++ b/process/runner/confirm.go
@@ -20,8 +20,8 @@
 			confirmed = min(confirmed, max(h.orderSequence, 1)-1)
 		}
 	}
-	for run, w := range c.withheld {
-		if w.run.entry == s.entry {
+	for run, e := range c.endedRuns {
+		if e.run.entry == s.entry && e.withheld != nil {
 			unanswered = append(unanswered, run)
 		}
 	}
--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -61,10 +61,10 @@
 	leaving  bool
 	sessions map[wire.Incarnation]*session
 	runs     map[batch.Run]*heldRun
-	// withheld holds the runs that have ended, but whose ends are not reported yet.
-	withheld map[batch.Run]*withheldEnd
-	used     batch.Resources
-	target   target
+	// endedRuns holds the runs that have ended, but of which a start may be carried out late.
+	endedRuns map[batch.Run]*endedRun
+	used      batch.Resources
+	target    target
 	// lives counts the lives of targets that the agent has learned of.
 	lives uint64
 	// reportedTarget is the newest target that has sent a report itself.
@@ -126,7 +126,7 @@
 	return &Core{env: env, options: options, startedAt: env.Now(), fence: options.Fence,
 		sessions:    make(map[wire.Incarnation]*session),
 		runs:        make(map[batch.Run]*heldRun),
-		withheld:    make(map[batch.Run]*withheldEnd),
+		endedRuns:   make(map[batch.Run]*endedRun),
 		revision:    1,
 		foreignRuns: make(map[batch.Run]time.Time),
 		counters: Counters{Refused: make(map[wire.StartRefusal]uint64), Ended: make(map[batch.End]uint64),
@@ -261,6 +261,7 @@
 	for _, entry := range slices.Sorted(maps.Keys(c.sessions)) {
 		s := c.sessions[entry]
 		c.endSessionIfExpired(now, s)
+		c.announceOrphans(now, s)
 		s.recentReports = slices.DeleteFunc(s.recentReports, func(r recentReport) bool { return r.expired(now) })
 		if !s.connected && now.After(s.expiresAt) && len(s.recentReports) == 0 && !c.holdsRunsOf(entry) {
 			delete(c.sessions, entry)
--- a/process/runner/withheld_test.go
+++ b/process/runner/endedruns_test.go
@@ -150,3 +150,27 @@
 		t.Errorf("acknowledged up to %d of %d", got, h.lastEnd)
 	}
 }
+
+// Guards against a task that another entry starts elsewhere, after its entry was killed, while
+// a copy of its start is on its way: also if the run has ended meanwhile.
+func TestOtherEntriesAreToldOfLateStartsOnceAnEntryIsGone(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		h := newHarness(t)
+		run := h.startDurableRun(0, runner.VerdictUnanswered)
+		if ended {
+			h.completeHold(1, nil, h.endRows(run, batch.EndDone))
+		}
+		h.core.Connected(entryID + 1)
+		h.core.Disconnected(entryID)
+		h.sent = nil
+		h.advance(wire.SessionTTL + answerDelay)
+		h.core.Tick()
+		if report, _ := h.lastReportOf(run); report.WithheldMS < wire.MaxCallDelay.Milliseconds() {
+			t.Errorf("ended %t: reported %+v to the other entry, want how long the start may arrive", ended, report)
+		}
+		h.core.Connected(entryID + 2)
+		if held := h.sent[len(h.sent)-1].(*wire.Enroll).HeldRuns; len(held) != 1 || held[0].WithheldMS == 0 {
+			t.Errorf("ended %t: enrolled with %+v, want the late start", ended, held)
+		}
+	}
+}
--- a/process/runner/session.go
+++ b/process/runner/session.go
@@ -43,6 +43,9 @@
 	recentReports []recentReport
 	// unansweredDue is set if the entry does not know yet that a start got no answer.
 	unansweredDue bool
+	// orphansAnnounced is set once the other entries have been told of the late starts of this
+	// one, which is gone.
+	orphansAnnounced bool
 	// sentRevision is the revision of the target state that was last sent.
 	sentRevision uint64
 	// waiting is set while tasks of the entry wait for capacity.
@@ -106,7 +109,7 @@
 // of the runs here.
 func (c *Core) enroll(now time.Time, s *session) {
 	entry := s.entry
-	s.connected, s.handledSequence, s.waiting = true, 0, false
+	s.connected, s.handledSequence, s.waiting, s.orphansAnnounced = true, 0, false, false
 	s.lastClock = max(s.lastClock+1, now.UnixMicro())
 	s.enrolledClock = s.lastClock
 	s.pendingReports, s.reportAt, s.lastSentAt, s.sentRevision = c.keptCrashReports(now), now, now, c.revision
@@ -120,12 +123,13 @@
 		h.orderSequence = 0
 		enroll.HeldRuns = append(enroll.HeldRuns, wire.RunReport{Run: h.run, StartUnconfirmed: h.copies.uncertain()})
 	}
-	for _, w := range c.withheldRuns() {
-		if w.run.entry == entry {
-			enroll.HeldRuns = append(enroll.HeldRuns, w.announcement(now))
+	for _, e := range c.endedRunsInOrder() {
+		if e.run.entry == entry && e.withheld != nil {
+			enroll.HeldRuns = append(enroll.HeldRuns, e.run.lateStartReport(now))
 		}
 	}
 	enroll.HeldRuns = append(enroll.HeldRuns, c.unackedReports(entry)...)
+	enroll.HeldRuns = append(enroll.HeldRuns, c.orphanedStarts(now)...)
 	c.env.Send(entry, enroll)
 }
 
@@ -153,6 +157,7 @@
 	}
 	s.ended, s.waiting = true, false
 	c.voidEndsOf(now, s.entry)
+	c.announceOrphans(now, s)
 	runs := c.runsOf(s.entry)
 	if len(runs) == 0 {
 		return
--- a/process/runner/start.go
+++ b/process/runner/start.go
@@ -114,8 +114,8 @@
 // noteStartAnswer notes an answer to a copy of a start, whichever life of the target it is of.
 func (c *Core) noteStartAnswer(run batch.Run, verdict Verdict) {
 	h := c.runs[run]
-	if w := c.withheld[run]; h == nil && w != nil {
-		h = w.run
+	if e := c.endedRuns[run]; h == nil && e != nil {
+		h = e.run
 	}
 	if h == nil {
 		return
