dispatch: the verdict on a crash does not end the wait for late starts

Cause: the wait for starts that another entry has ordered shared a time with the wait for a verdict on crashes, which is reset when a crash is counted. It also held jobs for tasks that are done.

Change: a time of its own, and done tasks are passed over.

Evidence: TestLateStartOfAnotherEntryIsAwaited, with a crash reported meanwhile, failed before ("1 runs ordered while starts may arrive") and passes.

--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -181,7 +181,7 @@
 	}
 	j := p.jobs[s.Job.ID]
 	if j == nil {
-		if p.hasUnconfirmedRuns(s.Job.ID) || p.lateStartsOver(s.Job.ID).After(now.Add(usefulFor(s))) {
+		if p.hasUnconfirmedRuns(s.Job.ID) || p.lateStartsOver(s.Job.ID, nil).After(now.Add(usefulFor(s))) {
 			refusal := Result{Code: GaveUp, Reason: ReasonRunsElsewhere}
 			c.refuse(now, p, s, refusal)
 			reply(refusal)
--- a/process/dispatch/durable.go
+++ b/process/dispatch/durable.go
@@ -244,7 +244,7 @@
 // onHold reports whether the tasks of a job must not be assigned now. mayStart is set if
 // this entry may order tasks of its durable jobs.
 func (j *activeJob) onHold(now time.Time, mayStart bool) bool {
-	if now.Before(j.heldUntil) || j.abandoned(now) {
+	if now.Before(j.heldUntil) || now.Before(j.lateStartsOver) || j.abandoned(now) {
 		return true
 	}
 	return j.durableState != nil && (!mayStart || now.Before(j.durableState.notBefore))
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -27,9 +27,10 @@
 	runsStarted int
 	// awaitedAgent is set for a job that was admitted before the first agent enrolled.
 	awaitedAgent bool
-	// heldUntil is the time until which no task of the job is ordered.
-	heldUntil time.Time
-	ended     bool
+	// heldUntil is the time until which no task of the job is ordered, lateStartsOver the same
+	// because of starts that other entries have ordered.
+	heldUntil, lateStartsOver time.Time
+	ended                     bool
 	// timeToEnd is the estimated time from the start of each step to the end of
 	// the job.
 	timeToEnd []time.Duration
--- a/process/dispatch/unconfirmed.go
+++ b/process/dispatch/unconfirmed.go
@@ -105,26 +105,35 @@
 
 // awaitLateStarts holds a job until the late starts of its runs are over.
 func (c *Core) awaitLateStarts(now time.Time, p *pool, j *activeJob) {
-	over := p.lateStartsOver(j.Job.ID)
+	over := p.lateStartsOver(j.Job.ID, j)
 	if !over.After(now) {
 		return
 	}
-	j.heldUntil = later(j.heldUntil, over)
+	j.lateStartsOver = over
 	c.env.Record(decision.Decision{Step: "place", Job: j.Job.ID, Outcome: "held", Reason: "a start that another entry ordered may be carried out late",
 		Age: over.Sub(now)})
 	c.giveUpIfTooLate(now, p, j, over)
 }
 
-// lateStartsOver returns when no start of a run of the job that another entry has ordered can
-// be carried out any more, or zero.
-func (p *pool) lateStartsOver(id batch.ID) time.Time {
+// lateStartsOver returns when no start of a run of a job that another entry has ordered can be
+// carried out any more, or zero. Tasks that are done do not start again; j is nil if the job is
+// not active here.
+func (p *pool) lateStartsOver(id batch.ID, j *activeJob) time.Time {
 	var over time.Time
 	for _, run := range p.lateStarts.ofJob(id) {
+		if j != nil && j.isDone(run.Task) {
+			continue
+		}
 		over = later(over, p.lateStarts.values[run])
 	}
 	return over
 }
 
+func (j *activeJob) isDone(id batch.Task) bool {
+	t := j.task(id.Step, id.Index)
+	return t != nil && t.done
+}
+
 // noteReplacement notes which target is beside the agent now. Another target refuses the
 // starts that were sent to the former one, so that none of them begins a run any more.
 func (t *target) noteReplacement(present string) {
--- a/process/dispatch/unconfirmed_test.go
+++ b/process/dispatch/unconfirmed_test.go
@@ -168,6 +168,9 @@
 		if !known {
 			report()
 		}
+		// The verdict on a crash does not end the wait.
+		core.HandleReport(c.agents[0].id, &wire.AgentReport{Clock: c.now.UnixMicro(),
+			Runs: []wire.RunReport{{Run: batch.Run{Task: batch.Task{Job: durable.Job.ID}, Number: 7}, TargetCrashed: true}}})
 		c.run(withheld - 100*time.Millisecond)
 		if ordered := core.Counts().RunsOrdered; ordered != 0 && known || ordered > 1 {
 			t.Errorf("reported first %t: %d runs ordered while starts may arrive", known, ordered)
--- a/process/runner/confirm.go
+++ b/process/runner/confirm.go
@@ -20,10 +20,8 @@
 			confirmed = min(confirmed, max(h.orderSequence, 1)-1)
 		}
 	}
-	for run, e := range c.endedRuns {
-		if e.run.entry == s.entry && e.withheld != nil {
-			unanswered = append(unanswered, run)
-		}
+	for _, e := range c.withheldOf(s.entry) {
+		unanswered = append(unanswered, e.run.run)
 	}
 	slices.SortFunc(unanswered, batch.Run.Compare)
 	return confirmed, unanswered
--- a/process/runner/endedruns.go
+++ b/process/runner/endedruns.go
@@ -1,7 +1,6 @@
 package runner
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -43,24 +42,30 @@
 	c.announceWithheld(now)
 }
 
-// endedRunsInOrder returns the ended runs of which a start may be carried out late.
-func (c *Core) endedRunsInOrder() []*endedRun {
-	if len(c.endedRuns) == 0 {
-		return nil
-	}
-	ended := make([]*endedRun, 0, len(c.endedRuns))
-	for _, run := range slices.SortedFunc(maps.Keys(c.endedRuns), batch.Run.Compare) {
-		ended = append(ended, c.endedRuns[run])
+// endedRunsThat returns the ended runs that match, in order.
+func (c *Core) endedRunsThat(match func(*endedRun) bool) []*endedRun {
+	var ended []*endedRun
+	for _, e := range c.endedRuns {
+		if match(e) {
+			ended = append(ended, e)
+		}
 	}
+	slices.SortFunc(ended, func(a, b *endedRun) int { return batch.Run.Compare(a.run.run, b.run.run) })
 	return ended
 }
 
+// withheldOf returns the ended runs of an entry whose ends are withheld.
+func (c *Core) withheldOf(entry wire.Incarnation) []*endedRun {
+	return c.endedRunsThat(func(e *endedRun) bool { return e.run.entry == entry && e.withheld != nil })
+}
+
 // announceWithheld tells the entries how long ends are withheld, once no answer to the start
 // is awaited any more.
 func (c *Core) announceWithheld(now time.Time) {
-	for _, e := range c.endedRunsInOrder() {
+	due := c.endedRunsThat(func(e *endedRun) bool { return e.withheld != nil && !e.announced && !e.run.copies.pending })
+	for _, e := range due {
 		s := c.sessions[e.run.entry]
-		if e.withheld == nil || e.announced || e.run.copies.pending || s == nil || !s.connected {
+		if s == nil || !s.connected {
 			continue
 		}
 		e.announced = true
@@ -92,7 +97,7 @@
 	for _, h := range batch.SortedByRun(c.runs) {
 		add(h)
 	}
-	for _, e := range c.endedRunsInOrder() {
+	for _, e := range c.endedRunsThat(func(*endedRun) bool { return true }) {
 		add(e.run)
 	}
 	return reports
@@ -118,10 +123,10 @@
 
 // releaseWithheld reports the ends that no copy of a start can contradict any more.
 func (c *Core) releaseWithheld(now time.Time) {
-	for _, e := range c.endedRunsInOrder() {
-		if now.Before(e.run.copies.taskFreeAt()) || c.runsForeign(e.run.run.Task) {
-			continue
-		}
+	free := c.endedRunsThat(func(e *endedRun) bool {
+		return !now.Before(e.run.copies.taskFreeAt()) && !c.runsForeign(e.run.run.Task)
+	})
+	for _, e := range free {
 		c.release(now, e)
 	}
 	c.announceWithheld(now)
@@ -130,7 +135,7 @@
 // releaseAllWithheld reports all withheld ends after another target has taken the place of
 // the one that the starts were sent to: it refuses them.
 func (c *Core) releaseAllWithheld(now time.Time) {
-	for _, e := range c.endedRunsInOrder() {
+	for _, e := range c.endedRunsThat(func(*endedRun) bool { return true }) {
 		c.release(now, e)
 	}
 }
--- a/process/runner/session.go
+++ b/process/runner/session.go
@@ -123,10 +123,8 @@
 		h.orderSequence = 0
 		enroll.HeldRuns = append(enroll.HeldRuns, wire.RunReport{Run: h.run, StartUnconfirmed: h.copies.uncertain()})
 	}
-	for _, e := range c.endedRunsInOrder() {
-		if e.run.entry == entry && e.withheld != nil {
-			enroll.HeldRuns = append(enroll.HeldRuns, e.run.lateStartReport(now))
-		}
+	for _, e := range c.withheldOf(entry) {
+		enroll.HeldRuns = append(enroll.HeldRuns, e.run.lateStartReport(now))
 	}
 	enroll.HeldRuns = append(enroll.HeldRuns, c.unackedReports(entry)...)
 	enroll.HeldRuns = append(enroll.HeldRuns, c.orphanedStarts(now)...)
