--- a/process/runner/core.go
+++ b/process/runner/core.go
@@ -297,7 +297,7 @@
 	switch {
 	case c.leaving:
 		return wire.ClosedAgentLeaving
-	case c.target.id == "" || !c.target.clockKnown || !c.isCapacityCertain():
+	case c.target.id == "" || c.target.unreported || !c.target.clockKnown || !c.isCapacityCertain():
 		return wire.ClosedNoTarget
 	case c.target.draining:
 		return wire.ClosedDraining
--- a/process/runner/lives_test.go
+++ b/process/runner/lives_test.go
@@ -1,6 +1,7 @@
 package runner_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -9,10 +10,12 @@
 	"github.com/azurerouter/azurerouter/request/batch"
 )
 
-// restartTarget lets the target start again under its identity and the agent learn of it.
+// restartTarget lets the target start again under its identity and the agent learn of it, by
+// its answer and then by its report.
 func (h *harness) restartTarget(born int64) {
 	h.clock = 10
 	h.completeHold(born, nil, nil)
+	h.reportTarget(born, 1)
 }
 
 // Guards against runs that are stopped because an answer from before a restart of the
@@ -169,3 +172,40 @@
 		t.Error("no list of the runs at the successor is asked for")
 	}
 }
+
+// Guards against starts at a target that has started again as another kind, or with less room:
+// the agent offered it with the labels of its former life until its second report (review/14,
+// ROUTE).
+func TestRestartedTargetIsClosedUntilItHasReported(t *testing.T) {
+	kind := func(h *harness) (labels []string, closed wire.ClosedReason) {
+		h.advance(wire.SessionRenewInterval)
+		h.core.Tick()
+		for _, m := range h.sent {
+			if report, ok := m.(*wire.AgentReport); ok && report.Target != nil {
+				labels, closed = report.Target.Labels, report.Target.Closed
+			}
+		}
+		return labels, closed
+	}
+	report := func(h *harness, sequence uint64) {
+		h.core.HandleTargetReport(runner.TargetReport{Target: targetID, Service: "card", StartTime: 2, Sequence: sequence, Capacity: h.targetCapacity(), Labels: []string{"b"}})
+	}
+	for _, reportedFirst := range []bool{true, false} {
+		h := newHarness(t)
+		h.core.HandleTargetReport(runner.TargetReport{Target: targetID, Service: "card", StartTime: 1, Sequence: 2, Capacity: h.targetCapacity(), Labels: []string{"a"}})
+		if reportedFirst {
+			report(h, 1)
+		}
+		h.clock = 10
+		h.completeHold(2, nil, nil)
+		if !reportedFirst {
+			if _, closed := kind(h); closed != wire.ClosedNoTarget {
+				t.Errorf("closed %q before the present life has reported, want %s", closed, wire.ClosedNoTarget)
+			}
+			report(h, 1)
+		}
+		if labels, closed := kind(h); closed != "" || !slices.Equal(labels, []string{"b"}) {
+			t.Errorf("reported first %t: closed %q with labels %v, want it open with those of the present life", reportedFirst, closed, labels)
+		}
+	}
+}
--- a/process/runner/target.go
+++ b/process/runner/target.go
@@ -49,6 +49,11 @@
 	// doubtful is the newest report that contradicts those before it, or nil. The next
 	// one that agrees with it confirms it.
 	doubtful *TargetReport
+	// unreported is set from a restart of the target until it has reported itself since: it
+	// may be of another kind than before. nextLife is the newest report of a life that has not
+	// answered yet, or nil.
+	unreported bool
+	nextLife   *TargetReport
 	// capacityRefusedAt is when the target refused a run for which the agent had
 	// counted enough free capacity. It is zero once the target has listed its
 	// runs in answer to a later call.
@@ -170,8 +175,10 @@
 	case r.StartTime != 0 && c.target.startTime != 0 && r.StartTime != c.target.startTime:
 		// The target has restarted. Only its list of runs shows which of them
 		// began after the restart.
+		c.target.nextLife = &r
 		c.requestPoll()
 		return true
+	case c.target.unreported && r.StartTime == c.target.startTime:
 	case r.StartTime == 0 && c.target.datesReports:
 		c.ignoreReport(r, "lacks the start time")
 		return true
@@ -221,6 +228,7 @@
 
 // applyOwnReport takes over a report of the known target itself.
 func (c *Core) applyOwnReport(r TargetReport) {
+	c.target.unreported = false
 	if c.reportedTarget != r.Target {
 		c.reportedTarget = r.Target
 		c.bumpRevision()
@@ -364,14 +372,18 @@
 			inFlight = append(inFlight, h)
 		}
 	}
+	report := c.target.nextLife
 	c.reportCrash(now)
 	c.endLostRuns(now, "target started again", lost)
 	// The present life has seen no token yet and would carry out calls that are under way.
 	c.fence++
 	c.target = target{id: c.target.id, startTime: answer.StartTime, life: c.newLife(), service: c.target.service, capacity: c.target.capacity, labels: c.target.labels, lastAnswerAt: now, datesReports: c.target.datesReports,
-		leaseUntil: later(c.target.leaseUntil, now.Add(wire.MaxTargetLease)), unfenced: true}
+		leaseUntil: later(c.target.leaseUntil, now.Add(wire.MaxTargetLease)), unfenced: true, unreported: c.target.datesReports}
 	c.health = health{}
 	c.bumpRevision()
+	if report != nil && report.StartTime == answer.StartTime {
+		c.applyOwnReport(*report)
+	}
 	c.env.Record(decision.Decision{Step: "target", Peer: c.target.id, Outcome: "born_again", Version: uint64(answer.StartTime),
 		Inputs: []decision.Input{{Name: "starts_on_the_way", Value: int64(len(inFlight))}, {Name: "runs_listed", Value: int64(len(listed))}}})
 	for _, h := range listedStopping {
--- a/process/runner/target_test.go
+++ b/process/runner/target_test.go
@@ -130,11 +130,10 @@
 }
 
 // Guards against a target that gets no runs after it has started again under its identity,
-// although it reported itself before.
+// although its present life has reported itself.
 func TestRestartedTargetNeedsNoFurtherReport(t *testing.T) {
 	h := newHarness(t)
-	h.clock = 10
-	h.completeHold(2, nil, nil)
+	h.restartTarget(2)
 	h.sendStartOrder(0)
 	if len(h.starts) != 1 {
 		t.Errorf("%d starts at a target that has started again, want 1", len(h.starts))
@@ -211,8 +210,7 @@
 // life, under the same identity, arrives late.
 func TestDelayedDeregistrationDoesNotCloseTheNextLife(t *testing.T) {
 	h := newHarness(t)
-	h.clock = 10
-	h.completeHold(2, nil, nil)
+	h.restartTarget(2)
 	h.core.HandleTargetDeregistered(targetID, 1)
 	h.sendStartOrder(0)
 	if len(h.starts) != 1 {
