runner: runs at a replaced target are not withheld

Cause: when another target answered at the address, the ends of runs with a start without an answer were announced as withheld and reported as lost right after, in one message. The entry gave the requests of callers up upon the first, although it could start their tasks elsewhere.

Change: no copy of a start is on its way once another target refuses all.

Evidence: TestRunsAtAReplacedTargetAreNotWithheld failed before ("WithheldMS:13256") and passes.

--- a/process/runner/endedruns_test.go
+++ b/process/runner/endedruns_test.go
@@ -174,3 +174,23 @@
 		}
 	}
 }
+
+// Guards against callers who are given up at once for a start that the target that has taken
+// the place of theirs refuses.
+func TestRunsAtAReplacedTargetAreNotWithheld(t *testing.T) {
+	h := newHarness(t)
+	run := h.sendStartOrder(0)
+	h.answerLastStart(runner.VerdictUnanswered)
+	h.sent = nil
+	h.answerLastStart(runner.VerdictOtherTarget)
+	for _, m := range h.sent {
+		for _, report := range m.(*wire.AgentReport).Runs {
+			if report.Run == run && report.WithheldMS > 0 {
+				t.Errorf("reported %+v", report)
+			}
+		}
+	}
+	if report, _ := h.lastReportOf(run); report.End != batch.EndLost {
+		t.Errorf("reported %+v, want the end %s", report, batch.EndLost)
+	}
+}
--- a/process/runner/target.go
+++ b/process/runner/target.go
@@ -307,7 +307,12 @@
 func (c *Core) dropReplacedTarget(now time.Time) {
 	successor := c.target.successor
 	c.reportCrash(now)
-	c.endLostRuns(now, "another target answers at the address", batch.SortedByRun(c.runs))
+	lost := batch.SortedByRun(c.runs)
+	for _, h := range lost {
+		// The other target refuses all copies.
+		h.copies = startCopies{}
+	}
+	c.endLostRuns(now, "another target answers at the address", lost)
 	c.releaseAllWithheld(now)
 	c.target = target{}
 	c.bumpRevision()
