--- a/process/dispatch/unconfirmed.go
+++ b/process/dispatch/unconfirmed.go
@@ -38,8 +38,8 @@
 
 // endRunsOfSilentAgent ends the runs of an agent that has been silent for longer than is
 // tolerated. A run whose start is not confirmed may begin later, at a target that has
-// restarted while nobody fences it: its task waits until an agent on the instance reports
-// again or wire.UnconfirmedRunsLostAfter has passed.
+// restarted while nobody fences it: its task waits until the agent reports again or
+// wire.UnconfirmedRunsLostAfter has passed.
 func (c *Core) endRunsOfSilentAgent(now time.Time, p *pool, t *target) {
 	silence := now.Sub(t.lastReceived)
 	excess := silence - c.pauses.toleratedSilence(now)
