observe: how long goroutines wait for a processor, and what an entry spends its time on

Cause: nothing that an entry wrote told of its shortage: passes were at most 5 ms late and 60 % of its share counted as used while requests got no answer. Change: runqueue reads the scheduler's histogram of waits; gauge goroutine_wait_seconds, input mean_wait_us of the overload decision (not used for it yet), processor_short also by it; counter work_milliseconds by work.

--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -325,17 +325,26 @@
 // assigns waiting tasks. It has to be called every few milliseconds. The sessions of all
 // services come first: they end if a process without processor time renews them late.
 func (c *Core) Tick() {
+	c.RenewSessions()
+	c.AssignWaiting()
+}
+
+// RenewSessions is the first half of Tick.
+func (c *Core) RenewSessions() {
 	c.pauses.recordActivity(c.env.Now())
 	c.pauses.recordTick(c.env.Now())
-	pools := c.allPools()
-	for _, p := range pools {
+	for _, p := range c.allPools() {
 		p.mu.Lock()
 		now := c.env.Now()
 		c.checkOwnership(now, p)
 		c.checkTargets(now, p)
 		p.mu.Unlock()
 	}
-	for _, p := range pools {
+}
+
+// AssignWaiting is the second half of Tick.
+func (c *Core) AssignWaiting() {
+	for _, p := range c.allPools() {
 		p.mu.Lock()
 		now := c.env.Now()
 		c.checkJobs(now, p)
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -112,6 +112,7 @@
 	metrics  *entryMetrics
 	ticks    *tickMonitor
 	shedder  *loadShedder
+	work     observe.WorkMeter
 	limits   intake.Limits
 	intake   *intake.Intake
 	started  time.Time
@@ -334,7 +335,7 @@
 		g.Add(func() error { return f(ctx) }, func(error) { cancel() })
 	}
 	actor(func(ctx context.Context) error {
-		return e.ticks.run(ctx, e.Core.Tick, func() bool { return e.ActiveJobs() > 0 })
+		return e.ticks.run(ctx, e.tick, func() bool { return e.ActiveJobs() > 0 })
 	})
 	actor(func(ctx context.Context) error { e.dialer.run(ctx); return nil })
 	actor(e.followConfig)
@@ -359,6 +360,16 @@
 	return nil
 }
 
+// tick does the periodic work.
+func (e *Entry) tick() {
+	start := time.Now()
+	e.Core.RenewSessions()
+	e.work.Add(observe.WorkRenewals, start)
+	start = time.Now()
+	e.Core.AssignWaiting()
+	e.work.Add(observe.WorkPasses, start)
+}
+
 // explainPattern is the route of the admin server to EntryOptions.ExplainHandler.
 const explainPattern = "POST /explain-placement"
 
--- a/process/node/entrylinks.go
+++ b/process/node/entrylinks.go
@@ -8,6 +8,7 @@
 	"github.com/azurerouter/azurerouter/connection/stream"
 	"github.com/azurerouter/azurerouter/connection/wire"
 	"github.com/azurerouter/azurerouter/process/clock"
+	"github.com/azurerouter/azurerouter/process/observe"
 )
 
 // processLink is the connection to an agent or to another entry.
@@ -75,6 +76,11 @@
 	}
 	l.receivedAny = true
 	l.lastHeard.Store(clock.Now().UnixNano())
+	kind := observe.WorkEntries
+	if l.agent != 0 {
+		kind = observe.WorkReports
+	}
+	defer l.entry.work.Add(kind, time.Now())
 	switch m := m.(type) {
 	case *wire.Enroll:
 		l.entry.handleEnroll(l, m)
--- a/process/node/metrics.go
+++ b/process/node/metrics.go
@@ -88,6 +88,7 @@
 		}
 		m.zonesEvacuated.Update(float64(len(m.entry.Evacuation().Zones)))
 		m.countJobs(m.entry.Counts())
+		m.countWork()
 		m.countDurableJobs(m.entry.keeper.Counts())
 		m.durableJobs.Update(float64(m.entry.keeper.OwnedJobs()))
 		m.reportCatchUp()
@@ -108,6 +109,12 @@
 	m.logUnread.Begin(errors.Wrapf(errLogUnread, "%d records read", records))
 }
 
+func (m *entryMetrics) countWork() {
+	for w := observe.Work(0); w < observe.WorkKinds; w++ {
+		m.add(observe.WorkMilliseconds, observe.TagWork, w.String(), uint64(m.entry.work.Spent(w).Milliseconds()))
+	}
+}
+
 func (m *entryMetrics) countDurableJobs(n keeper.Counts) {
 	m.add(observe.DurableSubmissions, observe.TagOutcome, string(keeper.Accepted), n.Accepted)
 	m.add(observe.DurableSubmissions, observe.TagOutcome, string(keeper.NotAccepted), n.NotAccepted)
--- a/process/node/overload.go
+++ b/process/node/overload.go
@@ -12,6 +12,7 @@
 	"github.com/azurerouter/azurerouter/process/dispatch"
 	"github.com/azurerouter/azurerouter/process/observe"
 	"github.com/azurerouter/azurerouter/process/overload"
+	"github.com/azurerouter/azurerouter/process/runqueue"
 	"github.com/azurerouter/azurerouter/request/batch"
 )
 
@@ -26,16 +27,18 @@
 	decisions decision.Recorder
 	condition *observe.Condition
 	shed      tally.Counter
+	waits     *runqueue.Meter
 }
 
 func newLoadShedder(cores float64, o *observe.Observer, decisions decision.Recorder) *loadShedder {
-	return &loadShedder{guard: overload.NewGuard(cores), decisions: decisions, condition: o.Condition("overloaded"), shed: o.Metrics.Counter(observe.SubmissionsShed)}
+	return &loadShedder{guard: overload.NewGuard(cores), decisions: decisions, condition: o.Condition("overloaded"), shed: o.Metrics.Counter(observe.SubmissionsShed),
+		waits: runqueue.NewMeter()}
 }
 
 // observe takes a pass that was late by delay into account, and logs a change of the
 // decision with its inputs.
 func (l *loadShedder) observe(now time.Time, delay time.Duration) {
-	v, changed := l.guard.Observe(overload.Sample{Now: now, Used: processorTime(), Delay: delay})
+	v, changed := l.guard.Observe(overload.Sample{Now: now, Used: processorTime(), Delay: delay, Waits: l.waits.Read()})
 	if !changed {
 		return
 	}
@@ -46,7 +49,7 @@
 		l.condition.Begin(errors.Wrapf(errShedsSubmission, "passes %d ms late on average", v.MeanDelay.Milliseconds()))
 	}
 	l.decisions.Record(decision.Decision{Step: "overload", Outcome: outcome, Inputs: []decision.Input{
-		{Name: "mean_delay_ms", Value: v.MeanDelay.Milliseconds()}, {Name: "use_percent", Value: int64(100 * v.Use)},
+		{Name: "mean_delay_ms", Value: v.MeanDelay.Milliseconds()}, {Name: "mean_wait_us", Value: v.MeanWait.Microseconds()}, {Name: "use_percent", Value: int64(100 * v.Use)},
 		{Name: "admitted_per_s", Value: int64(v.Admitted)}, {Name: "limit_per_s", Value: int64(v.Limit)},
 		{Name: "rejected", Value: int64(v.Rejected)}}})
 }
--- a/process/node/resubmissions.go
+++ b/process/node/resubmissions.go
@@ -10,6 +10,7 @@
 	"github.com/azurerouter/azurerouter/process/decision"
 	"github.com/azurerouter/azurerouter/process/dispatch"
 	"github.com/azurerouter/azurerouter/process/keeper"
+	"github.com/azurerouter/azurerouter/process/observe"
 	"github.com/azurerouter/azurerouter/request/batch"
 )
 
@@ -32,6 +33,7 @@
 // it may not have learned that the caller has left. A result that it had is the answer.
 // The job is given up if its caller does not wait until runs elsewhere have ended.
 func (e *Entry) Submit(s batch.Submission, reply func(dispatch.Result)) (cancel func()) {
+	defer e.work.Add(observe.WorkRequests, time.Now())
 	if !e.Core.LooksResubmitted(s) {
 		return e.Core.Submit(s, reply)
 	}
--- a/process/node/ticks.go
+++ b/process/node/ticks.go
@@ -10,26 +10,37 @@
 
 	"github.com/azurerouter/azurerouter/process/clock"
 	"github.com/azurerouter/azurerouter/process/observe"
+	"github.com/azurerouter/azurerouter/process/runqueue"
 )
 
 // maxTickDelay is the delay of a pass above which the process counts as short of
 // processor time. Tasks are ordered and sessions renewed that much too late.
 const maxTickDelay = 50 * time.Millisecond
 
-var errProcessorShort = errors.New("passes of the process are late: it lacks processor time or was paused")
+// maxMeanWait is the mean wait of goroutines for a processor above which it does. A request
+// waits several times on its way.
+const maxMeanWait = 10 * time.Millisecond
+
+var errProcessorShort = errors.New("the process lacks processor time or was paused")
 
 // tickMonitor measures how late the passes of a process are.
 type tickMonitor struct {
 	delay     tally.Gauge
+	wait      tally.Gauge
 	condition *observe.Condition
 	// observe, if set, is called with the time and the delay of each pass.
 	observe func(now time.Time, delay time.Duration)
 	// longest is the longest delay since the last report, in nanoseconds.
 	longest atomic.Int64
+	// meter reads the waits of goroutines, of which reported are those of earlier reports.
+	// Only report uses them.
+	meter    *runqueue.Meter
+	reported runqueue.Totals
 }
 
 func newTickMonitor(o *observe.Observer) *tickMonitor {
-	return &tickMonitor{delay: o.Metrics.Gauge(observe.TickLateSeconds), condition: o.Condition("processor_short")}
+	return &tickMonitor{delay: o.Metrics.Gauge(observe.TickLateSeconds), wait: o.Metrics.Gauge(observe.GoroutineWaitSeconds),
+		condition: o.Condition("processor_short"), meter: runqueue.NewMeter()}
 }
 
 // run calls tick until the context ends, at every tickInterval while busy reports that
@@ -68,12 +79,15 @@
 	}
 }
 
-// report exports the longest delay since the last call.
+// report exports the longest delay and the mean wait since the last call.
 func (t *tickMonitor) report() {
-	longest := time.Duration(t.longest.Swap(0))
+	longest, totals := time.Duration(t.longest.Swap(0)), t.meter.Read()
+	wait := totals.MeanSince(t.reported)
+	t.reported = totals
 	t.delay.Update(longest.Seconds())
-	if longest > maxTickDelay {
-		t.condition.Begin(errors.Wrapf(errProcessorShort, "up to %d ms", longest.Milliseconds()))
+	t.wait.Update(wait.Seconds())
+	if longest > maxTickDelay || wait > maxMeanWait {
+		t.condition.Begin(errors.Wrapf(errProcessorShort, "passes up to %d ms late, goroutines wait %d us on average", longest.Milliseconds(), wait.Microseconds()))
 		return
 	}
 	t.condition.End()
--- a/process/observe/names.go
+++ b/process/observe/names.go
@@ -119,6 +119,11 @@
 	// TickLateSeconds is the longest delay of a periodic pass of the process within
 	// the last second, in seconds.
 	TickLateSeconds = "tick_late_seconds"
+	// GoroutineWaitSeconds is the mean time for which goroutines of the process waited
+	// for a processor within the last second, in seconds.
+	GoroutineWaitSeconds = "goroutine_wait_seconds"
+	// WorkMilliseconds counts the time spent on each kind of work, by TagWork.
+	WorkMilliseconds = "work_milliseconds"
 	// SubmissionsShed counts submissions that were rejected because the entry lacks
 	// processor time.
 	SubmissionsShed = "submissions_shed"
@@ -144,6 +149,7 @@
 	TagCondition = "condition"
 	TagKind      = "kind"
 	TagForm      = "form"
+	TagWork      = "work"
 	TagState     = "state"
 	TagCode      = "code"
 	TagService   = "service"
--- a/process/overload/overload.go
+++ b/process/overload/overload.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/azurerouter/azurerouter/process/runqueue"
 )
 
 // Parameters of the decision.
@@ -66,6 +68,8 @@
 	Used time.Duration
 	// Delay is how late the pass is.
 	Delay time.Duration
+	// Waits are the waits of goroutines for a processor since the start of the process.
+	Waits runqueue.Totals
 }
 
 // Verdict is the state of the decision with its inputs.
@@ -73,10 +77,11 @@
 	// Limited is set while requests above Limit, in requests per second, are rejected.
 	Limited bool
 	Limit   float64
-	// MeanDelay is the mean delay of the passes, Use the used part of the share, or 0 if
-	// the share is not known, and Admitted the admitted requests per second, each over
-	// the last window.
+	// MeanDelay is the mean delay of the passes, MeanWait the mean wait of goroutines for a
+	// processor, Use the used part of the share, or 0 if the share is not known, and
+	// Admitted the admitted requests per second, each over the last window.
 	MeanDelay time.Duration
+	MeanWait  time.Duration
 	Use       float64
 	Admitted  float64
 	// Rejected counts the rejections since the limit began.
@@ -147,6 +152,7 @@
 func (g *Guard) judgeWindow(s Sample) bool {
 	elapsed := s.Now.Sub(g.start.Now).Seconds()
 	g.verdict.MeanDelay = g.late / time.Duration(g.passes)
+	g.verdict.MeanWait = s.Waits.MeanSince(g.start.Waits)
 	g.verdict.Admitted = float64(g.admitted.Load()-g.admittedBefore) / elapsed
 	g.verdict.Use = 0
 	if g.cores > 0 {
--- a/process/overload/overload_test.go
+++ b/process/overload/overload_test.go
@@ -49,7 +49,7 @@
 			turn = p.used + p.backlog
 		}
 		if turn >= 0 && p.used >= turn {
-			if _, changed := p.guard.Observe(Sample{p.now, p.used, p.now.Sub(due)}); changed {
+			if _, changed := p.guard.Observe(Sample{Now: p.now, Used: p.used, Delay: p.now.Sub(due)}); changed {
 				p.changes++
 			}
 			due, turn = p.now.Add(passInterval), -1
@@ -115,7 +115,7 @@
 			passed := passInterval + delay
 			now = now.Add(passed)
 			used += time.Duration(test.use * test.cores * float64(passed))
-			g.Observe(Sample{now, used, delay})
+			g.Observe(Sample{Now: now, Used: used, Delay: delay})
 			for range int(float64(test.rate) * passed.Seconds()) {
 				if !g.Admit(now) {
 					t.Errorf("%s: rejected at pass %d", name, n)
@@ -133,7 +133,7 @@
 	now := time.UnixMilli(1_000_000)
 	pass := func(delay time.Duration) bool {
 		now = now.Add(passInterval + delay)
-		v, _ := g.Observe(Sample{now, time.Duration(now.UnixNano()), delay})
+		v, _ := g.Observe(Sample{Now: now, Used: time.Duration(now.UnixNano()), Delay: delay})
 		for range 10 {
 			g.Admit(now)
 		}
