overload: a failing test of the shortage that passes do not show (SHORT)

Cause: callers of the only entry of a zone got no answer in time; the guard judges the delay of passes, which the scheduler serves first, and the counted processor time, which stays at 60 % of the share. Change: TestShortageThatPassesDoNotShowIsShed, a process whose passes come before its requests and which counts 0.6 of what it uses, in virtual time.

--- a/process/overload/overload_test.go
+++ b/process/overload/overload_test.go
@@ -3,14 +3,21 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/azurerouter/azurerouter/process/runqueue"
 )
 
 // process simulates a process with a share of a core. It serves its requests in the order
 // of their arrival, and a pass comes after the requests that arrived before it.
 type process struct {
-	guard *Guard
-	now   time.Time
-	used  time.Duration
+	// passesFirst is set if a pass comes before all requests, and counted is the part of its
+	// processor time that the process counts as used, or 0 for all of it.
+	passesFirst bool
+	counted     float64
+	waits       runqueue.Totals
+	guard       *Guard
+	now         time.Time
+	used        time.Duration
 	// backlog is the processor time of the requests that have not been served.
 	backlog  time.Duration
 	cores    float64
@@ -45,11 +52,16 @@
 		served := min(p.backlog, time.Duration(p.cores*float64(step)))
 		p.backlog -= served
 		p.used += served
+		p.waits.Waits++
+		p.waits.Waited += time.Duration(float64(p.backlog) / p.cores)
 		if turn < 0 && !p.now.Before(due) {
 			turn = p.used + p.backlog
+			if p.passesFirst {
+				turn = p.used
+			}
 		}
 		if turn >= 0 && p.used >= turn {
-			if _, changed := p.guard.Observe(Sample{Now: p.now, Used: p.used, Delay: p.now.Sub(due)}); changed {
+			if _, changed := p.guard.Observe(Sample{Now: p.now, Used: p.countedUse(), Delay: p.now.Sub(due), Waits: p.waits}); changed {
 				p.changes++
 			}
 			due, turn = p.now.Add(passInterval), -1
@@ -57,6 +69,49 @@
 	}
 }
 
+// countedUse returns the processor time that the process counts as its own.
+func (p *process) countedUse() time.Duration {
+	if p.counted == 0 {
+		return p.used
+	}
+	return time.Duration(p.counted * float64(p.used))
+}
+
+// Guards against an entry that answers nothing in time because its guard does not see the
+// shortage: passes are served before requests, and the machine takes more than is counted.
+func TestShortageThatPassesDoNotShowIsShed(t *testing.T) {
+	const cores, cost, capacity = 0.192, 500 * time.Microsecond, 0.192 / 0.0005
+	for _, times := range []float64{1.2, 1.5, 2, 4} {
+		p := newProcess(cores, cores, cost)
+		p.passesFirst, p.counted = true, 0.6
+		p.run(2*time.Second, 0.5*capacity)
+		if p.rejected > 0 {
+			t.Fatalf("%.1f times the load: %d requests rejected before the overload", times, p.rejected)
+		}
+		worst := time.Duration(0)
+		before := p.used
+		for range 100 {
+			p.run(100*time.Millisecond, times*capacity)
+			worst = max(worst, time.Duration(float64(p.backlog)/cores))
+		}
+		if completed := float64(p.used-before) / float64(cost) / (10 * capacity); completed < 0.9 {
+			t.Errorf("%.1f times the load: completed %.2f of what the process can carry, want 0.9", times, completed)
+		}
+		if worst > time.Second {
+			t.Errorf("%.1f times the load: up to %v behind", times, worst)
+		}
+		if lag := time.Duration(float64(p.backlog) / cores); lag > 150*time.Millisecond {
+			t.Errorf("%.1f times the load: %v behind after 10 s", times, lag)
+		}
+		p.run(2*time.Second, 0.5*capacity)
+		rejected := p.rejected
+		p.run(3*time.Second, 0.5*capacity)
+		if p.rejected > rejected {
+			t.Errorf("%.1f times the load: %d rejected later than 2 s after its end", times, p.rejected-rejected)
+		}
+	}
+}
+
 // Guards against an entry that falls behind for long under a lasting load above what it
 // can carry, or that serves much less than it can.
 func TestLoadAboveTheShareIsShed(t *testing.T) {
