overload: the guard judges how long goroutines wait for a processor (SHORT)

Callers of the only entry of a zone got no answer within their deadline. Cause: the guard looked at the delay of passes, which the scheduler serves before what waits, and at the counted processor time, which never reached 0.85 of the share; so the limit began 16 s late, after sessions and runs were lost. Change: the mean wait of goroutines decides. A cut is not repeated while the wait falls, small waits are cut by a twentieth, an idle window raises the limit by 0.3. The counted processor time and the cost learned from it decide nothing. Why it works: whatever takes the time, what waits for it is what callers see.

--- a/process/overload/overload.go
+++ b/process/overload/overload.go
@@ -20,35 +20,36 @@
 	// window is the shortest time over which measurements are judged. It is shorter than
 	// the pause between two renewals of a session.
 	window = 100 * time.Millisecond
-	// lateAtFullUse is the mean delay of the passes above which a process that uses its
-	// share counts as short, lateOtherwise that of any other process. The latter is
-	// higher because a machine with other work delays passes for short times.
-	lateAtFullUse = 15 * time.Millisecond
-	lateOtherwise = 50 * time.Millisecond
-	// fullUse is the part of its share that a process uses when it is short of it.
-	// Measured use stays below the share because processes are held to it in slices.
-	fullUse = 0.85
-	// shortAtFullUse is the time of successive late windows after which a process that uses
-	// its share counts as short. One that needs less than its share uses it up in single
-	// slices of 100 ms and is late once for it.
-	shortAtFullUse = 190 * time.Millisecond
-	// windowsOtherwise is the number of successive late windows after which any other process
-	// counts as short. A process that was paused is late once.
-	windowsOtherwise = 3
-	// firstCut and laterCut times the admitted rate is the limit after a late window. The
-	// first one is lower, because the work admitted before is still to be done, and is
-	// also used while passes are later than severeDelay: sessions are not renewed in time.
-	firstCut    = 0.5
-	laterCut    = 0.8
-	severeDelay = 150 * time.Millisecond
-	// costWeight is the weight of a window in the mean processor time of a request, which
-	// windows with a use of at least costUse count for: in others most of it is spent on
-	// sessions.
-	costWeight = 0.1
-	costUse    = 0.3
-	// growth times the limit is the limit after a window that was not late. A limit that
-	// was wrong reaches 500 requests per second from minRate within 5 s.
-	growth = 1.1
+	// longWait is the mean wait of goroutines for a processor above which a window counts
+	// as late. A request waits several times on its way. Whatever takes the processor time
+	// shows in it, while passes are served before what waits.
+	longWait = 10 * time.Millisecond
+	// lateForWaits is the time of successive windows with long waits after which the process
+	// counts as short. One that needs less than its share uses it up in single slices of
+	// 100 ms and is late once for it.
+	lateForWaits = 190 * time.Millisecond
+	// latePass is the mean delay of the passes above which a window counts as late without
+	// long waits, and windowsOfPasses the number of successive ones after which the process
+	// counts as short. A machine with other work delays passes for short times.
+	latePass        = 50 * time.Millisecond
+	windowsOfPasses = 3
+	// firstCut times the admitted rate is the first limit, because the work admitted before
+	// is still to be done. severeCut is for windows in which sessions are not renewed in
+	// time, laterCut for those with waits above moderateWait, and smallCut for others.
+	firstCut  = 0.5
+	severeCut = 0.5
+	laterCut  = 0.8
+	smallCut  = 0.95
+	// severeDelay is the mean delay of the passes, or wait, above which sessions are not
+	// renewed in time.
+	severeDelay  = 150 * time.Millisecond
+	moderateWait = 30 * time.Millisecond
+	// growth times the limit is the limit after a window that was not late, fastGrowth after
+	// one with waits below shortWait, in which nothing was left to do. A limit that was wrong
+	// reaches 500 requests per second from minRate within 2 s.
+	growth     = 1.05
+	fastGrowth = 1.3
+	shortWait  = time.Millisecond
 	// minRate is the lowest limit, in requests per second.
 	minRate = 5.0
 	// endAfter is the time without a late window and without a rejection after which the
@@ -101,13 +102,12 @@
 	passes         int
 	late           time.Duration
 	admittedBefore uint64
-	// lateWindows counts the successive late windows, fullFor is the time of those with full
-	// use.
-	lateWindows int
-	fullFor     time.Duration
-	// cost is the mean processor time of an admitted request, as part of a second of the
-	// share, or 0 while it is not known.
-	cost float64
+	// latePasses counts the successive windows with late passes, waitsFor is the time of
+	// those with long waits.
+	latePasses int
+	waitsFor   time.Duration
+	// previous is the verdict on the window before.
+	previous Verdict
 
 	verdict Verdict
 	// tokens are the requests that may be admitted at once, as of tokensAt.
@@ -151,6 +151,7 @@
 // processor time.
 func (g *Guard) judgeWindow(s Sample) bool {
 	elapsed := s.Now.Sub(g.start.Now).Seconds()
+	g.previous = g.verdict
 	g.verdict.MeanDelay = g.late / time.Duration(g.passes)
 	g.verdict.MeanWait = s.Waits.MeanSince(g.start.Waits)
 	g.verdict.Admitted = float64(g.admitted.Load()-g.admittedBefore) / elapsed
@@ -158,53 +159,45 @@
 	if g.cores > 0 {
 		g.verdict.Use = (s.Used - g.start.Used).Seconds() / elapsed / g.cores
 	}
-	g.learnCost()
-	if g.verdict.MeanDelay < lateOtherwise {
-		g.lateWindows = 0
+	if g.verdict.MeanDelay < latePass {
+		g.latePasses = 0
 	} else {
-		g.lateWindows++
+		g.latePasses++
 	}
-	if g.verdict.MeanDelay < lateAtFullUse || g.verdict.Use < fullUse {
-		g.fullFor = 0
+	if g.verdict.MeanWait < longWait {
+		g.waitsFor = 0
 	} else {
-		g.fullFor += s.Now.Sub(g.start.Now)
+		g.waitsFor += s.Now.Sub(g.start.Now)
 	}
-	if g.verdict.Limited && g.fullFor > 0 {
+	if g.verdict.Limited && g.waitsFor > 0 {
 		return true
 	}
-	return g.fullFor >= shortAtFullUse || g.lateWindows >= windowsOtherwise
-}
-
-// learnCost takes the last window into account in the mean processor time of a request,
-// unless the process was short of it.
-func (g *Guard) learnCost() {
-	v := &g.verdict
-	if v.Use < costUse || v.Use >= fullUse || v.Limited || v.Admitted < minRate {
-		return
-	}
-	cost := v.Use / v.Admitted
-	if g.cost > 0 {
-		cost = (1-costWeight)*g.cost + costWeight*cost
-	}
-	g.cost = cost
+	return g.waitsFor >= lateForWaits || g.latePasses >= windowsOfPasses
 }
 
 // firstLimit returns the limit with which the rejections begin.
-func (g *Guard) firstLimit() float64 {
-	limit := firstCut * g.verdict.Admitted
-	if g.cost > 0 {
-		limit = min(limit, firstCut/g.cost)
-	}
-	return max(minRate, limit)
+func (g *Guard) firstLimit() float64 { return max(minRate, firstCut*g.verdict.Admitted) }
+
+// recovers reports whether the process is less late than in the window before: it does what
+// was admitted earlier, and another cut would leave it idle afterwards.
+func (g *Guard) recovers() bool {
+	return g.verdict.MeanWait < g.previous.MeanWait && g.verdict.MeanDelay <= max(g.previous.MeanDelay, latePass)
 }
 
 // nextLimit returns the limit after a late window with a limit.
 func (g *Guard) nextLimit() float64 {
-	cut := laterCut
-	if g.verdict.MeanDelay > severeDelay {
-		cut = firstCut
+	v := &g.verdict
+	if g.recovers() {
+		return v.Limit
+	}
+	cut := smallCut
+	switch {
+	case v.MeanDelay > severeDelay || v.MeanWait > severeDelay:
+		cut = severeCut
+	case v.MeanDelay > latePass || v.MeanWait > moderateWait:
+		cut = laterCut
 	}
-	return max(minRate, cut*min(g.verdict.Limit, max(g.verdict.Admitted, minRate)))
+	return max(minRate, cut*min(v.Limit, max(v.Admitted, minRate)))
 }
 
 // adjust sets the limit after a window. A process that admits no more than the lowest limit
@@ -225,6 +218,8 @@
 		}
 		v.Limited = false
 		g.limited.Store(false)
+	case v.Limited && v.MeanWait < shortWait:
+		v.Limit *= fastGrowth
 	case v.Limited:
 		v.Limit *= growth
 	}
