--- a/connection/wire/run.go
+++ b/connection/wire/run.go
@@ -76,6 +76,8 @@
 	// Started has the addresses of entries that the sender has seen start, for processes
 	// that have lost their connection to the entry before it was restarted.
 	Started []string `cbor:"4,keyasint,omitempty"`
+	// Load, if set, replaces the load that the sender has told before.
+	Load *EntryLoad `cbor:"5,keyasint,omitempty"`
 }
 
 // RoutingUpdate sends a version of the routing configuration to another entry.
--- a/process/dispatch/answers.go
+++ b/process/dispatch/answers.go
@@ -23,14 +23,14 @@
 	mayHaveRun bool
 }
 
-// retainAnswer keeps the answer of a job for a caller who submits the job again.
-func (p *pool) retainAnswer(now time.Time, j *activeJob, result Result) {
-	id := j.Job.ID
+// retainAnswer keeps the answer of a job for a caller who submits the job again. ran is set
+// if a run of it was ordered and not refused.
+func (p *pool) retainAnswer(now time.Time, id batch.ID, result Result, ran bool) {
 	previous, known := p.retainedAnswers[id]
 	if !known {
 		p.answerOrder = append(p.answerOrder, id)
 	}
-	p.retainedAnswers[id] = retainedAnswer{result, now, previous.mayHaveRun || j.runsStarted > 0}
+	p.retainedAnswers[id] = retainedAnswer{result, now, previous.mayHaveRun || ran}
 	for len(p.answerOrder) > 0 && (len(p.answerOrder) > maxRetainedAnswers || now.Sub(p.retainedAnswers[p.answerOrder[0]].answeredAt) > answerRetention) {
 		delete(p.retainedAnswers, p.answerOrder[0])
 		p.answerOrder = p.answerOrder[1:]
--- a/process/dispatch/core.go
+++ b/process/dispatch/core.go
@@ -255,7 +255,7 @@
 	j.ended = true
 	delete(p.jobs, j.Job.ID)
 	if j.durableState == nil {
-		p.retainAnswer(now, j, Result{Code: GaveUp, Reason: ReasonCallerLeft})
+		p.retainAnswer(now, j.Job.ID, Result{Code: GaveUp, Reason: ReasonCallerLeft}, j.runsStarted > 0)
 	}
 	c.stopJob(now, p, j)
 	c.assign(now, p)
--- a/process/dispatch/jobs.go
+++ b/process/dispatch/jobs.go
@@ -270,7 +270,7 @@
 	delete(p.jobs, j.Job.ID)
 	if j.durableState == nil {
 		result = p.correctNotRun(j.Job.ID, result)
-		p.retainAnswer(now, j, result)
+		p.retainAnswer(now, j.Job.ID, result, j.runsStarted > 0)
 	}
 	c.counters.countResult(result)
 	inputs := []decision.Input{{Name: "took_ms", Value: now.Sub(j.acceptedAt).Milliseconds()},
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -112,10 +112,12 @@
 	metrics  *entryMetrics
 	ticks    *tickMonitor
 	shedder  *loadShedder
-	work     observe.WorkMeter
-	limits   intake.Limits
-	intake   *intake.Intake
-	started  time.Time
+	// forwarder forwards submissions that this entry can't carry.
+	forwarder *forwarder
+	work      observe.WorkMeter
+	limits    intake.Limits
+	intake    *intake.Intake
+	started   time.Time
 	// servicesMu is held while the services of a configuration take effect, and guards
 	// services, which are those of the last one.
 	servicesMu sync.Mutex
@@ -163,6 +165,8 @@
 	e.ticks = newTickMonitor(observer)
 	e.shedder = newLoadShedder(options.Cores, observer, decisions)
 	e.ticks.observe = e.shedder.observe
+	e.forwarder = newForwarder(e, options.Cores)
+	e.shedder.onVerdict = e.forwarder.observe
 	e.dialer = newDialer(options.Node, options.AdvertiseAddr, options.Seeds, observer.Log, e.dialEntry)
 	return e
 }
@@ -345,6 +349,7 @@
 	actor(e.followMembers)
 	actor(e.announce)
 	actor(func(ctx context.Context) error { return runEvery(ctx, heartbeatInterval, e.sendHeartbeats) })
+	actor(func(ctx context.Context) error { return runEvery(ctx, wire.SessionRenewInterval, e.forwarder.renew) })
 	actor(e.metrics.report)
 	g.Add(func() error {
 		return stream.Serve(listener, func(c *stream.Conn) stream.Handler { return e.acceptLink(c) })
@@ -467,6 +472,9 @@
 	drainCtx, cancel := context.WithTimeout(ctx, e.options.Grace-shutdownReserve-drainDelay)
 	defer cancel()
 	err := server.Shutdown(drainCtx)
+	for e.servesForwarded() && drainCtx.Err() == nil {
+		time.Sleep(waitPollInterval)
+	}
 	unfinished := e.ActiveJobs()
 	for e.keeper.OwnedJobs() > 0 && time.Since(start) < e.options.Grace-shutdownReserve {
 		time.Sleep(waitPollInterval)
--- a/process/node/entrylinks.go
+++ b/process/node/entrylinks.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +34,11 @@
 	// lastHeard is when the last message was received, in nanoseconds of Unix time.
 	lastHeard atomic.Int64
 	pending   pendingCalls
+	// spare is the processor time that the other entry has to spare, as it has reported, in
+	// thousandths of a core.
+	spare atomic.Int64
+	// served are the jobs that this entry carries out for the other one.
+	served servedJobs
 }
 
 // LastHeard returns when the process at the other end last sent a message.
@@ -95,6 +102,9 @@
 		l.entry.addMembers(m.Entries)
 		l.entry.dialer.noteStarted(m.Started)
 		l.entry.handleEvacuation(m.Evacuation)
+		if m.Load != nil {
+			l.spare.Store(int64(m.Load.SpareMilliCPU))
+		}
 	case *wire.JobCall:
 		l.serveJobCall(m)
 	case *wire.JobReply:
@@ -191,6 +201,13 @@
 	}
 }
 
+// entryLinks returns the connections to other entries.
+func (e *Entry) entryLinks() []*processLink {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Collect(maps.Keys(e.peers))
+}
+
 // links returns the connections to agents and other entries.
 func (e *Entry) links() []*processLink {
 	e.mu.Lock()
@@ -207,8 +224,10 @@
 
 // Closed removes the connection, unless a newer one has replaced it already.
 func (l *processLink) Closed(err error) {
-	defer close(l.done)
 	e := l.entry
+	defer e.forwarder.giveUp(l)
+	defer l.endServed()
+	defer close(l.done)
 	// An enrolment on the next connection must not come between the two halves, or else the
 	// agent would count as disconnected although it is connected.
 	e.enrollMu.Lock()
@@ -252,7 +271,7 @@
 	if e.heartbeatTicks%period != 0 {
 		return
 	}
-	heartbeat := &wire.EntryMembers{PauseMS: pause.Milliseconds()}
+	heartbeat := &wire.EntryMembers{PauseMS: pause.Milliseconds(), Load: e.forwarder.load()}
 	if e.heartbeatTicks/period%heartbeatsPerMemberList == 0 {
 		heartbeat.Entries = members
 	}
--- a/process/node/jobcalls.go
+++ b/process/node/jobcalls.go
@@ -20,37 +20,46 @@
 type pendingCalls struct {
 	mu         sync.Mutex
 	lastNumber uint64
-	replies    map[uint64]chan wire.JobReply
+	handlers   map[uint64]func(wire.JobReply)
 }
 
-// add assigns a number to a new call and returns it with the channel that will
-// receive the reply.
-func (c *pendingCalls) add() (number uint64, answer <-chan wire.JobReply) {
+// add assigns a number to a new call, whose reply is passed to handle.
+func (c *pendingCalls) add(handle func(wire.JobReply)) (number uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.replies == nil {
-		c.replies = make(map[uint64]chan wire.JobReply)
+	if c.handlers == nil {
+		c.handlers = make(map[uint64]func(wire.JobReply))
 	}
 	c.lastNumber++
-	reply := make(chan wire.JobReply, 1)
-	c.replies[c.lastNumber] = reply
-	return c.lastNumber, reply
+	c.handlers[c.lastNumber] = handle
+	return c.lastNumber
+}
+
+// any reports whether a call has not been answered.
+func (c *pendingCalls) any() bool { return c.count() > 0 }
+
+// count returns the number of calls that have not been answered.
+func (c *pendingCalls) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.handlers)
 }
 
 func (c *pendingCalls) remove(number uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.replies, number)
+	delete(c.handlers, number)
 }
 
 // deliver passes a reply to the call with its number. A reply to a call that is no
 // longer pending is dropped.
 func (c *pendingCalls) deliver(m *wire.JobReply) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if reply := c.replies[m.Number]; reply != nil {
-		reply <- *m
-		delete(c.replies, m.Number)
+	handle := c.handlers[m.Number]
+	delete(c.handlers, m.Number)
+	c.mu.Unlock()
+	if handle != nil {
+		handle(*m)
 	}
 }
 
@@ -60,7 +69,8 @@
 // Call sends a call to the other entry and waits for the reply. It returns an error
 // if the connection or the context ends first. It implements keeper.Peer.
 func (l *processLink) Call(ctx context.Context, call wire.JobCall) (wire.JobReply, error) {
-	number, answer := l.pending.add()
+	answer := make(chan wire.JobReply, 1)
+	number := l.pending.add(func(reply wire.JobReply) { answer <- reply })
 	defer l.pending.remove(number)
 	call.Number = number
 	l.send(&call)
@@ -74,9 +84,13 @@
 	}
 }
 
-// serveJobCall answers a call from another entry. It runs in the background,
-// because the log may take long, which would delay the following messages.
+// serveJobCall answers a call from another entry. Calls about durable jobs run in the
+// background, because the log may take long, which would delay the following messages.
 func (l *processLink) serveJobCall(call *wire.JobCall) {
+	if call.Action == wire.RunJob {
+		l.serveForwarded(call)
+		return
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
 		defer cancel()
--- a/process/node/metrics.go
+++ b/process/node/metrics.go
@@ -49,6 +49,8 @@
 	zonesEvacuated  tally.Gauge
 	totals          map[string]*cumulativeCounter
 	clients         *observe.IntakeMonitor
+	// taken counts the submissions of other entries that were carried out here.
+	taken tally.Counter
 	// responses holds the tally.Counter of each HTTP status, because a lookup by tags
 	// allocates memory for each response.
 	responses sync.Map
@@ -59,7 +61,7 @@
 		activeJobs: o.Metrics.Gauge(observe.JobsActive), durableJobs: o.Metrics.Gauge(observe.DurableJobsHere),
 		snapshotRecords: o.Metrics.Gauge(observe.DurableSnapshotRecords), logUnread: o.Condition("durable_log_unread"), routingVersion: o.Metrics.Gauge(observe.RoutingVersion),
 		zonesEvacuated: o.Metrics.Gauge(observe.ZonesEvacuated), totals: make(map[string]*cumulativeCounter),
-		clients: o.IntakeMonitor(e.intake)}
+		clients: o.IntakeMonitor(e.intake), taken: o.Metrics.Counter(observe.SubmissionsTaken)}
 	return m
 }
 
--- a/process/node/overload.go
+++ b/process/node/overload.go
@@ -28,6 +28,8 @@
 	condition *observe.Condition
 	shed      tally.Counter
 	waits     *runqueue.Meter
+	// onVerdict is called with each verdict.
+	onVerdict func(now time.Time, v overload.Verdict)
 }
 
 func newLoadShedder(cores float64, o *observe.Observer, decisions decision.Recorder) *loadShedder {
@@ -39,6 +41,9 @@
 // decision with its inputs.
 func (l *loadShedder) observe(now time.Time, delay time.Duration) {
 	v, changed := l.guard.Observe(overload.Sample{Now: now, Used: processorTime(), Delay: delay, Waits: l.waits.Read()})
+	if l.onVerdict != nil {
+		l.onVerdict(now, v)
+	}
 	if !changed {
 		return
 	}
--- a/process/node/resubmissions.go
+++ b/process/node/resubmissions.go
@@ -28,13 +28,17 @@
 	maxWithdrawal = wire.OwnerRunsLostAfter + withdrawTimeout
 )
 
-// Submit submits a job that is not durable; see dispatch.Core.Submit. If its caller seems
+// Submit submits a job that is not durable; see dispatch.Core.Submit. It may forward a first
+// submission to another entry, see forwarder. If its caller seems
 // to have submitted it before, the other entries end it first: the one that had accepted
 // it may not have learned that the caller has left. A result that it had is the answer.
 // The job is given up if its caller does not wait until runs elsewhere have ended.
 func (e *Entry) Submit(s batch.Submission, reply func(dispatch.Result)) (cancel func()) {
 	defer e.work.Add(observe.WorkRequests, time.Now())
-	if !e.Core.LooksResubmitted(s) {
+	if !e.Core.LooksResubmitted(s) && !e.forwarder.isOpen(s.Job.ID) {
+		if link := e.forwarder.choose(s); link != nil {
+			return e.forwarder.forward(link, s, reply)
+		}
 		return e.Core.Submit(s, reply)
 	}
 	ctx, cancelWait := context.WithCancel(context.Background())
@@ -42,7 +46,9 @@
 	go func() {
 		defer cancelWait()
 		start := clock.Now()
+		e.forwarder.withdrawJob(s.Job.ID)
 		withdrawn := withdrawElsewhere(ctx, e.withdrawalPeers(), s.Job.ID)
+		withdrawn.addRunsEnd(e.forwarder.runsEnd(s.Job.ID))
 		if withdrawn.known {
 			reply(withdrawn.result)
 			return
@@ -145,13 +151,18 @@
 			return w
 		}
 		all.mayHaveRun, all.runsAlive = all.mayHaveRun || w.mayHaveRun, all.runsAlive || w.runsAlive
-		if w.runsEnd.After(all.runsEnd) {
-			all.runsEnd = w.runsEnd
-		}
+		all.addRunsEnd(w.runsEnd)
 	}
 	return all
 }
 
+// addRunsEnd adds the time when the runs at another entry have ended.
+func (w *withdrawal) addRunsEnd(at time.Time) {
+	if at.After(w.runsEnd) {
+		w.runsEnd = at
+	}
+}
+
 // withdrawAt asks one entry to end a job, again and again while runs may be alive. An entry
 // that does not reply may have renewed the sessions with its agents until it was last
 // heard of, or later if it is only cut off from this one.
@@ -181,8 +192,9 @@
 		reply.Code, reply.Reason = string(result.Code), string(result.Reason)
 		return reply
 	}
+	e.forwarder.withdrawJob(call.ID)
 	reply.Started = e.Core.MayHaveRun(call.ID)
-	for e.Core.HasRuns(call.ID) {
+	for e.Core.HasRuns(call.ID) || e.forwarder.isOpen(call.ID) {
 		if ctx.Err() != nil {
 			reply.RunsAlive = true
 			break
--- a/process/observe/names.go
+++ b/process/observe/names.go
@@ -127,6 +127,11 @@
 	// SubmissionsShed counts submissions that were rejected because the entry lacks
 	// processor time.
 	SubmissionsShed = "submissions_shed"
+	// SubmissionsForwarded counts submissions that the entry has forwarded to another one
+	// for lack of processor time, by TagOutcome; SubmissionsTaken counts those that it has
+	// carried out for others.
+	SubmissionsForwarded = "submissions_forwarded"
+	SubmissionsTaken     = "submissions_taken"
 	// RoutingVersion is the version of the routing configuration in force.
 	RoutingVersion = "routing_version"
 	// ZonesEvacuated is the number of availability zones that the operator has evacuated.
