intake, platform: submissions are rejected before the HTTP server parses them

Callers of an overloaded entry got nothing at three times what it can carry and half of it at twice. Cause: a rejection took a third of the processor time of a request, so that rejections used up what was left for requests. Change: while there is a limit, the connection answers a whole request from its head and reads on; the decision and the response are those of the handler. Whatever is unusual goes to the HTTP server.

--- a/connection/intake/conn.go
+++ b/connection/intake/conn.go
@@ -43,7 +43,9 @@
 	// interrupted is set when every read has to fail.
 	interrupted atomic.Bool
 	// begun is set once a byte of the current request has arrived.
-	begun     atomic.Bool
+	begun atomic.Bool
+	// admitted is what EarlyAnswerer.AnswerEarly has returned for the current request.
+	admitted  bool
 	closeOnce sync.Once
 
 	// headBytes and headLines have arrived of the current head; lineBytes of its last line.
@@ -96,7 +98,23 @@
 // Read reads from the connection. While the head of a request arrives it fails once the head is
 // too long or the budget has no room for it.
 func (c *Conn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
+	for {
+		n, err := c.TCPConn.Read(p)
+		if n == 0 || err != nil {
+			return c.admitRead(p, n, err)
+		}
+		answered, writeErr := c.answerEarly(p[:n])
+		if writeErr != nil {
+			return 0, writeErr
+		}
+		if !answered {
+			return c.admitRead(p, n, nil)
+		}
+	}
+}
+
+// admitRead takes the result of a read of the connection into account.
+func (c *Conn) admitRead(p []byte, n int, err error) (int, error) {
 	leaving := phase(c.phase.Load()) == phaseLeaving
 	if leaving && n == 0 {
 		n = c.readArrived(p)
@@ -207,6 +225,7 @@
 func (c *Conn) becomeIdle() {
 	c.headBytes, c.headLines, c.lineBytes, c.headBegan, c.headEnded, c.headCharged = 0, 0, 0, false, false, 0
 	c.begun.Store(false)
+	c.admitted = false
 	c.setPhase(phaseIdle)
 	c.releaseHead()
 }
--- a/connection/intake/listener.go
+++ b/connection/intake/listener.go
@@ -35,6 +35,8 @@
 	// Raw is set for a protocol that is not HTTP: the head of a connection is what arrives
 	// before Conn.Established is called, and has no lines.
 	Raw bool
+	// Early, if set, answers some requests before the HTTP server sees them.
+	Early EarlyAnswerer
 }
 
 // Listener accepts connections within its bounds.
--- a/connection/intake/server.go
+++ b/connection/intake/server.go
@@ -38,6 +38,12 @@
 	return c
 }
 
+// Admitted reports whether an EarlyAnswerer has admitted the request of a context.
+func Admitted(ctx context.Context) bool {
+	c := connOf(ctx)
+	return c != nil && c.admitted
+}
+
 // trackPhases notes on the connection of each request whether its body has to arrive.
 func trackPhases(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/process/node/entry.go
+++ b/process/node/entry.go
@@ -432,8 +432,12 @@
 
 // serveCallers serves callers until the process has drained.
 func (e *Entry) serveCallers(g *run.Group, ctx context.Context, stop <-chan struct{}) {
-	server := intake.NewServer(e.options.CallerHandler(e), caller.WithConn)
+	handler := e.options.CallerHandler(e)
+	server := intake.NewServer(handler, caller.WithConn)
 	options := intake.ListenerOptions{MaxConns: e.limits.Conns, Limits: e.callerLimits}
+	if early, ok := handler.(intake.EarlyAnswerer); ok {
+		options.Early = early
+	}
 	g.Add(func() error {
 		if err := e.intake.ListenAndServe(e.options.CallerAddr, options, server); err != nil {
 			return errors.Wrap(err, "callers")
--- a/process/node/overload.go
+++ b/process/node/overload.go
@@ -86,6 +86,9 @@
 	return false
 }
 
+// Limited reports whether the entry rejects submissions for lack of processor time.
+func (e *Entry) Limited() bool { return e.shedder.guard.Limited() }
+
 // MayBeKnown reports whether the job may have been submitted before, here or elsewhere.
 func (e *Entry) MayBeKnown(s batch.Submission) bool {
 	return e.Core.LooksResubmitted(s) || e.Core.KnowsJob(s.Job.ID) || e.keeper.JobState(s.Job.ID) != dispatch.DurableUnknown
