--- a/connection/intake/early_test.go
+++ b/connection/intake/early_test.go
@@ -32,19 +32,11 @@
 	busy, idle := "POST /busy HTTP/1.1\r\nHost: x\r\nX-Field: 1\r\nContent-Length: 2\r\n\r\nab", "POST /idle HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nab"
 	reader := bufio.NewReader(conn)
 	for i, step := range []struct {
-		parts []string
-		want  []int
-	}{
-		{[]string{busy}, []int{503}},
-		{[]string{busy}, []int{503}},
-		{[]string{idle}, []int{200}},
-		{[]string{busy}, []int{503}},
-		{[]string{idle + idle}, []int{200, 200}},
-	} {
-		for _, part := range step.parts {
-			if _, err := io.WriteString(conn, part); err != nil {
-				t.Fatal(err)
-			}
+		text string
+		want []int
+	}{{busy, []int{503}}, {busy, []int{503}}, {idle, []int{200}}, {busy, []int{503}}, {idle + idle, []int{200, 200}}} {
+		if _, err := io.WriteString(conn, step.text); err != nil {
+			t.Fatal(err)
 		}
 		for _, want := range step.want {
 			response, err := http.ReadResponse(reader, nil)
